--- /dev/null
+++ b/sedgeswitch/callers/http.py
@@ -0,0 +1,318 @@
+"""HTTP/1.1 for callers and operators: requests, responses and one connection.
+
+Parsing is `httptools`'; this module keeps the limits on what a peer may send
+and how long it may take.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import http
+import typing
+
+import httptools
+import loguru
+import msgspec
+import trio
+
+from sedgeswitch import verdicts
+
+RECEIVE_BYTES = 64 * 1024
+PROBLEM_TYPE = "application/problem+json"
+JSON_TYPE = "application/json"
+
+
+class Limits(typing.NamedTuple):
+    """What a connection may send and how long it may take.
+
+    Attributes
+    ----------
+    max_header_bytes : int
+    max_body_bytes : int
+    request_timeout_s : float
+        From a request's first byte to its last, in seconds.
+    idle_timeout_s : float
+        Between two requests of a connection, in seconds.
+    send_timeout_s : float
+        For the peer to take a response, in seconds.
+    """
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 1024 * 1024
+    request_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+    send_timeout_s: float = 10.0
+
+
+class Request(typing.NamedTuple):
+    """One HTTP request.
+
+    Attributes
+    ----------
+    method : str
+    path : str
+        Without the query string.
+    headers : dict of str to str
+        Names in lower case.
+    body : bytes
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Response(typing.NamedTuple):
+    """One HTTP response.
+
+    Attributes
+    ----------
+    status : int
+    body : bytes
+    content_type : str
+    headers : tuple of (str, str)
+        Further headers.
+    """
+
+    status: int
+    body: bytes
+    content_type: str = JSON_TYPE
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Problem(typing.NamedTuple):
+    """The body of a refusal, an RFC 9457 problem document."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    code: str
+    verdict: str
+    retry_after_ms: int
+
+
+Handler = collections.abc.Callable[[Request], collections.abc.Awaitable[Response]]
+
+
+def build_json(value: typing.Any, headers: tuple = ()) -> Response:
+    """Return a response with a JSON body; named tuples become objects."""
+    return Response(200, msgspec.json.encode(encode_value(value)), JSON_TYPE, headers)
+
+
+def encode_value(value: typing.Any) -> typing.Any:
+    """Return `value` with named tuples turned into mappings."""
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        return {name: encode_value(item) for name, item in value._asdict().items()}
+    if isinstance(value, dict):
+        return {name: encode_value(item) for name, item in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [encode_value(item) for item in value]
+    return value
+
+
+def build_problem(refusal: verdicts.Refusal) -> Response:
+    """Return the response that tells a caller of a refusal."""
+    problem = Problem(
+        type=f"urn:sedgeswitch:problem:{refusal.code}",
+        title=refusal.code.replace("_", " "),
+        status=refusal.status,
+        detail=refusal.detail,
+        code=refusal.code,
+        verdict=refusal.verdict.value,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+    headers = ()
+    if refusal.retry_after_ms > 0:
+        retry_after_s = -(-refusal.retry_after_ms // 1000)
+        headers = (("Retry-After", str(retry_after_s)),)
+    body = msgspec.json.encode(problem._asdict())
+    return Response(refusal.status, body, PROBLEM_TYPE, headers)
+
+
+def _get_phrase(status: int) -> str:
+    with contextlib.suppress(ValueError):
+        return http.HTTPStatus(status).phrase
+    return "Unknown"
+
+
+def encode_response(response: Response, is_closing: bool) -> bytes:
+    """Return the bytes of a response."""
+    lines = [
+        f"HTTP/1.1 {response.status} {_get_phrase(response.status)}",
+        f"Content-Type: {response.content_type}",
+        f"Content-Length: {len(response.body)}",
+    ]
+    lines += [f"{name}: {value}" for name, value in response.headers]
+    if is_closing:
+        lines.append("Connection: close")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + response.body
+
+
+class _RequestBuilder:
+    """Collects one request from the parser's callbacks."""
+
+    def __init__(self, limits: Limits):
+        self._limits = limits
+        self.finished: collections.deque[tuple[Request, bool]] = collections.deque()
+        self.refusal: verdicts.RefusedError | None = None
+        self.is_started = False
+        self.parser = httptools.HttpRequestParser(self)
+        self._reset()
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._header_bytes = 0
+        self._body = bytearray()
+
+    def on_message_begin(self) -> None:
+        self.is_started = True
+        self._reset()
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_header(len(name) + len(value))
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        if len(self._body) + len(body) > self._limits.max_body_bytes:
+            self.refusal = verdicts.build_not_run(
+                413,
+                "body_too_large",
+                f"body: expected at most {self._limits.max_body_bytes} bytes",
+            )
+            return
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        self.is_started = False
+        url = httptools.parse_url(self._url)
+        request = Request(
+            self.parser.get_method().decode(),
+            (url.path or b"/").decode("latin-1"),
+            self._headers,
+            bytes(self._body),
+        )
+        self.finished.append((request, self.parser.should_keep_alive()))
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._limits.max_header_bytes:
+            self.refusal = verdicts.build_not_run(
+                431,
+                "headers_too_large",
+                f"headers: expected at most {self._limits.max_header_bytes} bytes",
+            )
+
+
+class HttpConnection:
+    """Serves the requests of one connection, one after another.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+    handler : callable
+        Takes a `Request`, returns a `Response` or raises
+        `verdicts.RefusedError`.
+    limits : Limits
+    is_draining : callable
+        Tells whether the connection should be closed after the request that
+        is running.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        handler: Handler,
+        limits: Limits,
+        is_draining: collections.abc.Callable[[], bool],
+    ):
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._is_draining = is_draining
+        self._builder = _RequestBuilder(limits)
+        self.is_busy = False
+
+    async def run(self) -> None:
+        """Serve until the peer closes, breaks a limit or the host drains."""
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async with self._stream:
+                while await self._serve_one():
+                    pass
+
+    async def _serve_one(self) -> bool:
+        try:
+            is_open = await self._receive()
+        except verdicts.RefusedError as error:
+            await self._send(build_problem(error.refusal), is_closing=True)
+            return False
+        if not is_open:
+            return False
+        request, is_kept_alive = self._builder.finished.popleft()
+        self.is_busy = True
+        response = await self._answer(request)
+        is_closing = not is_kept_alive or self._is_draining()
+        is_sent = await self._send(response, is_closing)
+        self.is_busy = False
+        return is_sent and not is_closing
+
+    async def _answer(self, request: Request) -> Response:
+        try:
+            return await self._handler(request)
+        except verdicts.RefusedError as error:
+            return build_problem(error.refusal)
+        except Exception:
+            loguru.logger.exception("request handler failed")
+            refusal = verdicts.Refusal(
+                verdicts.Verdict.MAY_HAVE_RUN, 500, "internal_error", "see the logs"
+            )
+            return build_problem(refusal)
+
+    async def _send(self, response: Response, is_closing: bool) -> bool:
+        with trio.move_on_after(self._limits.send_timeout_s):
+            await self._stream.send_all(encode_response(response, is_closing))
+            return True
+        return False
+
+    async def _receive(self) -> bool:
+        """Wait for a whole request; False when the peer closed between two."""
+        if self._builder.finished:
+            return True
+        with trio.CancelScope() as scope:
+            scope.deadline = trio.current_time() + self._limits.idle_timeout_s
+            is_timed = False
+            while not self._builder.finished:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                if not data:
+                    return False
+                self._feed(data)
+                if not is_timed:
+                    is_timed = True
+                    timeout_s = self._limits.request_timeout_s
+                    scope.deadline = trio.current_time() + timeout_s
+            return True
+        if self._builder.is_started:
+            raise verdicts.build_not_run(
+                408, "request_timeout", "the request did not arrive in time"
+            )
+        return False
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._builder.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise verdicts.build_not_run(
+                400, "upgrade_refused", "upgrade: expected none"
+            ) from error
+        except httptools.HttpParserError as error:
+            raise verdicts.build_not_run(
+                400, "malformed_http", f"malformed HTTP/1.1: {error}"
+            ) from error
+        if self._builder.refusal is not None:
+            raise self._builder.refusal
--- /dev/null
+++ b/sedgeswitch/callers/routes.py
@@ -0,0 +1,169 @@
+"""Routes of the HTTP edge, and the server that dispatches to them."""
+
+import collections.abc
+import typing
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.callers import http
+
+Endpoint = collections.abc.Callable[
+    [http.Request, tuple[str, ...]], collections.abc.Awaitable[http.Response]
+]
+
+DRAIN_POLL_S = 0.02
+
+
+class _Route(typing.NamedTuple):
+    method: str
+    parts: tuple[str, ...]
+    endpoint: Endpoint
+
+
+class Router:
+    """Finds the endpoint of a request by its method and path."""
+
+    def __init__(self):
+        self._exact: dict[str, dict[str, Endpoint]] = {}
+        self._routes: list[_Route] = []
+
+    def register_route(self, method: str, path: str, endpoint: Endpoint) -> None:
+        """Register an endpoint.
+
+        Parameters
+        ----------
+        method : str
+        path : str
+            Segments of the form ``{name}`` match anything and are passed to
+            the endpoint in order.
+        endpoint : callable
+        """
+        if "{" not in path:
+            self._exact.setdefault(path, {})[method] = endpoint
+            return
+        self._routes.append(_Route(method, tuple(path.split("/")), endpoint))
+
+    async def handle(self, request: http.Request) -> http.Response:
+        """Return the endpoint's response.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            404 for an unknown path, 405 for a method that it does not take.
+        """
+        methods = self._exact.get(request.path)
+        if methods is not None:
+            endpoint = methods.get(request.method)
+            if endpoint is None:
+                raise _build_wrong_method(request, methods)
+            return await endpoint(request, ())
+        return await self._handle_pattern(request)
+
+    async def _handle_pattern(self, request: http.Request) -> http.Response:
+        parts = tuple(request.path.split("/"))
+        matching = [route for route in self._routes if _matches(route.parts, parts)]
+        for route in matching:
+            if route.method == request.method:
+                pairs = zip(route.parts, parts, strict=True)
+                values = tuple(given for name, given in pairs if name.startswith("{"))
+                return await route.endpoint(request, values)
+        if matching:
+            raise _build_wrong_method(request, [route.method for route in matching])
+        raise verdicts.build_not_run(
+            404, "unknown_route", f"path: expected a known one, got {request.path!r}"
+        )
+
+
+def _build_wrong_method(
+    request: http.Request, allowed: collections.abc.Iterable[str]
+) -> verdicts.RefusedError:
+    names = ", ".join(sorted(allowed))
+    detail = f"method: expected one of {names}, got {request.method!r}"
+    return verdicts.build_not_run(405, "wrong_method", detail)
+
+
+def _matches(pattern: tuple[str, ...], parts: tuple[str, ...]) -> bool:
+    if len(pattern) != len(parts):
+        return False
+    pairs = zip(pattern, parts, strict=True)
+    return all(name.startswith("{") or name == part for name, part in pairs)
+
+
+class HttpServer:
+    """Accepts HTTP connections, one task each.
+
+    Parameters
+    ----------
+    handler : callable
+    limits : http.Limits
+    max_connections : int
+        Connections beyond it are answered 503 and closed.
+    """
+
+    def __init__(
+        self, handler: http.Handler, limits: http.Limits, max_connections: int
+    ):
+        self._handler = handler
+        self._limits = limits
+        self._max_connections = max_connections
+        self._connections: dict[http.HttpConnection, trio.CancelScope] = {}
+        self._is_draining = False
+        self._listening = trio.CancelScope()
+
+    @property
+    def open_connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept connections until cancelled or drained."""
+        async with trio.open_nursery() as nursery:
+            with self._listening:
+                await trio.serve_tcp(
+                    self._serve_connection,
+                    port,
+                    host=host,
+                    handler_nursery=nursery,
+                    task_status=task_status,
+                )
+
+    async def drain(self) -> None:
+        """Stop accepting, let running requests finish, close the rest."""
+        self._is_draining = True
+        self._listening.cancel()
+        while self._connections:
+            for connection, scope in list(self._connections.items()):
+                if not connection.is_busy:
+                    scope.cancel()
+            await trio.sleep(DRAIN_POLL_S)
+
+    async def _serve_connection(self, stream: trio.abc.Stream) -> None:
+        connection = http.HttpConnection(
+            stream, self._handler, self._limits, lambda: self._is_draining
+        )
+        if len(self._connections) >= self._max_connections:
+            await _refuse_connection(stream, self._max_connections)
+            return
+        with trio.CancelScope() as scope:
+            self._connections[connection] = scope
+            try:
+                await connection.run()
+            finally:
+                del self._connections[connection]
+
+
+async def _refuse_connection(stream: trio.abc.Stream, max_connections: int) -> None:
+    detail = f"this host serves at most {max_connections} connections"
+    refusal = verdicts.Refusal(
+        verdicts.Verdict.NOT_RUN, 503, "too_many_connections", detail, 1000
+    )
+    response = http.encode_response(http.build_problem(refusal), is_closing=True)
+    with trio.move_on_after(1.0):
+        async with stream:
+            await stream.send_all(response)
--- /dev/null
+++ b/sedgeswitch/membership/directory.py
@@ -0,0 +1,234 @@
+"""The directory of backend servers that announce themselves.
+
+Backend servers announce themselves to any entry host. Entry hosts report what
+was announced to them with their heartbeats; the leader keeps each announcement
+as a lease and answers with the changes of the whole directory.
+"""
+
+import collections
+import collections.abc
+import random
+import typing
+
+from sedgeswitch.membership import messages
+from sedgeswitch.transport import catalog
+
+ANNOUNCEMENT_LEASE_S = 10.0
+KEPT_CHANGES = 1000
+_EPOCH_BITS = 60
+
+
+class BackendServer(typing.NamedTuple):
+    """An instance of a database group, as it announced itself.
+
+    Attributes
+    ----------
+    instance : str
+    group : str
+    host : str
+        IP number.
+    port : int
+        TCP port.
+    availability_zone : str
+    labels : dict of str to str
+        Labels that the instance announced.
+    slots : int
+        How many statements it runs at once.
+    max_connections : int
+    """
+
+    instance: str
+    group: str
+    host: str
+    port: int
+    availability_zone: str
+    labels: dict[str, str]
+    slots: int
+    max_connections: int
+
+
+def _build_message(server: BackendServer) -> messages.Announcement:
+    return messages.Announcement(*server)
+
+
+def _build_server(message: messages.Announcement) -> BackendServer:
+    return BackendServer(
+        message.instance,
+        message.group,
+        message.host,
+        message.port,
+        message.availability_zone,
+        message.labels,
+        message.slots,
+        message.max_connections,
+    )
+
+
+class EntryDirectory:
+    """The entry host's copy of the directory.
+
+    Attributes
+    ----------
+    servers : dict of str to BackendServer
+        Every known backend server by instance id.
+    """
+
+    def __init__(self):
+        self.servers: dict[str, BackendServer] = {}
+        self._epoch = -1
+        self._version = -1
+        self._announced: dict[str, BackendServer] = {}
+        self._known: dict[str, BackendServer] = {}
+        self._listeners: list[collections.abc.Callable[[], None]] = []
+
+    def register_listener(self, listener: collections.abc.Callable[[], None]) -> None:
+        """Register a function that is called when the directory changes."""
+        self._listeners.append(listener)
+
+    def record_announcement(self, server: BackendServer) -> None:
+        """Take in an announcement; the next heartbeat reports it."""
+        self._announced[server.instance] = server
+
+    def get_group(self, group: str) -> list[BackendServer]:
+        """Return the backend servers of a database group."""
+        return [server for server in self.servers.values() if server.group == group]
+
+    def build_report(self, now_s: float) -> bytes:  # noqa: ARG002
+        """Return what was announced to this host since the last report."""
+        announced, self._announced = self._announced, {}
+        changed = [
+            server
+            for instance, server in announced.items()
+            if self._known.get(instance) != server
+        ]
+        renewed = [
+            instance
+            for instance, server in announced.items()
+            if self._known.get(instance) == server
+        ]
+        self._known.update(announced)
+        report = messages.DirectoryReport(
+            self._epoch,
+            self._version,
+            [_build_message(server) for server in changed],
+            renewed,
+        )
+        return catalog.encode_struct(report)
+
+    def receive_answer(self, body: bytes, now_s: float) -> None:  # noqa: ARG002
+        """Take in changes of the directory."""
+        answer = catalog.decode_struct(messages.DirectoryAnswer, body)
+        for instance in answer.unknown:
+            self._known.pop(instance, None)
+        is_changed = bool(answer.upserts or answer.removals or answer.is_whole)
+        if answer.is_whole:
+            self.servers = {}
+        for message in answer.upserts:
+            self.servers[message.instance] = _build_server(message)
+        for instance in answer.removals:
+            self.servers.pop(instance, None)
+        self._epoch = answer.epoch
+        self._version = answer.version
+        if is_changed:
+            for listener in self._listeners:
+                listener()
+
+
+class _Entry(typing.NamedTuple):
+    server: BackendServer
+    until_s: float
+
+
+class ControlDirectory:
+    """The leader's directory; soft state that announcements rebuild.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of epochs, which tell the directories of two leaders apart.
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._epoch = 0
+        self._version = 0
+        self._started_s = 0.0
+        self._entries: dict[str, _Entry] = {}
+        self._changes: collections.deque[str] = collections.deque(maxlen=KEPT_CHANGES)
+
+    @property
+    def servers(self) -> dict[str, BackendServer]:
+        """Every backend server whose announcement has not expired."""
+        return {instance: entry.server for instance, entry in self._entries.items()}
+
+    def start_leadership(self, now_s: float) -> None:
+        """Keep what a follower can't know empty; announcements refill it."""
+        self._epoch = self._rng.getrandbits(_EPOCH_BITS) * 2
+        self._version = 0
+        self._started_s = now_s
+        self._entries = {}
+        self._changes.clear()
+
+    def get_version(self) -> int:
+        """Return a number that changes with the directory."""
+        return self._version
+
+    def expire(self, now_s: float) -> None:
+        """Remove the backend servers whose announcement has run out."""
+        expired = [
+            instance
+            for instance, entry in self._entries.items()
+            if entry.until_s <= now_s
+        ]
+        for instance in expired:
+            del self._entries[instance]
+            self._record_change(instance)
+
+    def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:  # noqa: ARG002
+        """Record announcements and return the changes the host lacks."""
+        self.expire(now_s)
+        report = catalog.decode_struct(messages.DirectoryReport, body)
+        for message in report.changed:
+            self._renew(_build_server(message), now_s)
+        unknown = []
+        for instance in report.renewed:
+            entry = self._entries.get(instance)
+            if entry is None:
+                unknown.append(instance)
+            else:
+                self._renew(entry.server, now_s)
+        return catalog.encode_struct(self._build_answer(report, unknown, now_s))
+
+    def _renew(self, server: BackendServer, now_s: float) -> None:
+        known = self._entries.get(server.instance)
+        self._entries[server.instance] = _Entry(server, now_s + ANNOUNCEMENT_LEASE_S)
+        if known is None or known.server != server:
+            self._record_change(server.instance)
+
+    def _record_change(self, instance: str) -> None:
+        self._version += 1
+        self._changes.append(instance)
+
+    def _build_answer(
+        self, report: messages.DirectoryReport, unknown: list[str], now_s: float
+    ) -> messages.DirectoryAnswer:
+        # A new leader knows too little to remove what the hosts still use. The
+        # epoch moves on once announcements had time to arrive, and then every
+        # host gets the whole directory.
+        is_warm = now_s >= self._started_s + ANNOUNCEMENT_LEASE_S
+        epoch = self._epoch + int(is_warm)
+        missed = self._version - report.version
+        if report.epoch != epoch or not 0 <= missed <= len(self._changes):
+            upserts = [_build_message(entry.server) for entry in self._entries.values()]
+            return messages.DirectoryAnswer(
+                epoch, self._version, is_warm, upserts, [], unknown
+            )
+        touched = set(list(self._changes)[len(self._changes) - missed :])
+        present = sorted(touched & self._entries.keys())
+        upserts = [
+            _build_message(self._entries[instance].server) for instance in present
+        ]
+        removals = sorted(touched - self._entries.keys()) if is_warm else []
+        return messages.DirectoryAnswer(
+            epoch, self._version, False, upserts, removals, unknown
+        )
--- /dev/null
+++ b/sedgeswitch/membership/heart.py
@@ -0,0 +1,194 @@
+"""The entry host's side of heartbeats and watches."""
+
+import collections.abc
+import typing
+
+import loguru
+import trio
+
+from sedgeswitch.membership import messages
+from sedgeswitch.membership import sections
+from sedgeswitch.transport import failures
+from sedgeswitch.transport import peer
+
+CALL_TIMEOUT_S = 1.0
+WATCH_TIMEOUT_S = 5.0
+RETRY_DELAY_S = 0.05
+
+
+class HostIdentity(typing.NamedTuple):
+    """Who an entry host is.
+
+    Attributes
+    ----------
+    host_id : str
+    incarnation : str
+        Changes with each start of the daemon.
+    availability_zone : str
+    host : str
+        IP number for calls from other hosts.
+    port : int
+        TCP port for calls from other hosts.
+    """
+
+    host_id: str
+    incarnation: str
+    availability_zone: str
+    host: str
+    port: int
+
+
+class ControlPeers:
+    """Connections to all control hosts, and which of them leads.
+
+    Parameters
+    ----------
+    addresses : mapping of str to peer.Address
+        Address of each control host by its id.
+    """
+
+    def __init__(self, addresses: collections.abc.Mapping[str, peer.Address]):
+        self._peers = {
+            host_id: peer.Peer(address) for host_id, address in addresses.items()
+        }
+        self._order = list(self._peers)
+
+    async def run(self) -> None:
+        """Keep the connections open until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for control_peer in self._peers.values():
+                nursery.start_soon(control_peer.run)
+
+    async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
+        """Call the control host that is believed to lead.
+
+        Raises
+        ------
+        failures.CallError
+            If it did not answer; the next call tries another host.
+        """
+        host_id = self._order[0]
+        try:
+            return await self._peers[host_id].call(message, timeout_s)
+        except failures.CallError as error:
+            self._turn_away(host_id, error)
+            raise
+
+    def _turn_away(self, host_id: str, error: failures.CallError) -> None:
+        if self._order[0] != host_id:
+            return
+        self._order.append(self._order.pop(0))
+        if error.code == "not_leader" and error.detail in self._peers:
+            self._order.remove(error.detail)
+            self._order.insert(0, error.detail)
+
+
+class Heart:
+    """Renews the host's lease and carries the sections of the slices.
+
+    Parameters
+    ----------
+    identity : HostIdentity
+    control : ControlPeers
+    interval_s : float
+        Time between heartbeats when nothing changes, in seconds.
+    """
+
+    def __init__(
+        self, identity: HostIdentity, control: ControlPeers, interval_s: float
+    ):
+        self._identity = identity
+        self._control = control
+        self._interval_s = interval_s
+        self._sections: dict[str, sections.EntrySection] = {}
+        self._lease_listeners: list[collections.abc.Callable[[float], None]] = []
+        self._versions: dict[str, int] = {}
+        self._wake = trio.Event()
+        self.lease_until_s = float("-inf")
+        self.is_leaving = False
+
+    def register_section(self, name: str, section: sections.EntrySection) -> None:
+        """Register the entry host's side of a section."""
+        self._sections[name] = section
+
+    def register_lease_listener(
+        self, listener: collections.abc.Callable[[float], None]
+    ) -> None:
+        """Register a function that learns until when the lease lasts."""
+        self._lease_listeners.append(listener)
+
+    def is_lease_valid(self, now_s: float) -> bool:
+        """Return whether the host's lease still holds."""
+        return now_s < self.lease_until_s
+
+    def wake(self) -> None:
+        """Send the next heartbeat at once."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Beat and watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._beat_forever)
+            nursery.start_soon(self._watch_forever)
+
+    async def leave(self) -> None:
+        """Give the lease up; nothing may be served under it afterwards."""
+        self.is_leaving = True
+        self._set_lease(float("-inf"))
+        await self.beat()
+
+    async def beat(self) -> bool:
+        """Send one heartbeat.
+
+        Returns
+        -------
+        bool
+            Whether agreed state has moved, so that the next heartbeat, which
+            acknowledges it, should follow at once.
+        """
+        sent_s = trio.current_time()
+        reports = {
+            name: section.build_report(sent_s)
+            for name, section in self._sections.items()
+        }
+        heartbeat = messages.Heartbeat(*self._identity, reports, self.is_leaving)
+        answer = await self._control.call(heartbeat, CALL_TIMEOUT_S)
+        now_s = trio.current_time()
+        for name, body in answer.sections.items():
+            self._sections[name].receive_answer(body, now_s)
+        if not self.is_leaving:
+            self._set_lease(sent_s + answer.lease_ms / 1000)
+        is_changed = answer.versions != self._versions
+        self._versions = answer.versions
+        return is_changed
+
+    def _set_lease(self, until_s: float) -> None:
+        self.lease_until_s = until_s
+        for listener in self._lease_listeners:
+            listener(until_s)
+
+    async def _beat_forever(self) -> None:
+        while True:
+            delay_s = self._interval_s
+            try:
+                if await self.beat():
+                    delay_s = 0.0
+            except failures.CallError as error:
+                loguru.logger.debug("heartbeat failed: {}", error)
+                delay_s = RETRY_DELAY_S
+            with trio.move_on_after(delay_s):
+                await self._wake.wait()
+            self._wake = trio.Event()
+
+    async def _watch_forever(self) -> None:
+        while True:
+            watch = messages.Watch(self._versions, int(WATCH_TIMEOUT_S * 1000))
+            try:
+                answer = await self._control.call(watch, WATCH_TIMEOUT_S + 1.0)
+            except failures.CallError:
+                await trio.sleep(RETRY_DELAY_S)
+                continue
+            if answer.is_changed:
+                self.wake()
+                # The heartbeat brings the new versions before the next watch.
+                await trio.sleep(RETRY_DELAY_S)
--- /dev/null
+++ b/sedgeswitch/membership/machine.py
@@ -0,0 +1,82 @@
+"""Agreed state: which entry hosts may hold a lease."""
+
+import typing
+
+from sedgeswitch.membership import messages
+from sedgeswitch.transport import catalog
+
+
+class Member(typing.NamedTuple):
+    """An entry host that may hold a lease.
+
+    Attributes
+    ----------
+    host_id : str
+    incarnation : str
+        Changes with each start of the host's daemon.
+    availability_zone : str
+    host : str
+        IP number for calls from other hosts.
+    port : int
+        TCP port for calls from other hosts.
+    """
+
+    host_id: str
+    incarnation: str
+    availability_zone: str
+    host: str
+    port: int
+
+
+class MembersMachine:
+    """The state machine of registered entry hosts."""
+
+    def __init__(self):
+        self.version = 0
+        self.members: dict[str, Member] = {}
+
+    def apply(self, index: int, body: bytes) -> bytes:  # noqa: ARG002
+        """Register or remove one entry host.
+
+        Returns
+        -------
+        bytes
+            Empty; a removal of another incarnation changes nothing.
+        """
+        command = catalog.decode_struct(messages.MemberCommand, body)
+        member = _build_member(command)
+        if not command.is_removal:
+            self.members[member.host_id] = member
+            self.version += 1
+        elif self.members.get(member.host_id) == member:
+            del self.members[member.host_id]
+            self.version += 1
+        return b""
+
+    def save_snapshot(self) -> bytes:
+        """Return the whole state."""
+        commands = [build_command(member, False) for member in self.members.values()]
+        return catalog.encode_struct(messages.Members(self.version, commands))
+
+    def load_snapshot(self, body: bytes) -> None:
+        """Replace the state by a snapshot's."""
+        snapshot = catalog.decode_struct(messages.Members, body)
+        self.version = snapshot.version
+        self.members = {
+            command.host_id: _build_member(command) for command in snapshot.members
+        }
+
+
+def build_command(member: Member, is_removal: bool) -> messages.MemberCommand:
+    """Return the command that registers or removes a member."""
+    return messages.MemberCommand(*member, is_removal)
+
+
+def _build_member(command: messages.MemberCommand) -> Member:
+    return Member(
+        command.host_id,
+        command.incarnation,
+        command.availability_zone,
+        command.host,
+        command.port,
+    )
--- /dev/null
+++ b/sedgeswitch/membership/registrar.py
@@ -0,0 +1,178 @@
+"""The leader's side of heartbeats and watches."""
+
+import collections.abc
+import math
+import typing
+
+import loguru
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.membership import leases
+from sedgeswitch.membership import machine
+from sedgeswitch.membership import messages
+from sedgeswitch.membership import sections
+from sedgeswitch.transport import catalog
+from sedgeswitch.transport import failures
+
+SLICE_NAME = "membership"
+PROPOSE_TIMEOUT_S = 2.0
+POLL_INTERVAL_S = 0.01
+MAINTENANCE_INTERVAL_S = 1.0
+# A host that has been silent this long after its lease leaves the agreed state.
+REMOVE_AFTER_S = 60.0
+
+
+class Log(typing.Protocol):
+    """What the registrar needs of the replicated log."""
+
+    leader_id: str | None
+
+    def get_leadership(self, now_s: float) -> typing.Any:
+        """Return the confirmed leadership of this host, or None."""
+
+    async def propose(self, slice_name: str, body: bytes, timeout_s: float) -> bytes:
+        """Commit a command and return its result."""
+
+
+class Registrar:
+    """Answers heartbeats and watches while this host leads.
+
+    Parameters
+    ----------
+    log : Log
+    members : machine.MembersMachine
+    lease_s : float
+        How long the lease that a heartbeat renews lasts, in seconds.
+    """
+
+    def __init__(self, log: Log, members: machine.MembersMachine, lease_s: float):
+        self._log = log
+        self._members = members
+        self._lease_s = lease_s
+        self.leases = leases.LeaseTable(members, lease_s)
+        self._sections: dict[str, sections.ControlSection] = {}
+        self._listeners: list[collections.abc.Callable[[float], None]] = []
+        self._led_term = -1
+        self._versions: dict[str, int] = {}
+        self._changed = trio.Event()
+
+    def register_section(self, name: str, section: sections.ControlSection) -> None:
+        """Register the leader's side of a section."""
+        self._sections[name] = section
+
+    def register_leadership_listener(
+        self, listener: collections.abc.Callable[[float], None]
+    ) -> None:
+        """Register a function that is called when this host starts to lead."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Follow changes of leadership and versions until cancelled."""
+        next_maintenance_s = 0.0
+        while True:
+            now_s = trio.current_time()
+            self._follow(now_s)
+            if now_s >= next_maintenance_s:
+                await self._remove_expired(now_s)
+                next_maintenance_s = now_s + MAINTENANCE_INTERVAL_S
+            await trio.sleep(POLL_INTERVAL_S)
+
+    async def answer_heartbeat(
+        self, heartbeat: messages.Heartbeat
+    ) -> messages.HeartbeatAnswer:
+        """Renew an entry host's lease and answer its sections.
+
+        Raises
+        ------
+        failures.CallError
+            ``not_leader`` if this host does not lead; the detail names the
+            leader.
+        """
+        self._check_leading()
+        await self._register(heartbeat)
+        now_s = trio.current_time()
+        answers = {
+            name: self._sections[name].answer_report(heartbeat.host_id, body, now_s)
+            for name, body in heartbeat.sections.items()
+            if name in self._sections
+        }
+        # Asked again last: the lease is only granted under a confirmed leadership.
+        self._check_leading()
+        if heartbeat.is_leaving:
+            self.leases.record_release(heartbeat.host_id, now_s)
+            return messages.HeartbeatAnswer(0, answers, self._get_versions())
+        self.leases.record_renewal(heartbeat.host_id, now_s)
+        lease_ms = math.floor(self._lease_s * 1000)
+        return messages.HeartbeatAnswer(lease_ms, answers, self._get_versions())
+
+    async def answer_watch(self, watch: messages.Watch) -> messages.WatchAnswer:
+        """Wait until a version differs from the given ones, or the timeout."""
+        self._check_leading()
+        with trio.move_on_after(watch.timeout_ms / 1000):
+            while watch.versions == self._get_versions():
+                await self._changed.wait()
+                self._check_leading()
+            return messages.WatchAnswer(True)
+        return messages.WatchAnswer(False)
+
+    def _follow(self, now_s: float) -> None:
+        leadership = self._log.get_leadership(now_s)
+        term = -1 if leadership is None else leadership.term
+        if term not in (-1, self._led_term):
+            self._led_term = term
+            self._start_leadership(now_s)
+        versions = self._get_versions()
+        if versions != self._versions or leadership is None:
+            self._versions = versions
+            self._changed.set()
+            self._changed = trio.Event()
+
+    def _start_leadership(self, now_s: float) -> None:
+        loguru.logger.info("leading in term {}", self._led_term)
+        self.leases.start_leadership(now_s)
+        for section in self._sections.values():
+            section.start_leadership(now_s)
+        for listener in self._listeners:
+            listener(now_s)
+
+    def _check_leading(self) -> None:
+        self._follow(trio.current_time())
+        if self._log.get_leadership(trio.current_time()) is None:
+            raise failures.CallError(
+                "not_leader", self._log.leader_id or "", verdicts.Verdict.NOT_RUN
+            )
+
+    def _get_versions(self) -> dict[str, int]:
+        return {name: item.get_version() for name, item in self._sections.items()}
+
+    async def _register(self, heartbeat: messages.Heartbeat) -> None:
+        member = machine.Member(
+            heartbeat.host_id,
+            heartbeat.incarnation,
+            heartbeat.availability_zone,
+            heartbeat.host,
+            heartbeat.port,
+        )
+        if self._members.members.get(member.host_id) == member:
+            return
+        await self._propose(member, is_removal=False)
+
+    async def _remove_expired(self, now_s: float) -> None:
+        if self._log.get_leadership(now_s) is None:
+            return
+        for member in self.leases.get_expired(now_s, REMOVE_AFTER_S):
+            try:
+                await self._propose(member, is_removal=True)
+            except failures.CallError:
+                return
+
+    async def _propose(self, member: machine.Member, is_removal: bool) -> None:
+        command = machine.build_command(member, is_removal)
+        body = catalog.encode_struct(command)
+        try:
+            await self._log.propose(SLICE_NAME, body, PROPOSE_TIMEOUT_S)
+        except Exception as error:
+            raise failures.CallError(
+                "not_leader", str(error), verdicts.Verdict.NOT_RUN
+            ) from error
--- /dev/null
+++ b/sedgeswitch/observability/logs.py
@@ -0,0 +1,68 @@
+"""Logs as JSON lines, with caller keys redacted."""
+
+import sys
+import typing
+
+import loguru
+import msgspec
+
+REDACTED = "[redacted]"
+
+
+def _redact_nothing(text: str) -> str:
+    return text
+
+
+class _Sink:
+    """Writes each log record as one JSON line."""
+
+    def __init__(
+        self,
+        stream: typing.TextIO,
+        host_id: str,
+        redact: typing.Callable[[str], str],
+    ):
+        self._stream = stream
+        self._host_id = host_id
+        self._redact = redact
+
+    def __call__(self, message: typing.Any) -> None:
+        record = message.record
+        line = {
+            "time": record["time"].isoformat(),
+            "level": record["level"].name,
+            "host_id": self._host_id,
+            "module": record["name"],
+            "message": record["message"],
+        }
+        if record["extra"]:
+            line["fields"] = {name: str(item) for name, item in record["extra"].items()}
+        if record["exception"] is not None:
+            line["exception"] = str(message)
+        text = msgspec.json.encode(line).decode()
+        self._stream.write(self._redact(text) + "\n")
+
+
+def configure_logs(
+    host_id: str,
+    level: str,
+    stream: typing.TextIO | None = None,
+    redact: typing.Callable[[str], str] = _redact_nothing,
+) -> None:
+    """Send every log record to a stream as JSON lines.
+
+    Parameters
+    ----------
+    host_id : str
+        Put into each line.
+    level : str
+        Lowest level that is written, such as ``INFO``.
+    stream : text stream, optional
+        Standard error by default.
+    redact : callable
+        Removes caller keys from a line.
+    """
+    loguru.logger.remove()
+    sink = _Sink(stream or sys.stderr, host_id, redact)
+    # Local variables in tracebacks could hold keys.
+    loguru.logger.add(sink, level=level, backtrace=False, diagnose=False)
