Add pools, routing policies, reads, writes and the request ledger

Cause: the thin path needs the work of an entry host between key check and backend server. Change: pools that reset or close connections in doubt, replica choice by expected delay, position checks on the connection that reads, writes acknowledged under a permit once enough agreed replicas hold them, and a ledger row in the same transaction for requests that must not run twice. Not yet run end to end.

--- /dev/null
+++ b/sedgeswitch/pools/pool.py
@@ -0,0 +1,260 @@
+"""Scarce connections to one instance."""
+
+import typing
+
+import loguru
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import positions
+
+RESET_SQL = "DISCARD ALL"
+RESET_TIMEOUT_S = 2.0
+RETRY_AFTER_MS = 500
+# Weight of the newest sample in a moving average.
+NEWEST_WEIGHT = 0.2
+
+
+class SlotQueue(typing.Protocol):
+    """Hands out the slots of an instance, fairly between organisations."""
+
+    async def acquire(self, organisation: str, deadline_s: float) -> None:
+        """Wait for a slot, or raise `verdicts.RefusedError` (not run)."""
+
+    def release(self, organisation: str, used_s: float) -> None:
+        """Give a slot back after using it for a time, in seconds."""
+
+
+class PoolSettings(typing.NamedTuple):
+    """How a pool opens and keeps connections.
+
+    Attributes
+    ----------
+    connect_timeout_s : float
+    idle_timeout_s : float
+        How long an unused connection is kept, in seconds.
+    """
+
+    connect_timeout_s: float = 2.0
+    idle_timeout_s: float = 300.0
+
+
+class PooledConnection:
+    """A connection of a pool and what is known about it.
+
+    Attributes
+    ----------
+    organisation : str
+        Organisation that uses the connection, or used it last.
+    position : positions.Position or None
+        Last log position that the instance told on this connection. It stays
+        a lower bound while the connection is open, because an instance must
+        restart to go back in its log.
+    is_dirty : bool
+        Whether session state may be left on it.
+    """
+
+    def __init__(self, connection: base.Connection, now_s: float):
+        self._connection = connection
+        self.organisation = ""
+        self.position: positions.Position | None = None
+        self.is_dirty = False
+        self.acquired_s = now_s
+        self.used_s = now_s
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is open and outside any transaction."""
+        return self._connection.is_usable
+
+    async def execute(
+        self, sql: str, parameters: typing.Sequence[str | None] = ()
+    ) -> base.Rows:
+        """Run one statement; see `base.Connection.execute`."""
+        return await self._connection.execute(sql, parameters)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._connection.close()
+
+
+class PoolLoad(typing.NamedTuple):
+    """How busy a pool is.
+
+    Attributes
+    ----------
+    capacity : int
+        Connections that the pool may open.
+    in_use : int
+        Connections that run something.
+    waiting : int
+        Requests that wait for a connection.
+    idle : int
+        Open connections that wait for a request.
+    service_s : float
+        Moving average of how long a request keeps a connection, in seconds.
+    connect_s : float
+        Moving average of how long opening one takes, in seconds.
+    """
+
+    capacity: int
+    in_use: int
+    waiting: int
+    idle: int
+    service_s: float
+    connect_s: float
+
+
+class InstancePool:
+    """The connections of this host to one instance.
+
+    Parameters
+    ----------
+    driver : base.Driver
+    target : base.Target
+    slots : SlotQueue
+        Grants as many slots as the pool may open connections.
+    capacity : int
+    settings : PoolSettings
+    """
+
+    def __init__(
+        self,
+        driver: base.Driver,
+        target: base.Target,
+        slots: SlotQueue,
+        capacity: int,
+        settings: PoolSettings,
+    ):
+        self._driver = driver
+        self._target = target
+        self._slots = slots
+        self._settings = settings
+        self._idle: list[PooledConnection] = []
+        self._in_use = 0
+        self._waiting = 0
+        self._service_s = 0.005
+        self._connect_s = 0.01
+        self.capacity = capacity
+
+    @property
+    def load(self) -> PoolLoad:
+        """How busy the pool is now."""
+        return PoolLoad(
+            self.capacity,
+            self._in_use,
+            self._waiting,
+            len(self._idle),
+            self._service_s,
+            self._connect_s,
+        )
+
+    async def acquire(self, organisation: str, deadline_s: float) -> PooledConnection:
+        """Return a connection for one organisation, clean of earlier state.
+
+        Parameters
+        ----------
+        organisation : str
+        deadline_s : float
+            Time of trio's clock at which waiting ends.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            Not run, if there is none in time.
+        """
+        self._waiting += 1
+        try:
+            await self._slots.acquire(organisation, deadline_s)
+        finally:
+            self._waiting -= 1
+        self._in_use += 1
+        try:
+            pooled = await self._prepare(organisation, deadline_s)
+        except BaseException:
+            self._in_use -= 1
+            self._slots.release(organisation, 0.0)
+            raise
+        pooled.organisation = organisation
+        pooled.acquired_s = trio.current_time()
+        return pooled
+
+    async def release(self, pooled: PooledConnection, now_s: float) -> None:
+        """Take a connection back; one in doubt is closed instead of kept."""
+        used_s = now_s - pooled.acquired_s
+        self._service_s += NEWEST_WEIGHT * (used_s - self._service_s)
+        pooled.used_s = now_s
+        self._in_use -= 1
+        try:
+            if pooled.is_usable:
+                self._idle.append(pooled)
+            else:
+                with trio.CancelScope(shield=True):
+                    await pooled.close()
+        finally:
+            self._slots.release(pooled.organisation, used_s)
+
+    async def close_idle(self, now_s: float) -> None:
+        """Close the connections that have not been used for long."""
+        oldest_s = now_s - self._settings.idle_timeout_s
+        expired = [pooled for pooled in self._idle if pooled.used_s < oldest_s]
+        self._idle = [pooled for pooled in self._idle if pooled.used_s >= oldest_s]
+        for pooled in expired:
+            await pooled.close()
+
+    async def close(self) -> None:
+        """Close every idle connection."""
+        idle, self._idle = self._idle, []
+        for pooled in idle:
+            await pooled.close()
+
+    async def _prepare(self, organisation: str, deadline_s: float) -> PooledConnection:
+        while self._idle:
+            pooled = self._pop_idle(organisation)
+            if not pooled.is_usable:
+                await pooled.close()
+                continue
+            is_foreign = pooled.organisation != organisation
+            if not (is_foreign or pooled.is_dirty) or await self._reset(pooled):
+                return pooled
+        return await self._connect(deadline_s)
+
+    def _pop_idle(self, organisation: str) -> PooledConnection:
+        # One that the same organisation used last needs no reset.
+        for index in range(len(self._idle) - 1, -1, -1):
+            pooled = self._idle[index]
+            if pooled.organisation == organisation and not pooled.is_dirty:
+                return self._idle.pop(index)
+        return self._idle.pop()
+
+    async def _reset(self, pooled: PooledConnection) -> bool:
+        is_reset = False
+        try:
+            with trio.move_on_after(RESET_TIMEOUT_S):
+                await pooled.execute(RESET_SQL)
+                is_reset = True
+        except base.DriverError as error:
+            loguru.logger.debug("reset failed: {}", error)
+        finally:
+            if not is_reset:
+                with trio.CancelScope(shield=True):
+                    await pooled.close()
+        pooled.is_dirty = False
+        return is_reset
+
+    async def _connect(self, deadline_s: float) -> PooledConnection:
+        started_s = trio.current_time()
+        timeout_s = min(self._settings.connect_timeout_s, deadline_s - started_s)
+        try:
+            connection = await self._driver.connect(self._target, max(timeout_s, 0.0))
+        except base.DriverError as error:
+            raise verdicts.build_not_run(
+                503,
+                "instance_unreachable",
+                f"no connection to {self._target.host}:{self._target.port}: {error}",
+                RETRY_AFTER_MS,
+            ) from error
+        now_s = trio.current_time()
+        self._connect_s += NEWEST_WEIGHT * (now_s - started_s - self._connect_s)
+        return PooledConnection(connection, now_s)
--- /dev/null
+++ b/sedgeswitch/routing/policies.py
@@ -0,0 +1,68 @@
+"""Policies that order the instances that may serve a read."""
+
+import collections.abc
+import random
+
+from sedgeswitch.routing import candidates
+
+Policy = collections.abc.Callable[
+    [list[candidates.Candidate], random.Random], list[candidates.Candidate]
+]
+
+_POLICIES: dict[str, Policy] = {}
+
+
+def register_policy(name: str) -> collections.abc.Callable[[Policy], Policy]:
+    """Return a decorator that registers a policy under a name."""
+
+    def register(policy: Policy) -> Policy:
+        _POLICIES[name] = policy
+        return policy
+
+    return register
+
+
+def get_policy(name: str) -> Policy:
+    """Return a policy by its registered name.
+
+    Raises
+    ------
+    KeyError
+        If no policy has the name.
+    """
+    return _POLICIES[name]
+
+
+@register_policy("least_expected_delay")
+def order_by_expected_delay(
+    eligible: list[candidates.Candidate], rng: random.Random
+) -> list[candidates.Candidate]:
+    """Put the instance with the least expected delay first, ties at random."""
+    shuffled = rng.sample(eligible, len(eligible))
+    return sorted(shuffled, key=candidates.estimate_delay)
+
+
+@register_policy("least_loaded")
+def order_by_load(
+    eligible: list[candidates.Candidate], rng: random.Random
+) -> list[candidates.Candidate]:
+    """Put the instance with the fewest requests first, ties at random."""
+    shuffled = rng.sample(eligible, len(eligible))
+    return sorted(shuffled, key=lambda item: item.load.in_use + item.load.waiting)
+
+
+@register_policy("random")
+def order_at_random(
+    eligible: list[candidates.Candidate], rng: random.Random
+) -> list[candidates.Candidate]:
+    """Order the instances at random."""
+    return rng.sample(eligible, len(eligible))
+
+
+@register_policy("primary_only")
+def order_primary_only(
+    eligible: list[candidates.Candidate],
+    rng: random.Random,  # noqa: ARG001
+) -> list[candidates.Candidate]:
+    """Keep nothing but the primary."""
+    return [candidate for candidate in eligible if candidate.is_primary]
--- /dev/null
+++ b/sedgeswitch/sessions/tokens.py
@@ -0,0 +1,60 @@
+"""Position tokens: what a caller has seen, carried by the caller itself.
+
+A token lists a position for each group that the caller has written to or read
+from. Sending it back makes the next read at least as fresh, on any entry host,
+without asking any other host.
+"""
+
+from sedgeswitch.groups import positions
+
+LONGEST_TOKEN = 2048
+_GROUP_SEPARATOR = ","
+_PART_SEPARATOR = ":"
+
+
+def encode_token(floors: dict[str, positions.Position]) -> str:
+    """Return the token that holds a position for each group.
+
+    Examples
+    --------
+    >>> encode_token({"draw": positions.Position(2, 255)})
+    'draw:2:ff'
+    """
+    parts = [
+        f"{group}{_PART_SEPARATOR}{position.timeline}{_PART_SEPARATOR}{position.lsn:x}"
+        for group, position in floors.items()
+    ]
+    return _GROUP_SEPARATOR.join(parts)
+
+
+def decode_token(token: str) -> dict[str, positions.Position]:
+    """Return the positions of a token.
+
+    Raises
+    ------
+    ValueError
+        If it is no token.
+    """
+    if not token:
+        return {}
+    if len(token) > LONGEST_TOKEN:
+        raise ValueError(f"expected at most {LONGEST_TOKEN} characters")
+    floors = {}
+    for part in token.split(_GROUP_SEPARATOR):
+        fields = part.split(_PART_SEPARATOR)
+        if len(fields) != 3:
+            raise ValueError("expected group:timeline:position, separated by commas")
+        group, timeline, lsn = fields
+        floors[group] = positions.Position(int(timeline), int(lsn, 16))
+    return floors
+
+
+def merge_floor(
+    first: positions.Position | None, second: positions.Position | None
+) -> positions.Position | None:
+    """Return a floor that is at least as high as both."""
+    if first is None or second is None:
+        return first or second
+    return positions.Position(
+        max(first.timeline, second.timeline), max(first.lsn, second.lsn)
+    )
--- /dev/null
+++ b/sedgeswitch/statements/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a statement through an entry host."""
--- /dev/null
+++ b/sedgeswitch/statements/backends.py
@@ -0,0 +1,139 @@
+"""The instances of a group as this entry host may use them."""
+
+import collections.abc
+import random
+import typing
+
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import positions
+from sedgeswitch.membership import directory
+from sedgeswitch.pools import pool
+from sedgeswitch.routing import candidates
+from sedgeswitch.routing import policies
+
+SAME_ZONE_DISTANCE_S = 0.0005
+OTHER_ZONE_DISTANCE_S = 0.02
+
+SlotQueueFactory = collections.abc.Callable[[int], pool.SlotQueue]
+
+
+class BackendOptions(typing.NamedTuple):
+    """How this host uses backend servers.
+
+    Attributes
+    ----------
+    availability_zone : str
+        Zone of this host.
+    connections_per_instance : int
+    policy : str
+        Registered name of the policy that orders replicas.
+    pool : pool.PoolSettings
+    """
+
+    availability_zone: str
+    connections_per_instance: int
+    policy: str
+    pool: pool.PoolSettings
+
+
+class Backends:
+    """Pools to all known instances, and the choice among them.
+
+    Parameters
+    ----------
+    servers : directory.EntryDirectory
+    driver : base.Driver
+    build_slots : callable
+        Makes the slot queue of a pool from its capacity.
+    options : BackendOptions
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        servers: directory.EntryDirectory,
+        driver: base.Driver,
+        build_slots: SlotQueueFactory,
+        options: BackendOptions,
+        rng: random.Random,
+    ):
+        self._servers = servers
+        self._driver = driver
+        self._build_slots = build_slots
+        self._options = options
+        self._rng = rng
+        self._pools: dict[base.Target, pool.InstancePool] = {}
+
+    def get_servers(self, group: str) -> list[directory.BackendServer]:
+        """Return the announced instances of a group."""
+        return self._servers.get_group(group)
+
+    def get_server(self, instance: str) -> directory.BackendServer | None:
+        """Return an announced instance by its id."""
+        return self._servers.servers.get(instance)
+
+    def get_pool(
+        self, server: directory.BackendServer, database: str
+    ) -> pool.InstancePool:
+        """Return the pool of connections to an instance."""
+        target = base.Target(server.host, server.port, database)
+        if target not in self._pools:
+            capacity = self._options.connections_per_instance
+            self._pools[target] = pool.InstancePool(
+                self._driver,
+                target,
+                self._build_slots(capacity),
+                capacity,
+                self._options.pool,
+            )
+        return self._pools[target]
+
+    def order_replicas(
+        self, servers: list[directory.BackendServer], primary: str, database: str
+    ) -> list[directory.BackendServer]:
+        """Return the replicas among `servers`, the best one first."""
+        eligible = [
+            self._build_candidate(server, database)
+            for server in servers
+            if server.instance != primary
+        ]
+        order = policies.get_policy(self._options.policy)
+        return [candidate.server for candidate in order(eligible, self._rng)]
+
+    def count_in_use(self, instance: str) -> int:
+        """Return how many connections to an instance run something."""
+        server = self.get_server(instance)
+        if server is None:
+            return 0
+        return sum(
+            item.load.in_use + item.load.waiting
+            for target, item in self._pools.items()
+            if (target.host, target.port) == (server.host, server.port)
+        )
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for item in self._pools.values():
+            await item.close()
+
+    def _build_candidate(
+        self, server: directory.BackendServer, database: str
+    ) -> candidates.Candidate:
+        is_near = server.availability_zone == self._options.availability_zone
+        distance_s = SAME_ZONE_DISTANCE_S if is_near else OTHER_ZONE_DISTANCE_S
+        load = self.get_pool(server, database).load
+        return candidates.Candidate(server, False, load, distance_s)
+
+
+async def read_position(pooled: pool.PooledConnection) -> positions.Position:
+    """Return the log position of the instance behind a connection.
+
+    Raises
+    ------
+    base.DriverError
+        If the instance does not tell.
+    """
+    state = instances.decode_state(await pooled.execute(instances.STATE_QUERY))
+    pooled.position = state.position
+    return state.position
--- /dev/null
+++ b/sedgeswitch/statements/context.py
@@ -0,0 +1,53 @@
+"""What the parts of the statement path share on one entry host."""
+
+import typing
+
+from sedgeswitch.groups import table
+from sedgeswitch.observability import metrics
+from sedgeswitch.sessions import floors
+from sedgeswitch.statements import backends
+
+
+class Work(typing.NamedTuple):
+    """An authorised statement's place to run.
+
+    Attributes
+    ----------
+    organisation : str
+        Empty on a route that is open to all.
+    group : str
+    database : str
+    servers : list of directory.BackendServer
+        Those that a selector allows and no drain covers.
+    replicas_may_serve : bool
+    ack_instances : int
+        Instances, the primary among them, that must hold a write before it is
+        answered as done.
+    max_wait_s : float
+        Longest wait for a slot, in seconds.
+    """
+
+    organisation: str
+    group: str
+    database: str
+    servers: list
+    replicas_may_serve: bool
+    ack_instances: int
+    max_wait_s: float
+
+
+class Parts(typing.NamedTuple):
+    """The collaborators of the statement path.
+
+    Attributes
+    ----------
+    groups : table.GroupTable
+    backends : backends.Backends
+    floors : floors.FloorStore
+    metrics : metrics.Metrics
+    """
+
+    groups: table.GroupTable
+    backends: backends.Backends
+    floors: floors.FloorStore
+    metrics: metrics.Metrics
--- /dev/null
+++ b/sedgeswitch/statements/refusals.py
@@ -0,0 +1,67 @@
+"""Refusals of the statement path."""
+
+import math
+
+from sedgeswitch import verdicts
+from sedgeswitch.drivers import base
+
+RETRY_AFTER_MS = 500
+
+_CONFLICT_CLASSES = ("23", "40")
+
+
+def build_deadline_passed(verdict: verdicts.Verdict) -> verdicts.RefusedError:
+    """Return the refusal of a statement whose deadline has passed."""
+    refusal = verdicts.Refusal(
+        verdict,
+        504,
+        "deadline_passed",
+        "the deadline passed before the answer",
+        RETRY_AFTER_MS,
+    )
+    return verdicts.RefusedError(refusal)
+
+
+def build_driver_refusal(error: base.DriverError) -> verdicts.RefusedError:
+    """Return the refusal that tells a caller of a driver's error."""
+    if error.is_lost or not error.sqlstate:
+        refusal = verdicts.Refusal(
+            error.verdict, 502, "connection_lost", error.detail, RETRY_AFTER_MS
+        )
+        return verdicts.RefusedError(refusal)
+    status = 409 if error.sqlstate[:2] in _CONFLICT_CLASSES else 422
+    detail = f"SQLSTATE {error.sqlstate}: {error.detail}"
+    refusal = verdicts.Refusal(error.verdict, status, "statement_failed", detail)
+    return verdicts.RefusedError(refusal)
+
+
+def build_lease_lost(verdict: verdicts.Verdict) -> verdicts.RefusedError:
+    """Return the refusal of work whose lease or term ended while it ran."""
+    refusal = verdicts.Refusal(
+        verdict,
+        503,
+        "primary_changed",
+        "the primary was replaced, or this host lost its lease, meanwhile",
+        RETRY_AFTER_MS,
+    )
+    return verdicts.RefusedError(refusal)
+
+
+def build_not_replicated() -> verdicts.RefusedError:
+    """Return the refusal of a write that too few replicas held in time."""
+    return verdicts.build_may_have_run(
+        504,
+        "not_replicated",
+        "the write was not on enough instances before the deadline",
+        RETRY_AFTER_MS,
+    )
+
+
+def build_rate_exceeded(retry_after_s: float) -> verdicts.RefusedError:
+    """Return the refusal of a request beyond its organisation's rate."""
+    return verdicts.build_not_run(
+        429,
+        "rate_exceeded",
+        "the organisation's rate and burst are used up",
+        max(math.ceil(retry_after_s * 1000), 1),
+    )
--- /dev/null
+++ b/sedgeswitch/statements/requests.py
@@ -0,0 +1,185 @@
+"""What a caller asks for, checked."""
+
+import typing
+
+import msgspec
+
+from sedgeswitch import verdicts
+from sedgeswitch.callers import http
+
+READ = "read"
+WRITE = "write"
+
+IDEMPOTENCY_HEADER = "idempotency-key"
+SESSION_HEADER = "sedge-session"
+POSITION_HEADER = "sedge-position"
+LONGEST_HEADER_VALUE = 256
+
+_Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+_Sql = typing.Annotated[str, msgspec.Meta(min_length=1)]
+_Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
+_Deadline = typing.Annotated[int, msgspec.Meta(ge=1, le=600_000)]
+
+
+class _Body(typing.TypedDict, total=False):
+    group: typing.Required[_Name]
+    work: typing.Required[_Name]
+    access: typing.Required[typing.Literal["read", "write"]]
+    sql: typing.Required[_Sql]
+    parameters: list[str | int | float | bool | None]
+    max_age_ms: _Milliseconds | None
+    deadline_ms: _Deadline
+
+
+_FIELDS = frozenset(_Body.__annotations__)
+
+
+class Statement(typing.NamedTuple):
+    """One statement of a caller.
+
+    Attributes
+    ----------
+    group : str
+        Database group that it runs on.
+    work : str
+        Kind of work, which selectors match.
+    access : str
+        ``read`` or ``write``.
+    sql : str
+    parameters : tuple of str or None
+    max_age_ms : int or None
+        Oldest data that a read accepts, in milliseconds; None for any age
+        that shows the caller's own writes.
+    deadline_s : float
+        Time of the local clock at which the caller gives up.
+    session : str
+        Household that the caller acts for; empty for the organisation itself.
+    position_token : str
+        Positions that earlier answers gave the caller.
+    idempotency_key : str
+        Set for a request that must not run twice.
+    traceparent : str
+    """
+
+    group: str
+    work: str
+    access: str
+    sql: str
+    parameters: tuple[str | None, ...]
+    max_age_ms: int | None
+    deadline_s: float
+    session: str
+    position_token: str
+    idempotency_key: str
+    traceparent: str
+
+
+class Answer(typing.NamedTuple):
+    """The result of a statement.
+
+    Attributes
+    ----------
+    columns : tuple of str
+    rows : list of tuple
+    status : str
+        Command tag of the server.
+    instance : str
+        Backend server that ran it.
+    replica : bool
+        Whether a replica did.
+    """
+
+    columns: tuple[str, ...]
+    rows: list[tuple[str | None, ...]]
+    status: str
+    instance: str
+    replica: bool
+
+
+def build_bad_request(detail: str) -> verdicts.RefusedError:
+    """Return the refusal of a request that is not well formed."""
+    return verdicts.build_not_run(400, "bad_request", detail)
+
+
+def decode_fields(body: bytes, fields: frozenset[str], shape: type) -> typing.Any:
+    """Return the JSON object that `body` holds, checked against a TypedDict.
+
+    Raises
+    ------
+    verdicts.RefusedError
+        400, naming the field, what is allowed and what was given.
+    """
+    try:
+        plain = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise build_bad_request(f"body: expected JSON, {error}") from error
+    if not isinstance(plain, dict):
+        raise build_bad_request("body: expected a JSON object")
+    unknown = plain.keys() - fields
+    if unknown:
+        allowed = ", ".join(sorted(fields))
+        raise build_bad_request(f"{min(unknown)}: expected one of the fields {allowed}")
+    try:
+        return msgspec.convert(plain, shape)
+    except msgspec.ValidationError as error:
+        raise build_bad_request(f"body: {error}") from error
+
+
+def build_statement(
+    request: http.Request, default_deadline_ms: int, now_s: float
+) -> Statement:
+    """Return the statement that an HTTP request asks for.
+
+    Parameters
+    ----------
+    request : http.Request
+    default_deadline_ms : int
+        For requests that name none.
+    now_s : float
+
+    Raises
+    ------
+    verdicts.RefusedError
+        400 if the request is not well formed.
+    """
+    body = decode_fields(request.body, _FIELDS, _Body)
+    idempotency_key = _get_header(request, IDEMPOTENCY_HEADER)
+    if idempotency_key and body["access"] == READ:
+        raise build_bad_request("idempotency-key: expected with access 'write' only")
+    deadline_ms = body.get("deadline_ms", default_deadline_ms)
+    return Statement(
+        group=body["group"],
+        work=body["work"],
+        access=body["access"],
+        sql=body["sql"],
+        parameters=encode_parameters(body.get("parameters", [])),
+        max_age_ms=body.get("max_age_ms"),
+        deadline_s=now_s + deadline_ms / 1000,
+        session=_get_header(request, SESSION_HEADER),
+        position_token=_get_header(request, POSITION_HEADER),
+        idempotency_key=idempotency_key,
+        traceparent=request.headers.get("traceparent", ""),
+    )
+
+
+def encode_parameters(
+    parameters: list[str | int | float | bool | None],
+) -> tuple[str | None, ...]:
+    """Return parameters in PostgreSQL's text form."""
+    return tuple(_encode_parameter(parameter) for parameter in parameters)
+
+
+def _encode_parameter(parameter: str | int | float | bool | None) -> str | None:
+    if parameter is None or isinstance(parameter, str):
+        return parameter
+    if isinstance(parameter, bool):
+        return "true" if parameter else "false"
+    return str(parameter)
+
+
+def _get_header(request: http.Request, name: str) -> str:
+    value = request.headers.get(name, "")
+    if len(value) > LONGEST_HEADER_VALUE or not value.isprintable():
+        allowed = f"at most {LONGEST_HEADER_VALUE} printable characters"
+        raise build_bad_request(f"{name}: expected {allowed}")
+    return value
--- /dev/null
+++ b/sedgeswitch/statements/writes.py
@@ -0,0 +1,279 @@
+"""Writes: on the primary, under a lease, answered once enough replicas have them."""
+
+import typing
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import table
+from sedgeswitch.idempotency import ledger
+from sedgeswitch.membership import directory
+from sedgeswitch.pools import pool
+from sedgeswitch.sessions import floors
+from sedgeswitch.statements import acknowledgement
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import context
+from sedgeswitch.statements import refusals
+from sedgeswitch.statements import requests
+
+RETRY_DELAY_S = 0.05
+POLL_TIMEOUT_S = 0.5
+_READ_ONLY = "25006"
+
+
+class Written(typing.NamedTuple):
+    """A write that the primary has committed.
+
+    Attributes
+    ----------
+    rows : base.Rows
+    position : positions.Position
+        The log holds the write up to here.
+    """
+
+    rows: base.Rows
+    position: positions.Position
+
+
+class Writer:
+    """Runs writes.
+
+    Parameters
+    ----------
+    parts : context.Parts
+    """
+
+    def __init__(self, parts: context.Parts):
+        self._parts = parts
+        self._waiters: dict[str, acknowledgement.AckWaiter] = {}
+
+    async def run(
+        self, work: context.Work, statement: requests.Statement
+    ) -> tuple[requests.Answer, positions.Position]:
+        """Run a write and return its answer once it is safe.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            With a verdict that says whether the write may have run.
+        """
+        while True:
+            permit = await self._parts.groups.wait_serving(
+                work.group, statement.deadline_s
+            )
+            try:
+                return await self._run_under(permit, work, statement)
+            except verdicts.RefusedError as error:
+                if not self._may_retry(error.refusal, statement):
+                    raise
+            await trio.sleep(RETRY_DELAY_S)
+
+    async def acknowledge(
+        self,
+        permit: table.WritePermit,
+        work: context.Work,
+        session: str,
+        position: positions.Position,
+        deadline_s: float,
+    ) -> None:
+        """Wait until a committed write may be answered as done.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            The write may have run, but must not be answered as done.
+        """
+        key = floors.SessionKey(work.organisation, session, work.group)
+        is_safe = False
+        with trio.move_on_at(deadline_s):
+            is_safe = await self._make_safe(work, key, position, deadline_s)
+        if not is_safe:
+            raise refusals.build_not_replicated()
+        if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
+            raise refusals.build_lease_lost(verdicts.Verdict.MAY_HAVE_RUN)
+
+    async def _run_under(
+        self,
+        permit: table.WritePermit,
+        work: context.Work,
+        statement: requests.Statement,
+    ) -> tuple[requests.Answer, positions.Position]:
+        server = self._get_primary(permit, work)
+        connections = self._parts.backends.get_pool(server, work.database)
+        pooled = await connections.acquire(work.organisation, statement.deadline_s)
+        try:
+            # The wait for a connection may have outlasted the lease.
+            if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
+                raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+            written = await _write(pooled, work, statement)
+        finally:
+            await connections.release(pooled, trio.current_time())
+        await self.acknowledge(
+            permit, work, statement.session, written.position, statement.deadline_s
+        )
+        answer = requests.Answer(*written.rows, server.instance, False)
+        return answer, written.position
+
+    def _get_primary(
+        self, permit: table.WritePermit, work: context.Work
+    ) -> directory.BackendServer:
+        for server in work.servers:
+            if server.instance == permit.primary:
+                return server
+        raise verdicts.build_not_run(
+            503,
+            "primary_not_eligible",
+            "no selector leads to the primary, or it is drained or unknown",
+            refusals.RETRY_AFTER_MS,
+        )
+
+    def _may_retry(
+        self, refusal: verdicts.Refusal, statement: requests.Statement
+    ) -> bool:
+        is_in_time = trio.current_time() + RETRY_DELAY_S < statement.deadline_s
+        if not is_in_time or not refusal.retry_after_ms:
+            return False
+        # The ledger makes a repeated run of an identified request harmless.
+        is_not_run = refusal.verdict is verdicts.Verdict.NOT_RUN
+        return is_not_run or bool(statement.idempotency_key)
+
+    async def _make_safe(
+        self,
+        work: context.Work,
+        key: floors.SessionKey,
+        position: positions.Position,
+        deadline_s: float,
+    ) -> bool:
+        is_recorded = False
+
+        async def record_floor() -> None:
+            nonlocal is_recorded
+            is_recorded = await self._parts.floors.record(key, position, deadline_s)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(record_floor)
+            if work.ack_instances > 1:
+                waiter = self._get_waiter(work)
+                await waiter.wait(position, work.ack_instances - 1)
+        return is_recorded
+
+    def _get_waiter(self, work: context.Work) -> acknowledgement.AckWaiter:
+        if work.group not in self._waiters:
+
+            async def poll_replicas() -> list[positions.Position]:
+                return await self._poll_replicas(work.group, work.database)
+
+            self._waiters[work.group] = acknowledgement.AckWaiter(poll_replicas)
+        return self._waiters[work.group]
+
+    async def _poll_replicas(
+        self, group: str, database: str
+    ) -> list[positions.Position]:
+        state = self._parts.groups.get_group(group)
+        if state is None:
+            return []
+        reached: list[positions.Position] = []
+
+        async def poll(server: directory.BackendServer) -> None:
+            position = await self._read_replica(server, database)
+            if position is not None:
+                reached.append(position)
+
+        # Only agreed instances count: a promotion reads no others.
+        with trio.move_on_after(POLL_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for server in self._parts.backends.get_servers(group):
+                    is_agreed = server.instance in state.instances
+                    if is_agreed and server.instance != state.primary:
+                        nursery.start_soon(poll, server)
+        return reached
+
+    async def _read_replica(
+        self, server: directory.BackendServer, database: str
+    ) -> positions.Position | None:
+        connections = self._parts.backends.get_pool(server, database)
+        deadline_s = trio.current_time() + POLL_TIMEOUT_S
+        try:
+            pooled = await connections.acquire("", deadline_s)
+        except verdicts.RefusedError:
+            return None
+        try:
+            return await backends.read_position(pooled)
+        except base.DriverError:
+            return None
+        finally:
+            await connections.release(pooled, trio.current_time())
+
+
+async def _write(
+    pooled: pool.PooledConnection, work: context.Work, statement: requests.Statement
+) -> Written:
+    """Commit a write and learn a position that covers it."""
+    try:
+        if statement.idempotency_key:
+            rows = await _write_once(pooled, work, statement)
+        else:
+            rows = await pooled.execute(statement.sql, statement.parameters)
+    except base.DriverError as error:
+        raise _build_refusal(error) from error
+    try:
+        return Written(rows, await backends.read_position(pooled))
+    except base.DriverError as error:
+        raise verdicts.build_may_have_run(
+            502, "connection_lost", error.detail, refusals.RETRY_AFTER_MS
+        ) from error
+
+
+async def _write_once(
+    pooled: pool.PooledConnection, work: context.Work, statement: requests.Statement
+) -> base.Rows:
+    digest = ledger.build_digest(statement.sql, statement.parameters)
+    request = ledger.RequestId(work.organisation, statement.idempotency_key, digest)
+    try:
+        return await _run_claimed(pooled, request, statement)
+    except base.DriverError as error:
+        if error.sqlstate != ledger.UNDEFINED_TABLE or error.is_lost:
+            raise
+    await pooled.execute(ledger.CREATE_SQL)
+    return await _run_claimed(pooled, request, statement)
+
+
+async def _run_claimed(
+    pooled: pool.PooledConnection,
+    request: ledger.RequestId,
+    statement: requests.Statement,
+) -> base.Rows:
+    """Run a statement and its ledger row in one transaction."""
+    await pooled.execute("BEGIN")
+    is_committed = False
+    try:
+        earlier = await ledger.claim(pooled, request)
+        if earlier is not None:
+            return earlier
+        rows = await pooled.execute(statement.sql, statement.parameters)
+        await ledger.settle(pooled, request, rows)
+        await pooled.execute("COMMIT")
+        is_committed = True
+        return rows
+    finally:
+        if not is_committed:
+            await _abandon(pooled)
+
+
+async def _abandon(pooled: pool.PooledConnection) -> None:
+    """End a transaction whose work must not stay."""
+    with trio.CancelScope(shield=True), trio.move_on_after(POLL_TIMEOUT_S) as scope:
+        try:
+            await pooled.execute("ROLLBACK")
+        except base.DriverError:
+            await pooled.close()
+    if scope.cancelled_caught:
+        await pooled.close()
+
+
+def _build_refusal(error: base.DriverError) -> verdicts.RefusedError:
+    if error.sqlstate == _READ_ONLY and not error.is_lost:
+        return refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+    return refusals.build_driver_refusal(error)
