--- /dev/null
+++ b/sedgeswitch/daemon/tests/test_settings.py
@@ -0,0 +1,51 @@
+import pathlib
+import tempfile
+import unittest
+
+from sedgeswitch import settings
+from sedgeswitch.utils import checks
+
+
+class SettingsTest(unittest.TestCase):
+    def test_example_is_allowed(self):
+        found = settings.build_settings(settings.build_example_settings())
+        self.assertEqual(found.callers, settings.Listen("10.0.0.1", 7000))
+        self.assertEqual(found.heartbeat_interval_s, 0.5)
+
+    def test_bad_settings_name_field_allowed_and_given(self):
+        listen = {"host": "127.0.0.1", "port": 0}
+        cases = [
+            ({"host_id": "a b"}, "host_id: expected 1 to 64 letters"),
+            ({"roles": ["proxy"]}, "roles[0]: expected 'entry' or 'control', got"),
+            ({"roles": []}, "roles: expected 'entry', 'control' or both"),
+            ({"callers": listen}, "callers.port: expected a whole number from 1 to"),
+            ({"callers": 7000}, "callers: expected an object, got 7000"),
+            ({"lease": 2}, "lease: expected one of the fields host_id"),
+            ({"lease_s": "2"}, "lease_s: expected a number from 0.01 to 3600"),
+            ({"lease_s": 0.9}, "lease_s: expected a number from 1.0"),
+            ({"pool": {"size": 3}}, "pool.size: expected one of the fields"),
+            ({"statsd": {"host": "h"}}, "statsd.port: expected a whole number"),
+            ({"trace_sample_share": 2}, "trace_sample_share: expected a number from 0"),
+            ({"log_level": "LOUD"}, "log_level: expected 'DEBUG' or"),
+            ({"control_hosts": []}, "control_hosts: expected at least one"),
+            ({"operator_token_digest": "x"}, "operator_token_digest: expected a SHA"),
+        ]
+        for change, message in cases:
+            with self.subTest(change=change):
+                document = {**settings.build_example_settings(), **change}
+                with self.assertRaises(checks.CheckError) as caught:
+                    settings.build_settings(document)
+                self.assertIn(message, str(caught.exception))
+
+    def test_missing_field_is_named(self):
+        document = settings.build_example_settings()
+        del document["data_folder"]
+        with self.assertRaisesRegex(checks.CheckError, "data_folder: .*'nothing'"):
+            settings.build_settings(document)
+
+    def test_file_that_is_no_json_is_told(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "settings.json")
+            path.write_text('{"host_id": ')
+            with self.assertRaisesRegex(checks.CheckError, "settings.json: .*JSON"):
+                settings.load_settings(path)
--- /dev/null
+++ b/sedgeswitch/keys/plain.py
@@ -0,0 +1,102 @@
+"""Generation, digest and redaction of keys.
+
+A key is ``ssk_``, 43 characters of random 256 bits and 8 characters of checksum.
+The prefix lets people and programs recognise a key; the checksum tells a typing
+error from a key that nobody gave.
+"""
+
+import base64
+import hashlib
+import re
+import typing
+import zlib
+
+PREFIX = "ssk_"
+SECRET_BYTES = 32
+REDACTED = "[redacted]"
+
+_SECRET_LENGTH = 43
+_CHECKSUM_LENGTH = 8
+_KEY_ID_LENGTH = 12
+# Also hides keys with typing errors, cut keys and tokens of other kinds.
+_REDACT_PATTERN = re.compile(
+    r"ssk_[A-Za-z0-9_-]+|(?P<scheme>\bbearer(?:\s|%20|\+)+)[^\s\"',;]+", re.IGNORECASE
+)
+
+
+class GeneratedKey(typing.NamedTuple):
+    """A new key.
+
+    Attributes
+    ----------
+    plain : str
+        The key itself, shown once and kept nowhere.
+    key_id : str
+        Name of the key for operators.
+    digest : str
+        What the configuration keeps.
+    """
+
+    plain: str
+    key_id: str
+    digest: str
+
+
+def generate_key(get_random_bytes: typing.Callable[[int], bytes]) -> GeneratedKey:
+    """Return a new random key.
+
+    Parameters
+    ----------
+    get_random_bytes : callable
+        Returns that many random bytes; `os.urandom` but in tests.
+
+    Returns
+    -------
+    GeneratedKey
+    """
+    secret = base64.urlsafe_b64encode(get_random_bytes(SECRET_BYTES)).rstrip(b"=")
+    body = PREFIX + secret.decode()
+    plain = body + _get_checksum(body)
+    digest = get_digest(plain)
+    return GeneratedKey(plain, f"k-{digest[:_KEY_ID_LENGTH]}", digest)
+
+
+def get_digest(plain: str) -> str:
+    """Return the SHA-256 digest of a key, in hexadecimal.
+
+    Notes
+    -----
+    A slow password hash guards secrets that people choose.  A key holds 256
+    random bits, which cannot be guessed from a digest however fast it is, and
+    it is checked on every request.
+    """
+    return hashlib.sha256(plain.encode()).hexdigest()
+
+
+def is_well_formed(plain: str) -> bool:
+    """Return whether a text has the prefix, length and checksum of a key."""
+    if len(plain) != len(PREFIX) + _SECRET_LENGTH + _CHECKSUM_LENGTH:
+        return False
+    body, checksum = plain[:-_CHECKSUM_LENGTH], plain[-_CHECKSUM_LENGTH:]
+    return (
+        body.startswith(PREFIX) and plain.isascii() and checksum == _get_checksum(body)
+    )
+
+
+def redact(text: str) -> str:
+    """Return `text` with every key and bearer token replaced.
+
+    Examples
+    --------
+    >>> redact("Authorization: Bearer ssk_abc, GET /")
+    'Authorization: Bearer [redacted], GET /'
+    """
+    return _REDACT_PATTERN.sub(_replace, text)
+
+
+def _replace(match: re.Match) -> str:
+    return (match.group("scheme") or PREFIX) + REDACTED
+
+
+def _get_checksum(body: str) -> str:
+    return f"{zlib.crc32(body.encode()):08x}"
--- /dev/null
+++ b/sedgeswitch/settings.py
@@ -0,0 +1,300 @@
+"""The settings file of the daemon.
+
+Settings are what one process must know before it can reach the others: its
+name, addresses, availability zone and data folder.  Everything that operators
+change while traffic flows is in the agreed configuration instead.
+"""
+
+import pathlib
+import typing
+
+import msgspec
+
+from sedgeswitch.utils import checks
+from sedgeswitch.utils import records
+
+ENTRY_ROLE = "entry"
+CONTROL_ROLE = "control"
+
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
+Digest = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"\A[0-9a-f]{64}\Z", description="a SHA-256 digest of 64 hex digits"
+    ),
+]
+Role = typing.Literal["entry", "control"]
+LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+Seconds = typing.Annotated[float, msgspec.Meta(ge=0.01, le=3600)]
+Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+Count = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
+class Listen(typing.NamedTuple):
+    """An address that the daemon listens on.
+
+    Attributes
+    ----------
+    host : str
+        IP number.
+    port : int
+    """
+
+    host: Text
+    port: Port
+
+
+class ControlHost(typing.NamedTuple):
+    """One of the control hosts, as every host knows it from the start.
+
+    Attributes
+    ----------
+    host_id : str
+    host : str
+        IP number.
+    port : int
+        Port for Thrift messages between the daemons.
+    http_port : int
+        Port for operators.
+    """
+
+    host_id: records.Name
+    host: Text
+    port: Port
+    http_port: Port
+
+
+class Statsd(typing.NamedTuple):
+    """Where metrics are sent by UDP.
+
+    Attributes
+    ----------
+    host : str
+    port : int
+    prefix : str
+        Leads every metric name.
+    """
+
+    host: Text
+    port: Port
+    prefix: records.Name = "sedgeswitch"
+
+
+class Requests(typing.NamedTuple):
+    """Limits on the requests of callers.
+
+    Attributes
+    ----------
+    max_body_bytes : int
+    header_timeout_s : float
+        Longest time from the first byte of a request to the end of its head.
+    idle_timeout_s : float
+        Longest time that a connection stays open without a request.
+    default_deadline_ms : int
+        Deadline of a request that names none.
+    max_connections : int
+        Connections of callers open at the same time.
+    """
+
+    max_body_bytes: Count = 1_000_000
+    header_timeout_s: Seconds = 5.0
+    idle_timeout_s: Seconds = 60.0
+    default_deadline_ms: Milliseconds = 5_000
+    max_connections: Count = 10_000
+
+
+class Pool(typing.NamedTuple):
+    """Limits on the connections to backend servers.
+
+    Attributes
+    ----------
+    connections_per_instance : int
+        Most connections that this host opens to one instance.
+    connect_timeout_s : float
+    idle_timeout_s : float
+        How long an unused connection is kept.
+    """
+
+    connections_per_instance: Count = 3
+    connect_timeout_s: Seconds = 2.0
+    idle_timeout_s: Seconds = 300.0
+
+
+class Agreement(typing.NamedTuple):
+    """Timeouts of the replicated log of the control hosts.
+
+    Attributes
+    ----------
+    election_timeout_s : float
+        Shortest time without a leader before a host asks for votes.
+    append_interval_s : float
+        Time between the messages of an idle leader to each follower.
+    propose_timeout_s : float
+        Longest time that a proposal waits for its outcome.
+    snapshot_entries : int
+        Log entries after which a snapshot replaces them.
+    """
+
+    election_timeout_s: Seconds = 1.0
+    append_interval_s: Seconds = 0.1
+    propose_timeout_s: Seconds = 3.0
+    snapshot_entries: Count = 1_000
+
+
+class Settings(typing.NamedTuple):
+    """The settings of one daemon.
+
+    Attributes
+    ----------
+    host_id : str
+        Name of the host, unique in the fleet.
+    roles : tuple of str
+        ``entry``, ``control`` or both.
+    availability_zone : str
+    region : str
+    data_folder : str
+        Folder of the agreed state; used by the control role only.
+    callers : Listen
+        HTTP address for callers, operators and announcements.
+    peers : Listen
+        Address for Thrift messages of other daemons.
+    control_hosts : tuple of ControlHost
+    heartbeat_interval_s : float
+    lease_s : float
+        Length of the lease that a heartbeat renews.
+    freshness_bound_s : float
+        Age of the configuration beyond which keyed requests are refused.
+    statsd : Statsd or None
+    trace_sample_share : float
+        Share of requests that are traced, from 0 to 1.
+    log_level : str
+    requests : Requests
+    pool : Pool
+    agreement : Agreement
+    operator_token_digest : str or None
+        SHA-256 digest of the operators' token; without it the operators' API
+        asks for no token.
+    """
+
+    host_id: records.Name
+    roles: tuple[Role, ...]
+    availability_zone: records.Name
+    region: records.Name
+    data_folder: Text
+    callers: Listen
+    peers: Listen
+    control_hosts: tuple[ControlHost, ...]
+    heartbeat_interval_s: Seconds = 0.5
+    lease_s: Seconds = 2.0
+    freshness_bound_s: Seconds = 5.0
+    statsd: Statsd | None = None
+    trace_sample_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    log_level: LogLevel = "INFO"
+    requests: Requests = Requests()
+    pool: Pool = Pool()
+    agreement: Agreement = Agreement()
+    operator_token_digest: Digest | None = None
+
+
+def load_settings(path: str | pathlib.Path) -> Settings:
+    """Return the settings that a JSON file holds.
+
+    Parameters
+    ----------
+    path : str or pathlib.Path
+
+    Returns
+    -------
+    Settings
+
+    Raises
+    ------
+    CheckError
+        If the file is not JSON or a field is not allowed.
+    OSError
+        If the file cannot be read.
+    """
+    body = pathlib.Path(path).read_bytes()
+    return build_settings(records.decode_json(body, str(path)))
+
+
+def build_settings(document: typing.Any) -> Settings:
+    """Return the settings that a plain document describes.
+
+    Parameters
+    ----------
+    document : object
+        A mapping, as `build_example_settings` shows it.
+
+    Returns
+    -------
+    Settings
+
+    Raises
+    ------
+    CheckError
+        If a field is unknown, missing or not allowed, or if fields clash.
+
+    Examples
+    --------
+    >>> build_settings(build_example_settings()).lease_s
+    2.0
+    """
+    settings = records.build_record(Settings, document)
+    _check_roles(settings)
+    _check_control_hosts(settings)
+    _check_times(settings)
+    return settings
+
+
+def build_example_settings() -> dict[str, typing.Any]:
+    """Return the settings of a host with both roles, as a JSON document."""
+    control_hosts = tuple(
+        ControlHost(f"c{number}", f"10.0.0.{number}", 7100, 7000)
+        for number in (1, 2, 3)
+    )
+    settings = Settings(
+        host_id="c1",
+        roles=(ENTRY_ROLE, CONTROL_ROLE),
+        availability_zone="bagmati-1",
+        region="bagmati",
+        data_folder="/var/lib/sedgeswitch",
+        callers=Listen("10.0.0.1", 7000),
+        peers=Listen("10.0.0.1", 7100),
+        control_hosts=control_hosts,
+        statsd=Statsd("127.0.0.1", 8125),
+    )
+    return records.to_plain(settings)
+
+
+def _check_roles(settings: Settings) -> None:
+    roles = settings.roles
+    if not roles or len(set(roles)) != len(roles):
+        raise checks.CheckError("roles", "'entry', 'control' or both, once each", roles)
+
+
+def _check_control_hosts(settings: Settings) -> None:
+    host_ids = [host.host_id for host in settings.control_hosts]
+    if not host_ids or len(set(host_ids)) != len(host_ids):
+        allowed = "at least one control host, each host_id once"
+        raise checks.CheckError("control_hosts", allowed, host_ids)
+    addresses = {(host.host, host.port) for host in settings.control_hosts}
+    if len(addresses) != len(host_ids):
+        allowed = "a different host and port for each control host"
+        raise checks.CheckError("control_hosts", allowed, sorted(addresses))
+
+
+def _check_times(settings: Settings) -> None:
+    # A lease must outlive one lost heartbeat.
+    shortest_lease_s = 2 * settings.heartbeat_interval_s
+    checks.check_range("lease_s", settings.lease_s, shortest_lease_s)
+    checks.check_range(
+        "freshness_bound_s", settings.freshness_bound_s, settings.heartbeat_interval_s
+    )
+    agreement = settings.agreement
+    checks.check_range(
+        "agreement.election_timeout_s",
+        agreement.election_timeout_s,
+        2 * agreement.append_interval_s,
+    )
--- /dev/null
+++ b/sedgeswitch/utils/records.py
@@ -0,0 +1,221 @@
+"""Conversion between JSON documents and `NamedTuple` records.
+
+A record is a `NamedTuple` whose fields are annotated with scalars, other
+records, ``tuple[item, ...]``, ``Mapping[str, item]``, ``Literal`` or a union of
+these.  ``typing.Annotated`` with `msgspec.Meta` limits a scalar.  `msgspec` itself
+writes a `NamedTuple` as an array, which would lose the names of the fields.
+"""
+
+import collections.abc
+import functools
+import types
+import typing
+
+import msgspec
+
+from sedgeswitch.utils import checks
+
+EMPTY_MAPPING: typing.Mapping = types.MappingProxyType({})
+
+NAME_PATTERN = r"\A[A-Za-z0-9._-]{1,64}\Z"
+Name = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=NAME_PATTERN,
+        description="1 to 64 letters, digits, '-', '_' or '.'",
+    ),
+]
+
+_SCALAR_DESCRIPTIONS = {
+    str: "text",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+    types.NoneType: "null",
+}
+# Sorted keys make equal records equal bytes on every host.
+_ENCODER = msgspec.json.Encoder(order="sorted")
+
+
+def decode_json(body: bytes, field: str = "document") -> typing.Any:
+    """Return the plain value that a JSON text holds.
+
+    Parameters
+    ----------
+    body : bytes
+    field : str
+        Name of the text in the error.
+
+    Raises
+    ------
+    CheckError
+        If the text is not JSON.
+    """
+    try:
+        return msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise checks.CheckError(field, f"JSON ({error})", body[:40]) from error
+
+
+def encode_json(value: typing.Any) -> bytes:
+    """Return the JSON text of a plain value or a record, with sorted keys."""
+    return _ENCODER.encode(to_plain(value))
+
+
+def to_plain(value: typing.Any) -> typing.Any:
+    """Return dictionaries, lists and scalars that hold what a record holds.
+
+    Examples
+    --------
+    >>> class Point(typing.NamedTuple):
+    ...     x: int
+    >>> to_plain(Point(3))
+    {'x': 3}
+    """
+    if isinstance(value, tuple) and hasattr(value, "_fields"):
+        fields = zip(value._fields, value, strict=True)
+        return {name: to_plain(item) for name, item in fields}
+    if isinstance(value, collections.abc.Mapping):
+        return {key: to_plain(item) for key, item in value.items()}
+    if isinstance(value, (tuple, list)):
+        return [to_plain(item) for item in value]
+    return value
+
+
+def build_record(
+    record_type: type, document: typing.Any, field: str = ""
+) -> typing.Any:
+    """Return the record that a plain document describes.
+
+    Parameters
+    ----------
+    record_type : type
+        A `NamedTuple` class.
+    document : object
+        Usually a mapping; unknown and missing fields are refused.
+    field : str
+        Path of the document, for errors.
+
+    Returns
+    -------
+    NamedTuple
+
+    Raises
+    ------
+    CheckError
+        If a field is unknown, missing or holds a value that is not allowed.
+    """
+    if not isinstance(document, collections.abc.Mapping):
+        raise checks.CheckError(field or "document", "an object", document)
+    hints = _get_hints(record_type)
+    for name in document:
+        if name not in hints:
+            allowed = f"one of the fields {', '.join(hints)}"
+            raise checks.CheckError(_join(field, str(name)), allowed, document[name])
+    values = {}
+    for name, hint in hints.items():
+        path = _join(field, name)
+        if name in document:
+            values[name] = build_value(hint, document[name], path)
+        elif name not in record_type._field_defaults:
+            raise checks.CheckError(path, _describe(hint), "nothing")
+    return record_type(**values)
+
+
+def build_value(hint: typing.Any, value: typing.Any, field: str) -> typing.Any:
+    """Return `value` converted to an annotated type.
+
+    Raises
+    ------
+    CheckError
+        If the type does not allow the value.
+    """
+    origin = typing.get_origin(hint)
+    if origin in (typing.Union, types.UnionType):
+        return _build_union(hint, value, field)
+    if origin is tuple:
+        return _build_tuple(hint, value, field)
+    if origin is collections.abc.Mapping:
+        return _build_mapping(hint, value, field)
+    if hasattr(hint, "_fields"):
+        return build_record(hint, value, field)
+    try:
+        return msgspec.convert(value, hint)
+    except msgspec.ValidationError as error:
+        raise checks.CheckError(field, _describe(hint), value) from error
+
+
+@functools.cache
+def _get_hints(record_type: type) -> dict[str, typing.Any]:
+    return typing.get_type_hints(record_type, include_extras=True)
+
+
+def _join(field: str, name: str) -> str:
+    return f"{field}.{name}" if field else name
+
+
+def _build_union(hint: typing.Any, value: typing.Any, field: str) -> typing.Any:
+    failure = None
+    for option in typing.get_args(hint):
+        try:
+            return build_value(option, value, field)
+        except checks.CheckError as error:
+            # An error below this field tells more than the list of options.
+            if failure is None or error.field != field:
+                failure = error
+    if failure.field != field:
+        raise failure
+    raise checks.CheckError(field, _describe(hint), value)
+
+
+def _build_tuple(hint: typing.Any, value: typing.Any, field: str) -> tuple:
+    if not isinstance(value, (list, tuple)):
+        raise checks.CheckError(field, _describe(hint), value)
+    item_hint = typing.get_args(hint)[0]
+    return tuple(
+        build_value(item_hint, item, f"{field}[{position}]")
+        for position, item in enumerate(value)
+    )
+
+
+def _build_mapping(hint: typing.Any, value: typing.Any, field: str) -> dict:
+    if not isinstance(value, collections.abc.Mapping):
+        raise checks.CheckError(field, _describe(hint), value)
+    key_hint, item_hint = typing.get_args(hint)
+    return {
+        build_value(key_hint, key, _join(field, str(key))): build_value(
+            item_hint, item, _join(field, str(key))
+        )
+        for key, item in value.items()
+    }
+
+
+def _describe(hint: typing.Any) -> str:
+    origin = typing.get_origin(hint)
+    arguments = typing.get_args(hint)
+    if origin in (typing.Union, types.UnionType):
+        return " or ".join(_describe(option) for option in arguments)
+    if origin is typing.Literal:
+        return " or ".join(repr(option) for option in arguments)
+    if origin is typing.Annotated:
+        return _describe_limits(arguments[0], arguments[1])
+    if origin is tuple:
+        return f"a list of {_describe(arguments[0])}"
+    if origin is collections.abc.Mapping or hasattr(hint, "_fields"):
+        return "an object"
+    return _SCALAR_DESCRIPTIONS.get(hint, "a value")
+
+
+def _describe_limits(scalar: type, limits: msgspec.Meta) -> str:
+    if limits.description:
+        return limits.description
+    words = [_SCALAR_DESCRIPTIONS[scalar]]
+    if limits.ge is not None:
+        words.append(f"from {limits.ge}")
+    if limits.gt is not None:
+        words.append(f"above {limits.gt}")
+    if limits.le is not None:
+        words.append(f"to {limits.le}")
+    if limits.min_length is not None:
+        words.append(f"of at least {limits.min_length} characters")
+    return " ".join(words)
