--- /dev/null
+++ b/sedgeswitch/admission/drawing.py
@@ -0,0 +1,53 @@
+"""The task that draws grants for an entry host's wallet."""
+
+import typing
+
+import trio
+
+from sedgeswitch.admission import messages
+from sedgeswitch.admission import settings as admission_settings
+from sedgeswitch.admission import wallet as admission_wallet
+from sedgeswitch.transport import failures
+
+CallDraw: typing.TypeAlias = typing.Callable[
+    [messages.Draw], typing.Awaitable[messages.DrawReply]
+]
+
+
+async def run(
+    wallet: admission_wallet.Wallet,
+    call_leader: CallDraw,
+    settings: admission_settings.Settings | None = None,
+) -> None:
+    """Draw grants whenever the wallet wants some, until cancelled.
+
+    Parameters
+    ----------
+    wallet : wallet.Wallet
+    call_leader : callable
+        Sends a draw to the present leader and returns its reply; raises
+        `transport.failures.CallError` where there is none.
+    settings : settings.Settings, optional
+    """
+    given = admission_settings.Settings() if settings is None else settings
+    while True:
+        now_s = trio.current_time()
+        next_s = wallet.get_next_draw_s(now_s)
+        if next_s > now_s:
+            with trio.move_on_at(next_s):
+                await wallet.wait_until_woken()
+            continue
+        await _draw(wallet, call_leader, given.draw_timeout_s)
+
+
+async def _draw(
+    wallet: admission_wallet.Wallet, call_leader: CallDraw, timeout_s: float
+) -> None:
+    sent_s = trio.current_time()
+    request = wallet.build_draw(sent_s)
+    with trio.move_on_after(timeout_s):
+        try:
+            reply = await call_leader(request)
+        except failures.CallError:
+            return
+        wallet.receive_grants(reply, sent_s, trio.current_time())
--- /dev/null
+++ b/sedgeswitch/admission/grantor.py
@@ -0,0 +1,209 @@
+"""The control leader's side of the draw protocol."""
+
+import typing
+
+from sedgeswitch.admission import bucket
+from sedgeswitch.admission import messages
+from sedgeswitch.admission import recovery
+from sedgeswitch.admission import settings as admission_settings
+from sedgeswitch.utils import checks
+
+
+class _Session(typing.NamedTuple):
+    """The last draw of one run of a host and its reply."""
+
+    reply: messages.DrawReply
+    answered_s: float
+
+
+class Grantor:
+    """Grants tokens of every organisation to entry hosts, as the control leader.
+
+    Parameters
+    ----------
+    get_host_ids : callable
+        Returns the ids of the entry hosts that may hold grants: all that are
+        registered, and those that left within ``settings.host_memory_s``.
+    settings : settings.Settings, optional
+
+    Notes
+    -----
+    Call `draw` only while the leadership is confirmed by a quorum, so that two
+    leaders never grant at the same time.
+
+    Examples
+    --------
+    >>> from sedgeswitch.admission import settings
+    >>> leader = Grantor(lambda: ["entry-1"])
+    >>> leader.set_limits({"ward-4": settings.Limit(50.0, 20)}, now_s=0.0)
+    >>> leader.start_leadership(now_s=0.0, term=1)
+    """
+
+    def __init__(
+        self,
+        get_host_ids: typing.Callable[[], typing.Collection[str]],
+        settings: admission_settings.Settings | None = None,
+    ):
+        given = admission_settings.Settings() if settings is None else settings
+        self._settings = admission_settings.check_settings(given)
+        self._get_host_ids = get_host_ids
+        self._hold_s = admission_settings.get_hold_s(self._settings)
+        self._limits: dict[str, admission_settings.Limit] = {}
+        self._buckets: dict[str, bucket.FleetBucket] = {}
+        self._sessions: dict[bucket.HostKey, _Session] = {}
+        self._recovery: recovery.Recovery | None = None
+        self._recovery_ends_s = 0.0
+        self._swept_s = 0.0
+        self._term = 0
+        self._index = 0
+
+    def set_limits(
+        self, limits: dict[str, admission_settings.Limit], now_s: float
+    ) -> None:
+        """Put the limits of all organisations in force.
+
+        Raises
+        ------
+        CheckError
+            If a name, rate or burst is not allowed.
+        """
+        for organisation, limit in limits.items():
+            checks.check_name("organisation", organisation)
+            admission_settings.check_limit(limit)
+        self._limits = dict(limits)
+        for organisation in list(self._buckets):
+            if organisation not in limits:
+                del self._buckets[organisation]
+            elif self._buckets[organisation].limit != limits[organisation]:
+                self._buckets[organisation].set_limit(limits[organisation], now_s)
+        if self._recovery is not None:
+            self._add_buckets(now_s)
+
+    def start_leadership(self, now_s: float, term: int) -> None:
+        """Forget every bucket and learn from reports what hosts hold.
+
+        Parameters
+        ----------
+        now_s : float
+        term : int
+            Term of this leadership, greater than that of all earlier ones.
+        """
+        checks.check_range("term", term, 1)
+        self._term = term
+        self._index = 0
+        self._buckets.clear()
+        self._sessions.clear()
+        self._recovery = recovery.Recovery(self._settings, now_s)
+        self._recovery_ends_s = now_s + self._hold_s
+        self._swept_s = now_s
+        self._add_buckets(now_s)
+
+    def draw(self, request: messages.Draw, now_s: float) -> messages.DrawReply:
+        """Answer one host's draw for all its organisations.
+
+        Parameters
+        ----------
+        request : messages.Draw
+        now_s : float
+
+        Returns
+        -------
+        messages.DrawReply
+            The earlier reply if the draw was answered before; a demand for a
+            report if this leader doesn't know the host.
+        """
+        key = bucket.HostKey(request.host_id, request.incarnation)
+        session = self._sessions.get(key)
+        if session is not None and request.sequence == session.reply.sequence:
+            return session.reply
+        if request.host_id not in self._get_host_ids():
+            return self._build_reply(request, messages.DrawStatus.REFUSED)
+        if session is not None and request.sequence < session.reply.sequence:
+            return self._build_reply(request, messages.DrawStatus.REFUSED)
+        is_known = session is not None or request.is_report
+        if request.term != self._term or not is_known:
+            return self._build_reply(request, messages.DrawStatus.REPORT_WANTED)
+        self._index += 1
+        self._recover(request, now_s)
+        reply = self._build_reply(request, messages.DrawStatus.GRANTED)
+        is_trusted = session is None
+        for holding in request.holdings:
+            if holding.organisation in self._limits:
+                reply.grants.append(self._grant(key, holding, is_trusted, now_s))
+        self._sessions[key] = _Session(reply, now_s)
+        self._sweep(now_s)
+        return reply
+
+    def _grant(
+        self,
+        key: bucket.HostKey,
+        holding: messages.Holding,
+        is_trusted: bool,
+        now_s: float,
+    ) -> messages.Grant:
+        fleet_bucket = self._buckets[holding.organisation]
+        fleet_bucket.refill(now_s)
+        in_hand = max(0, holding.in_hand)
+        fleet_bucket.settle(key, in_hand, holding.spent_total, is_trusted)
+        pending = max(0, holding.pending)
+        demand_per_s = min(max(0.0, holding.demand_per_s), 1e9)
+        granted = fleet_bucket.grant(key, pending, demand_per_s, now_s)
+        return messages.Grant(
+            organisation=holding.organisation,
+            granted=granted,
+            keep=fleet_bucket.get_keep(key),
+            share_per_s=fleet_bucket.get_share_per_s(key),
+            is_short=granted < pending,
+            bucket=fleet_bucket.level,
+            held=float(fleet_bucket.get_reserved()),
+            rate_per_s=fleet_bucket.limit.rate_per_s,
+        )
+
+    def _build_reply(
+        self, request: messages.Draw, status: messages.DrawStatus
+    ) -> messages.DrawReply:
+        return messages.DrawReply(
+            term=self._term,
+            sequence=request.sequence,
+            index=self._index,
+            status=status,
+            lifetime_s=self._settings.lifetime_s,
+            urgent_interval_s=self._settings.urgent_interval_s,
+            grants=[],
+        )
+
+    def _add_buckets(self, now_s: float) -> None:
+        unknown = len(self._get_host_ids()) if self._recovery is not None else 0
+        for organisation, limit in self._limits.items():
+            if organisation not in self._buckets:
+                fleet_bucket = bucket.FleetBucket(limit, self._settings, now_s)
+                fleet_bucket.set_unknown_hosts(unknown, now_s)
+                self._buckets[organisation] = fleet_bucket
+
+    def _recover(self, request: messages.Draw, now_s: float) -> None:
+        if self._recovery is None:
+            return
+        if request.is_report:
+            self._recovery.add(request, now_s)
+        host_ids = self._get_host_ids()
+        unknown = self._recovery.get_unknown(host_ids)
+        if unknown and now_s < self._recovery_ends_s:
+            for fleet_bucket in self._buckets.values():
+                fleet_bucket.set_unknown_hosts(unknown, now_s)
+            return
+        for organisation, fleet_bucket in self._buckets.items():
+            fleet_bucket.set_unknown_hosts(0, min(now_s, self._recovery_ends_s))
+            if not unknown:
+                limit = self._limits[organisation]
+                level = self._recovery.get_level(organisation, limit, host_ids, now_s)
+                recovery.restore_bucket(fleet_bucket, level, now_s)
+        self._recovery = None
+
+    def _sweep(self, now_s: float) -> None:
+        if now_s - self._swept_s < self._hold_s:
+            return
+        self._swept_s = now_s
+        oldest_s = now_s - self._settings.host_memory_s
+        for key, session in list(self._sessions.items()):
+            if session.answered_s < oldest_s:
+                del self._sessions[key]
--- /dev/null
+++ b/sedgeswitch/admission/recovery.py
@@ -0,0 +1,113 @@
+"""What a new leader learns from the entry hosts about an earlier leader's buckets."""
+
+import typing
+
+from sedgeswitch.admission import bucket
+from sedgeswitch.admission import messages
+from sedgeswitch.admission import settings as admission_settings
+
+
+class HostReport(typing.NamedTuple):
+    """One host's first draw under a new leader.
+
+    Attributes
+    ----------
+    arrived_s : float
+        When the leader received it.
+    uptime_s : float
+        How long the host's process had been running.
+    memories : dict of str to messages.BucketMemory
+        The last bucket states that the host was told, by organisation.
+    """
+
+    arrived_s: float
+    uptime_s: float
+    memories: dict[str, messages.BucketMemory]
+
+
+class Recovery:
+    """Collects reports until every host that may hold grants has been heard.
+
+    Parameters
+    ----------
+    settings : settings.Settings
+    started_s : float
+        Start of the leadership.
+
+    Notes
+    -----
+    The last state that an earlier leader told any host is the state after which no
+    grant has reached a host, provided that every host is heard and has been up
+    since then.  A bucket may continue from that state.
+    """
+
+    def __init__(self, settings: admission_settings.Settings, started_s: float):
+        self._settings = settings
+        self._started_s = started_s
+        self._reports: dict[str, HostReport] = {}
+
+    def add(self, draw: messages.Draw, now_s: float) -> None:
+        """Keep a host's report; a later run of the host replaces an earlier one."""
+        memories = {memory.organisation: memory for memory in draw.memories}
+        self._reports[draw.host_id] = HostReport(now_s, draw.uptime_s, memories)
+
+    def get_unknown(self, host_ids: typing.Collection[str]) -> int:
+        """Return how many of the hosts have not reported."""
+        return sum(host_id not in self._reports for host_id in host_ids)
+
+    def get_level(
+        self,
+        organisation: str,
+        limit: admission_settings.Limit,
+        host_ids: typing.Collection[str],
+        now_s: float,
+    ) -> float:
+        """Return a level that the bucket may continue from, 0 where none is known."""
+        if limit.burst > limit.rate_per_s * self._settings.host_memory_s:
+            # A host that left may have spent tokens that no report tells of.
+            return 0.0
+        reports = [self._reports[host_id] for host_id in host_ids]
+        known = [report for report in reports if organisation in report.memories]
+        if not known:
+            return self._get_level_unused(limit, reports, now_s)
+        latest = max(known, key=lambda report: _get_order(report, organisation))
+        memory = latest.memories[organisation]
+        if not all(self._is_up_since(report, memory) for report in reports):
+            return 0.0
+        rate_per_s = min(limit.rate_per_s, memory.rate_per_s)
+        elapsed_s = memory.received_age_s + now_s - latest.arrived_s
+        level = memory.bucket + rate_per_s * elapsed_s * self._get_slow_factor()
+        return min(level, limit.burst - memory.held)
+
+    def _get_level_unused(
+        self,
+        limit: admission_settings.Limit,
+        reports: list[HostReport],
+        now_s: float,
+    ) -> float:
+        uptimes_s = [report.uptime_s + now_s - report.arrived_s for report in reports]
+        idle_s = min(uptimes_s, default=0.0) * self._get_slow_factor()
+        return min(limit.burst, limit.rate_per_s * idle_s)
+
+    def _is_up_since(self, report: HostReport, memory: messages.BucketMemory) -> bool:
+        factor = self._get_slow_factor()
+        latest_start_s = report.arrived_s - report.uptime_s * factor
+        # The report was built after the leadership began, because only a reply of
+        # this leader asks for it; its own delay is unknown.
+        earliest_sent_s = self._started_s - memory.sent_age_s / factor
+        return latest_start_s <= earliest_sent_s
+
+    def _get_slow_factor(self) -> float:
+        return (1 - self._settings.drift) / (1 + self._settings.drift)
+
+
+def _get_order(report: HostReport, organisation: str) -> tuple[int, int]:
+    memory = report.memories[organisation]
+    return memory.term, memory.index
+
+
+def restore_bucket(
+    fleet_bucket: bucket.FleetBucket, level: float, now_s: float
+) -> None:
+    """Continue a bucket from `level`, less what was granted since it was made."""
+    fleet_bucket.restore(level - fleet_bucket.granted, now_s)
--- /dev/null
+++ b/sedgeswitch/admission/tests/builders.py
@@ -0,0 +1,122 @@
+"""A small fleet in virtual time: entry hosts, control leaders and lossy messages."""
+
+import heapq
+import itertools
+
+from sedgeswitch.admission import grantor
+from sedgeswitch.admission import messages
+from sedgeswitch.admission import settings
+from sedgeswitch.admission import wallet
+from sedgeswitch.transport import catalog
+
+ORGANISATION = "ward-4"
+
+
+class Clock:
+    """A monotonic clock with an offset and a rate error."""
+
+    def __init__(self, offset_s=0.0, drift=0.0):
+        self.offset_s = offset_s
+        self.drift = drift
+
+    def read(self, true_s):
+        return self.offset_s + true_s * (1 + self.drift)
+
+
+class Fleet:
+    """Hosts that draw from a leader; the test says what happens and when.
+
+    A reference bucket in true time takes every spend; `lowest_level` below zero
+    means that some window held more than ``rate * T + burst``.
+    """
+
+    def __init__(self, limit, clocks, given=None):
+        self.limits = {ORGANISATION: limit}
+        self.settings = settings.Settings() if given is None else given
+        self.clocks = clocks
+        self.true_s = 0.0
+        self.lowest_level = self.level = float(limit.burst)
+        self.spent = 0
+        self._levelled_s = 0.0
+        self._counter = itertools.count(1)
+        self._deliveries = []
+        self.wallets = [None] * len(clocks)
+        for host in range(len(clocks)):
+            self.restart(host)
+        self.change_leader()
+
+    def restart(self, host):
+        now_s = self.clocks[host].read(self.true_s)
+        run_id = f"run-{next(self._counter)}"
+        made = wallet.Wallet(f"host-{host}", run_id, now_s, self.settings)
+        made.set_limits(self.limits)
+        self.wallets[host] = made
+
+    def change_leader(self):
+        ids = [f"host-{host}" for host in range(len(self.clocks))]
+        clock = self.clocks[next(self._counter) % len(self.clocks)]
+        self.leader = grantor.Grantor(lambda: ids, self.settings)
+        self.leader_clock = clock
+        now_s = clock.read(self.true_s)
+        self.leader.set_limits(self.limits, now_s)
+        self.leader.start_leadership(now_s, next(self._counter))
+
+    def take(self, host):
+        outcome = self.wallets[host].take(ORGANISATION, self.read(host))
+        if isinstance(outcome, wallet.Admitted):
+            self._spend()
+        return outcome
+
+    def read(self, host):
+        return self.clocks[host].read(self.true_s)
+
+    def draw(self, host, request_delays_s=(0.01,), reply_delay_s=0.01):
+        """Send a draw; no delay is a lost request, two are a duplicate."""
+        made = self.wallets[host]
+        sent_s = self.read(host)
+        request = catalog.encode_struct(made.build_draw(sent_s))
+
+        def answer():
+            decoded = catalog.decode_struct(messages.Draw, request)
+            leader_s = self.leader_clock.read(self.true_s)
+            reply = catalog.encode_struct(self.leader.draw(decoded, leader_s))
+            if reply_delay_s is not None:
+                self._deliver(reply_delay_s, lambda: receive(reply))
+
+        def receive(reply):
+            if self.wallets[host] is not made:
+                return
+            decoded = catalog.decode_struct(messages.DrawReply, reply)
+            before = made._accounts[ORGANISATION].spent_total
+            made.receive_grants(decoded, sent_s, self.read(host))
+            for _ in range(made._accounts[ORGANISATION].spent_total - before):
+                self._spend()
+
+        for delay_s in request_delays_s:
+            self._deliver(delay_s, answer)
+
+    def exchange(self, host):
+        """Let a host draw until its draw is granted."""
+        self.draw(host)
+        self.advance(0.021)
+        self.draw(host)
+        self.advance(0.021)
+
+    def advance(self, step_s):
+        end_s = self.true_s + step_s
+        while self._deliveries and self._deliveries[0][0] <= end_s:
+            self.true_s, _, deliver = heapq.heappop(self._deliveries)
+            deliver()
+        self.true_s = end_s
+
+    def _deliver(self, delay_s, deliver):
+        entry = (self.true_s + delay_s, next(self._counter), deliver)
+        heapq.heappush(self._deliveries, entry)
+
+    def _spend(self):
+        limit = self.limits[ORGANISATION]
+        refilled = (self.true_s - self._levelled_s) * limit.rate_per_s
+        self.level = min(limit.burst, self.level + refilled) - 1
+        self._levelled_s = self.true_s
+        self.lowest_level = min(self.lowest_level, self.level)
+        self.spent += 1
--- /dev/null
+++ b/sedgeswitch/admission/tests/test_fleet_rate.py
@@ -0,0 +1,166 @@
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sedgeswitch.admission import messages
+from sedgeswitch.admission import settings
+from sedgeswitch.admission import wallet
+from sedgeswitch.admission.tests import builders
+from sedgeswitch.transport import catalog
+from sedgeswitch.utils import checks
+
+DRIFT = settings.Settings().drift
+HOST_COUNT = 3
+
+DELAYS = strategies.sampled_from([0.0, 0.01, 0.3, 1.9, 2.5])
+HOSTS = strategies.integers(0, HOST_COUNT - 1)
+STEPS = strategies.one_of(
+    strategies.tuples(
+        strategies.just("draw"),
+        HOSTS,
+        strategies.lists(DELAYS, max_size=2),
+        strategies.one_of(strategies.none(), DELAYS),
+    ),
+    strategies.tuples(strategies.just("exchange"), HOSTS),
+    strategies.tuples(strategies.just("take"), HOSTS, strategies.integers(1, 30)),
+    strategies.tuples(strategies.just("advance"), strategies.floats(0.0, 2.5)),
+    strategies.tuples(strategies.just("restart"), HOSTS),
+    strategies.tuples(strategies.just("change_leader")),
+)
+
+
+def run_step(fleet, step):
+    name, *arguments = step
+    if name == "take":
+        host, count = arguments
+        for _ in range(count):
+            fleet.take(host)
+    else:
+        getattr(fleet, name)(*arguments)
+
+
+def draw_random_step(rng):
+    host = rng.randrange(HOST_COUNT)
+    delays = [rng.choice([0.0, 0.01, 0.01, 0.3, 1.9]) for _ in range(2)]
+    return rng.choices(
+        [
+            ("exchange", host),
+            ("draw", host, delays[: rng.randrange(3)], rng.choice([None, 0.01, 1.5])),
+            ("take", host, rng.randint(1, 12)),
+            ("advance", rng.choice([0.005, 0.05, 0.3, 1.0, 2.1])),
+            ("restart", host),
+            ("change_leader",),
+        ],
+        weights=[8, 6, 14, 8, 1, 1],
+    )[0]
+
+
+class FleetBoundTest(unittest.TestCase):
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.given(
+        steps=strategies.lists(STEPS, max_size=60),
+        drifts=strategies.lists(
+            strategies.sampled_from([-DRIFT, 0.0, DRIFT]),
+            min_size=HOST_COUNT,
+            max_size=HOST_COUNT,
+        ),
+        burst=strategies.sampled_from([1, 2, 10, 100]),
+        rate_per_s=strategies.sampled_from([0.5, 10.0, 200.0]),
+    )
+    def test_any_history_spends_within_rate_and_burst(
+        self, steps, drifts, burst, rate_per_s
+    ):
+        clocks = [builders.Clock(1e4 * i, drift) for i, drift in enumerate(drifts)]
+        fleet = builders.Fleet(settings.Limit(rate_per_s, burst), clocks)
+        for step in steps:
+            run_step(fleet, step)
+        self.assertGreaterEqual(fleet.lowest_level, -1e-6)
+
+    def test_long_random_history_spends_within_rate_and_burst(self):
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                clocks = [
+                    builders.Clock(rng.uniform(0, 1e4), rng.choice([-DRIFT, DRIFT]))
+                    for _ in range(HOST_COUNT)
+                ]
+                limit = settings.Limit(
+                    rng.choice([2.0, 20.0]), rng.choice([2, 20, 100])
+                )
+                fleet = builders.Fleet(limit, clocks)
+                for _ in range(400):
+                    run_step(fleet, draw_random_step(rng))
+                self.assertGreaterEqual(fleet.lowest_level, -1e-6)
+                self.assertGreater(fleet.spent, 0)
+
+
+class DrawTest(unittest.TestCase):
+    def setUp(self):
+        clocks = [builders.Clock(100.0 * host) for host in range(HOST_COUNT)]
+        self.limit = settings.Limit(10.0, 20)
+        self.fleet = builders.Fleet(self.limit, clocks)
+        self.fleet.advance(10.0)
+        for host in range(HOST_COUNT):
+            self.fleet.exchange(host)
+
+    def test_first_request_of_quiet_host_is_admitted_by_next_draw(self):
+        pending = self.fleet.take(2)
+        self.fleet.draw(2)
+        self.fleet.advance(0.021)
+        self.assertEqual(pending.outcome, wallet.Admitted(builders.ORGANISATION))
+
+    def test_resent_draw_gets_same_reply(self):
+        self.fleet.take(0)
+        request = self.fleet.wallets[0].build_draw(self.fleet.read(0))
+        now_s = self.fleet.leader_clock.read(self.fleet.true_s)
+        first = self.fleet.leader.draw(request, now_s)
+        self.assertEqual(self.fleet.leader.draw(request, now_s + 1.0), first)
+        self.assertEqual(first.grants[0].granted >= 1, True)
+
+    def test_tokens_of_lost_reply_return_with_next_draw(self):
+        for _ in range(10):
+            self.fleet.take(0)
+        self.fleet.draw(0, reply_delay_s=None)
+        self.fleet.advance(0.021)
+        self.fleet.draw(0)
+        self.fleet.advance(0.021)
+        self.assertGreaterEqual(self.fleet.spent, 10)
+
+    def test_new_leader_continues_the_bucket_once_all_hosts_reported(self):
+        for _ in range(4):
+            self.fleet.take(0)
+        self.fleet.draw(0)
+        self.fleet.advance(0.021)
+        self.fleet.change_leader()
+        for host in range(HOST_COUNT):
+            self.fleet.exchange(host)
+        pending = [self.fleet.take(1) for _ in range(8)]
+        self.fleet.draw(1)
+        self.fleet.advance(0.021)
+        admitted = [p for p in pending if isinstance(p.outcome, wallet.Admitted)]
+        self.assertEqual(len(admitted), 8)
+
+    def test_changed_rate_takes_effect_on_both_sides(self):
+        self.fleet.limits[builders.ORGANISATION] = settings.Limit(10.0, 2)
+        now_s = self.fleet.leader_clock.read(self.fleet.true_s)
+        self.fleet.leader.set_limits(self.fleet.limits, now_s)
+        self.fleet.wallets[0].set_limits(self.fleet.limits)
+        outcomes = [self.fleet.take(0) for _ in range(5)]
+        self.fleet.exchange(0)
+        self.assertLessEqual(self.fleet.spent, 2)
+        self.assertIsInstance(outcomes[-1], wallet.Denied)
+
+    def test_unknown_organisation_names_what_is_allowed(self):
+        with self.assertRaisesRegex(checks.CheckError, "with a limit, got 'nobody'"):
+            self.fleet.wallets[0].take("nobody", 0.0)
+
+    @hypothesis.settings(deadline=None, derandomize=True)
+    @hypothesis.given(strategies.binary(max_size=80))
+    def test_arbitrary_bytes_raise_only_message_error(self, body):
+        for message_type in (messages.Draw, messages.DrawReply):
+            try:
+                catalog.decode_struct(message_type, body)
+            except catalog.MessageError:
+                continue
