Add the daemon with its control and entry roles

Cause: the slices need one place that wires them. Change: control host, entry host, graceful shutdown, status for operators, announcements, drain reports.

--- a/sedgeswitch/callers/http.py
+++ b/sedgeswitch/callers/http.py
@@ -16,6 +16,7 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.utils import records
 
 RECEIVE_BYTES = 64 * 1024
 PROBLEM_TYPE = "application/problem+json"
@@ -98,18 +99,7 @@
 
 def build_json(value: typing.Any, headers: tuple = ()) -> Response:
     """Return a response with a JSON body; named tuples become objects."""
-    return Response(200, msgspec.json.encode(encode_value(value)), JSON_TYPE, headers)
-
-
-def encode_value(value: typing.Any) -> typing.Any:
-    """Return `value` with named tuples turned into mappings."""
-    if isinstance(value, tuple) and hasattr(value, "_asdict"):
-        return {name: encode_value(item) for name, item in value._asdict().items()}
-    if isinstance(value, dict):
-        return {name: encode_value(item) for name, item in value.items()}
-    if isinstance(value, (list, tuple)):
-        return [encode_value(item) for item in value]
-    return value
+    return Response(200, records.encode_json(value), JSON_TYPE, headers)
 
 
 def build_problem(refusal: verdicts.Refusal) -> Response:
--- a/sedgeswitch/callers/routes.py
+++ b/sedgeswitch/callers/routes.py
@@ -133,9 +133,18 @@
                     task_status=task_status,
                 )
 
-    async def drain(self) -> None:
-        """Stop accepting, let running requests finish, close the rest."""
+    async def drain(self, linger_s: float) -> None:
+        """Let running requests finish, then close every connection.
+
+        Parameters
+        ----------
+        linger_s : float
+            How long requests are still taken, each the last of its
+            connection, so that none is cut that was sent before its caller
+            could know, in seconds.
+        """
         self._is_draining = True
+        await trio.sleep(linger_s)
         self._listening.cancel()
         while self._connections:
             for connection, scope in list(self._connections.items()):
--- /dev/null
+++ b/sedgeswitch/daemon/__main__.py
@@ -0,0 +1,82 @@
+"""The command ``sedgeswitchd``."""
+
+import random
+import sys
+
+import trio
+from cleo import application
+from cleo.commands import command
+from cleo.helpers import option
+
+import sedgeswitch
+from sedgeswitch import settings as daemon_settings
+from sedgeswitch.daemon import daemon
+from sedgeswitch.keys import logs as key_logs
+from sedgeswitch.observability import logs
+from sedgeswitch.utils import checks
+
+EXIT_OK = 0
+EXIT_INVALID = 1
+
+
+class RunCommand(command.Command):
+    """Runs a daemon until it is told to stop."""
+
+    name = "run"
+    description = "Runs an entry host, a control host or both, by its settings."
+    options = [
+        option("settings", "s", "The JSON file of settings.", flag=False),
+        option("check", None, "Check the settings and exit.", flag=True),
+    ]
+    help = (
+        "Examples:\n"
+        "  sedgeswitchd --settings /etc/sedgeswitch/host.json\n"
+        "  sedgeswitchd --settings host.json --check\n\n"
+        "SIGTERM shuts down gracefully: running requests are answered.\n"
+        "Exit codes: 0 after a shutdown, 1 for settings that are not valid."
+    )
+
+    def handle(self) -> int:
+        """Check the settings, and run unless only the check was asked for."""
+        path = self.option("settings")
+        if not path:
+            self.line_error("<error>--settings: expected a file</error>")
+            return EXIT_INVALID
+        try:
+            settings = daemon_settings.load_settings(path)
+        except (checks.CheckError, OSError) as error:
+            self.line_error(f"<error>{error}</error>")
+            return EXIT_INVALID
+        if self.option("check"):
+            self.line(f"{path}: the settings of {settings.host_id} are valid")
+            return EXIT_OK
+        run_daemon(settings)
+        return EXIT_OK
+
+
+def run_daemon(settings: daemon_settings.Settings) -> None:
+    """Run a daemon with its logs on standard error."""
+    logs.configure_logs(
+        settings.host_id, settings.log_level, sys.stderr, key_logs.redact
+    )
+    rng = random.SystemRandom()
+    trio.run(_run, settings, rng)
+
+
+async def _run(settings: daemon_settings.Settings, rng: random.Random) -> None:
+    await daemon.Daemon(settings, rng).run()
+
+
+def main() -> int:
+    """Run the command line and return its exit code."""
+    app = application.Application("sedgeswitchd", sedgeswitch.__version__)
+    app.add(RunCommand())
+    app.auto_exits(False)
+    arguments = sys.argv[1:]
+    if not arguments or arguments[0] != "run":
+        sys.argv[1:1] = ["run"]
+    return app.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sedgeswitch/daemon/announcements.py
@@ -0,0 +1,56 @@
+"""The endpoint at which backend servers announce themselves."""
+
+import typing
+
+import msgspec
+
+from sedgeswitch.callers import http
+from sedgeswitch.membership import directory
+from sedgeswitch.statements import requests
+
+PATH = "/v1/announcements"
+
+_Name = typing.Annotated[str, msgspec.Meta(pattern=r"\A[A-Za-z0-9._-]{1,64}\Z")]
+_Count = typing.Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+
+
+class _Body(typing.TypedDict):
+    instance: _Name
+    group: _Name
+    host: typing.Annotated[str, msgspec.Meta(min_length=2, max_length=64)]
+    port: typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    availability_zone: _Name
+    labels: dict[_Name, _Name]
+    slots: _Count
+    max_connections: _Count
+
+
+_FIELDS = frozenset(_Body.__annotations__)
+
+
+class AnnouncementEndpoint:
+    """Takes announcements and gives them to the directory.
+
+    Parameters
+    ----------
+    servers : directory.EntryDirectory
+    """
+
+    def __init__(self, servers: directory.EntryDirectory):
+        self._servers = servers
+
+    async def handle(
+        self,
+        request: http.Request,
+        values: tuple[str, ...],  # noqa: ARG002
+    ) -> http.Response:
+        """Answer ``POST /v1/announcements``.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            400 if the announcement is not well formed.
+        """
+        body = requests.decode_fields(request.body, _FIELDS, _Body)
+        self._servers.record_announcement(directory.BackendServer(**body))
+        return http.Response(204, b"")
--- /dev/null
+++ b/sedgeswitch/daemon/daemon.py
@@ -0,0 +1,134 @@
+"""One daemon: its listeners, its roles and its shutdown."""
+
+import pathlib
+import random
+import signal
+
+import loguru
+import trio
+
+from sedgeswitch import settings as daemon_settings
+from sedgeswitch.callers import http
+from sedgeswitch.callers import routes
+from sedgeswitch.daemon import control
+from sedgeswitch.daemon import entry
+from sedgeswitch.drivers import base
+from sedgeswitch.drivers import postgres
+from sedgeswitch.observability import metrics
+from sedgeswitch.observability import traces
+from sedgeswitch.transport import server
+
+HEALTH_PATH = "/v1/health"
+DRIVER = "postgres"
+TRACE_FILE = "traces.jsonl"
+# Time for the balancer to see that this host is leaving, before it drains.
+LINGER_S = 1.0
+DRAIN_TIMEOUT_S = 60.0
+
+_ = postgres
+
+
+class Daemon:
+    """A daemon with the roles that its settings name.
+
+    Parameters
+    ----------
+    settings : daemon_settings.Settings
+    rng : random.Random
+    """
+
+    def __init__(self, settings: daemon_settings.Settings, rng: random.Random):
+        self._settings = settings
+        self._is_leaving = False
+        self._serving = server.Server()
+        self._router = routes.Router()
+        self._router.register_route("GET", HEALTH_PATH, self._answer_health)
+        self._metrics = _build_metrics(settings)
+        driver = base.build_driver(DRIVER)
+        self._control: control.ControlHost | None = None
+        self._entry: entry.EntryHost | None = None
+        if daemon_settings.CONTROL_ROLE in settings.roles:
+            self._control = control.ControlHost(
+                settings, self._serving, driver, self._metrics, rng
+            )
+            self._control.register_routes(self._router)
+        if daemon_settings.ENTRY_ROLE in settings.roles:
+            tracer = _build_tracer(settings, rng)
+            self._entry = entry.EntryHost(
+                settings, self._serving, driver, self._metrics, tracer, rng
+            )
+            self._entry.register_routes(self._router)
+        self._http = routes.HttpServer(
+            self._router.handle,
+            _build_limits(settings.requests),
+            settings.requests.max_connections,
+        )
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
+                loguru.logger.info("serving as {}", ", ".join(self._settings.roles))
+                task_status.started()
+                async for _signal in signals:
+                    break
+                await self._shut_down()
+                nursery.cancel_scope.cancel()
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        await nursery.start(self._serving.serve, *self._settings.peers)
+        if self._control is not None:
+            nursery.start_soon(self._control.run)
+        if self._entry is not None:
+            nursery.start_soon(self._entry.run)
+        await nursery.start(self._http.serve, *self._settings.callers)
+
+    async def _shut_down(self) -> None:
+        loguru.logger.info("shutting down: new requests go elsewhere")
+        self._is_leaving = True
+        with trio.move_on_after(DRAIN_TIMEOUT_S):
+            await self._http.drain(LINGER_S)
+        if self._entry is not None:
+            await self._entry.leave()
+        loguru.logger.info("shut down")
+
+    async def _answer_health(
+        self,
+        request: http.Request,  # noqa: ARG002
+        values: tuple[str, ...],  # noqa: ARG002
+    ) -> http.Response:
+        """Answer the balancer: 200 if callers may be sent here."""
+        if self._is_leaving:
+            raise entry.build_not_ready()
+        now_s = trio.current_time()
+        if self._entry is not None and not self._entry.heart.is_lease_valid(now_s):
+            raise entry.build_not_ready()
+        return http.build_json({"status": "ready"})
+
+
+def _build_limits(given: daemon_settings.Requests) -> http.Limits:
+    return http.Limits(
+        max_body_bytes=given.max_body_bytes,
+        request_timeout_s=given.header_timeout_s,
+        idle_timeout_s=given.idle_timeout_s,
+    )
+
+
+def _build_metrics(settings: daemon_settings.Settings) -> metrics.Metrics:
+    if settings.statsd is None:
+        return metrics.Metrics()
+    return metrics.build_metrics(*settings.statsd)
+
+
+def _build_tracer(
+    settings: daemon_settings.Settings, rng: random.Random
+) -> traces.Tracer:
+    path = None
+    if settings.trace_sample_share > 0:
+        folder = pathlib.Path(settings.data_folder)
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / TRACE_FILE
+    return traces.Tracer(settings.host_id, path, settings.trace_sample_share, rng)
--- /dev/null
+++ b/sedgeswitch/daemon/entry.py
@@ -0,0 +1,239 @@
+"""The entry role: callers, pools and what follows the agreed state."""
+
+import random
+import secrets
+
+import trio
+
+from sedgeswitch import settings as daemon_settings
+from sedgeswitch import verdicts
+from sedgeswitch.admission import drawing
+from sedgeswitch.admission import messages as admission_messages
+from sedgeswitch.admission import wallet
+from sedgeswitch.callers import routes
+from sedgeswitch.configuration import follower
+from sedgeswitch.daemon import adapters
+from sedgeswitch.daemon import announcements
+from sedgeswitch.daemon import control
+from sedgeswitch.daemon import slots
+from sedgeswitch.draining import sections as draining_sections
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import sections as groups_sections
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import table
+from sedgeswitch.membership import directory
+from sedgeswitch.membership import heart
+from sedgeswitch.observability import metrics
+from sedgeswitch.observability import traces
+from sedgeswitch.pools import pool
+from sedgeswitch.sessions import floors
+from sedgeswitch.statements import authorisation
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import context
+from sedgeswitch.statements import refusals
+from sedgeswitch.statements import service
+from sedgeswitch.transport import peer
+from sedgeswitch.transport import server
+
+DRAW_TIMEOUT_S = 0.5
+MAINTENANCE_INTERVAL_S = 0.25
+POLICY = "least_expected_delay"
+
+
+class FleetAdmission:
+    """Admits requests by the wallet's tokens.
+
+    Parameters
+    ----------
+    tokens : wallet.Wallet
+    """
+
+    def __init__(self, tokens: wallet.Wallet):
+        self._wallet = tokens
+
+    async def admit(self, organisation: str, deadline_s: float) -> None:
+        """Return if a request may run.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            429, at once, with when to come back.
+        """
+        outcome = self._wallet.take(organisation, trio.current_time(), deadline_s)
+        if isinstance(outcome, wallet.Pending):
+            outcome = await self._wallet.wait(outcome)
+        if isinstance(outcome, wallet.Denied):
+            raise refusals.build_rate_exceeded(outcome.retry_after_ms / 1000)
+
+
+class EntryHost:
+    """Everything that an entry host runs.
+
+    Parameters
+    ----------
+    settings : daemon_settings.Settings
+    serving : server.Server
+        Answers the calls of other hosts.
+    driver : base.Driver
+    gauges : metrics.Metrics
+    tracer : traces.Tracer
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        settings: daemon_settings.Settings,
+        serving: server.Server,
+        driver: base.Driver,
+        gauges: metrics.Metrics,
+        tracer: traces.Tracer,
+        rng: random.Random,
+    ):
+        del serving
+        self._settings = settings
+        self._metrics = gauges
+        self._incarnation = secrets.token_hex(8)
+        self._limits_version = 0
+        self.configuration = follower.Follower()
+        self.groups = table.GroupTable()
+        self.directory = directory.EntryDirectory()
+        self.control_peers = heart.ControlPeers(
+            {
+                host.host_id: peer.Address(host.host, host.port)
+                for host in settings.control_hosts
+            }
+        )
+        self.heart = self._build_heart()
+        self.wallet = wallet.Wallet(
+            settings.host_id, self._incarnation, trio.current_time()
+        )
+        self.backends = self._build_backends(driver, rng)
+        self.groups_section = self._build_groups(driver)
+        self._register_sections()
+        self.statements = self._build_service(tracer)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.control_peers.run)
+            nursery.start_soon(self.heart.run)
+            nursery.start_soon(self.groups_section.run)
+            nursery.start_soon(drawing.run, self.wallet, self._call_draw)
+            nursery.start_soon(self._maintain)
+
+    def register_routes(self, router: routes.Router) -> None:
+        """Register the callers' endpoints."""
+        router.register_route("POST", service.PATH, self.statements.handle)
+        endpoint = announcements.AnnouncementEndpoint(self.directory)
+        router.register_route("POST", announcements.PATH, endpoint.handle)
+
+    async def leave(self) -> None:
+        """Give up the lease, after the last request has been answered."""
+        with trio.move_on_after(heart.CALL_TIMEOUT_S):
+            await self.heart.leave()
+        await self.backends.close()
+
+    def _build_heart(self) -> heart.Heart:
+        settings = self._settings
+        identity = heart.HostIdentity(
+            settings.host_id,
+            self._incarnation,
+            settings.availability_zone,
+            settings.peers.host,
+            settings.peers.port,
+        )
+        return heart.Heart(identity, self.control_peers, settings.heartbeat_interval_s)
+
+    def _build_backends(
+        self, driver: base.Driver, rng: random.Random
+    ) -> backends.Backends:
+        given = self._settings.pool
+        options = backends.BackendOptions(
+            self._settings.availability_zone,
+            given.connections_per_instance,
+            POLICY,
+            pool.PoolSettings(given.connect_timeout_s, given.idle_timeout_s),
+        )
+        return backends.Backends(
+            self.directory, driver, slots.build_slots, options, rng
+        )
+
+    def _build_groups(self, driver: base.Driver) -> groups_sections.EntrySection:
+        servers = adapters.GroupDirectory(
+            lambda: self.directory.servers,
+            lambda: self.configuration.document,
+            self._is_left_alone,
+        )
+        return groups_sections.EntrySection(
+            self.groups, servers, driver, groups_settings.GroupSettings()
+        )
+
+    def _register_sections(self) -> None:
+        draining = draining_sections.EntrySection(
+            lambda: self.configuration.version, self._count_drained
+        )
+        self.heart.register_section(control.CONFIGURATION, self.configuration)
+        self.heart.register_section(control.GROUPS, self.groups_section)
+        self.heart.register_section(control.DIRECTORY, self.directory)
+        self.heart.register_section(control.DRAINING, draining)
+        self.heart.register_lease_listener(self.groups.set_lease)
+        self.heart.register_lease_listener(self._follow_limits)
+
+    def _build_service(self, tracer: traces.Tracer) -> service.StatementService:
+        parts = context.Parts(
+            self.groups, self.backends, floors.LocalFloors(), self._metrics
+        )
+        authoriser = authorisation.Authoriser(
+            self.configuration, self.backends, self._settings.freshness_bound_s
+        )
+        return service.StatementService(
+            authoriser,
+            FleetAdmission(self.wallet),
+            parts,
+            tracer,
+            self._settings.requests.default_deadline_ms,
+        )
+
+    def _follow_limits(self, lease_until_s: float) -> None:  # noqa: ARG002
+        if self._limits_version == self.configuration.version:
+            return
+        self._limits_version = self.configuration.version
+        limits = adapters.build_limits(self.configuration.document)
+        self.wallet.set_limits(limits, trio.current_time())
+
+    async def _call_draw(
+        self, request: admission_messages.Draw
+    ) -> admission_messages.DrawReply:
+        return await self.control_peers.call(request, DRAW_TIMEOUT_S)
+
+    def _is_left_alone(self, item: directory.BackendServer) -> bool:
+        """Return whether nothing should touch a drained backend server."""
+        group = self.groups.get_group(item.group)
+        if group is not None and group.primary == item.instance:
+            return False
+        return adapters.is_drained(self.configuration.document, item)
+
+    def _count_drained(self) -> dict[str, int]:
+        return {
+            item.instance: self.backends.count_in_use(item.instance)
+            for item in self.directory.servers.values()
+            if adapters.is_drained(self.configuration.document, item)
+        }
+
+    async def _maintain(self) -> None:
+        while True:
+            left_alone = {
+                (item.host, item.port)
+                for item in self.directory.servers.values()
+                if self._is_left_alone(item)
+            }
+            await self.backends.close_idle(left_alone, trio.current_time())
+            self._metrics.flush()
+            await trio.sleep(MAINTENANCE_INTERVAL_S)
+
+
+def build_not_ready() -> verdicts.RefusedError:
+    """Return the refusal of a health check on a host that can't serve."""
+    return verdicts.build_not_run(
+        503, "not_ready", "this host holds no lease or is shutting down", 1000
+    )
--- /dev/null
+++ b/sedgeswitch/daemon/status.py
@@ -0,0 +1,130 @@
+"""What operators see of control hosts, entry hosts, groups and instances."""
+
+import collections.abc
+import typing
+
+import loguru
+
+from sedgeswitch.daemon import adapters
+from sedgeswitch.groups import failover
+from sedgeswitch.groups.generated import ttypes
+
+Provider = collections.abc.Callable[[float], list]
+
+
+class GroupStatus(typing.NamedTuple):
+    """The agreed state of a database group."""
+
+    group: str
+    term: int
+    primary: str
+    phase: str
+    timeline: int
+    instances: tuple[str, ...]
+
+
+class EntryStatus(typing.NamedTuple):
+    """The lease of an entry host."""
+
+    host_id: str
+    availability_zone: str
+    address: str
+    lease_left_ms: int
+
+
+class BackendStatus(typing.NamedTuple):
+    """A backend server, and whether it is idle when it is drained.
+
+    Attributes
+    ----------
+    in_use : int or None
+        Running and waiting requests of a drained instance, over all entry
+        hosts; None if it is not drained or a host has not reported yet.
+    is_idle : bool
+        Drained, nothing runs on it and nothing will.
+    """
+
+    instance: str
+    group: str
+    address: str
+    availability_zone: str
+    role: str
+    is_drained: bool
+    in_use: int | None
+    is_idle: bool
+
+
+def build_providers(control: typing.Any) -> dict[str, Provider]:
+    """Return the provider of each kind of status.
+
+    Parameters
+    ----------
+    control : sedgeswitch.daemon.control.ControlHost
+    """
+
+    def list_groups(now_s: float) -> list[GroupStatus]:  # noqa: ARG001
+        return [_build_group(group) for group in control.groups.groups.values()]
+
+    def list_entry_hosts(now_s: float) -> list[EntryStatus]:
+        return [
+            EntryStatus(
+                member.host_id,
+                member.availability_zone,
+                f"{member.host}:{member.port}",
+                int((control.registrar.leases.get_until(member.host_id) - now_s) * 1e3),
+            )
+            for member in control.registrar.leases.get_holders(now_s)
+        ]
+
+    def list_control_hosts(now_s: float) -> list:
+        return [control.node.get_status(now_s)]
+
+    def list_backend_servers(now_s: float) -> list[BackendStatus]:
+        servers = sorted(control.directory.servers.values())
+        return [_build_backend(control, server, now_s) for server in servers]
+
+    return {
+        "groups": list_groups,
+        "entry": list_entry_hosts,
+        "control": list_control_hosts,
+        "backend": list_backend_servers,
+    }
+
+
+def _build_group(group: ttypes.Group) -> GroupStatus:
+    phase = ttypes.GroupPhase._VALUES_TO_NAMES[group.phase].lower()
+    return GroupStatus(
+        group.group,
+        group.term,
+        group.primary,
+        phase,
+        group.timeline,
+        tuple(group.instances),
+    )
+
+
+def _build_backend(
+    control: typing.Any, server: typing.Any, now_s: float
+) -> BackendStatus:
+    group = control.groups.groups.get(server.group)
+    is_primary = group is not None and group.primary == server.instance
+    is_drained = adapters.is_drained(control.configuration.document, server)
+    in_use = None
+    if is_drained:
+        version = control.configuration.version
+        in_use = control.draining.count_in_use(server.instance, version, now_s)
+    return BackendStatus(
+        server.instance,
+        server.group,
+        f"{server.host}:{server.port}",
+        server.availability_zone,
+        "primary" if is_primary else "replica",
+        is_drained,
+        in_use,
+        is_drained and not is_primary and in_use == 0,
+    )
+
+
+def log_failover(report: failover.FailoverReport) -> None:
+    """Log how long each phase of a change of primary took."""
+    loguru.logger.bind(**report._asdict()).info("primary changed")
--- /dev/null
+++ b/sedgeswitch/draining/messages.py
@@ -0,0 +1,7 @@
+"""Message codes of the draining slice."""
+
+from sedgeswitch.draining.generated import ttypes
+from sedgeswitch.transport import catalog
+
+DrainReport = catalog.register_message(90, ttypes.DrainReport)
+DrainAnswer = catalog.register_message(91, ttypes.DrainAnswer)
--- a/sedgeswitch/membership/registrar.py
+++ b/sedgeswitch/membership/registrar.py
@@ -52,7 +52,7 @@
         self._lease_s = lease_s
         self.leases = leases.LeaseTable(members, lease_s)
         self._sections: dict[str, sections.ControlSection] = {}
-        self._listeners: list[collections.abc.Callable[[float], None]] = []
+        self._listeners: list[collections.abc.Callable[[float, int], None]] = []
         self._led_term = -1
         self._versions: dict[str, int] = {}
         self._changed = trio.Event()
@@ -62,9 +62,9 @@
         self._sections[name] = section
 
     def register_leadership_listener(
-        self, listener: collections.abc.Callable[[float], None]
+        self, listener: collections.abc.Callable[[float, int], None]
     ) -> None:
-        """Register a function that is called when this host starts to lead."""
+        """Register a function of now_s and term, called when this host leads."""
         self._listeners.append(listener)
 
     async def run(self) -> None:
@@ -78,6 +78,20 @@
                 next_maintenance_s = now_s + MAINTENANCE_INTERVAL_S
             await trio.sleep(POLL_INTERVAL_S)
 
+    def check_leading(self) -> None:
+        """Return if this host leads, confirmed by a quorum.
+
+        Raises
+        ------
+        failures.CallError
+            ``not_leader``; the detail names the leader if it is known.
+        """
+        self._follow(trio.current_time())
+        if self._log.get_leadership(trio.current_time()) is None:
+            raise failures.CallError(
+                "not_leader", self._log.leader_id or "", verdicts.Verdict.NOT_RUN
+            )
+
     async def answer_heartbeat(
         self, heartbeat: messages.Heartbeat
     ) -> messages.HeartbeatAnswer:
@@ -89,7 +103,7 @@
             ``not_leader`` if this host does not lead; the detail names the
             leader.
         """
-        self._check_leading()
+        self.check_leading()
         await self._register(heartbeat)
         now_s = trio.current_time()
         answers = {
@@ -98,7 +112,7 @@
             if name in self._sections
         }
         # Asked again last: the lease is only granted under a confirmed leadership.
-        self._check_leading()
+        self.check_leading()
         if heartbeat.is_leaving:
             self.leases.record_release(heartbeat.host_id, now_s)
             return messages.HeartbeatAnswer(0, answers, self._get_versions())
@@ -108,11 +122,11 @@
 
     async def answer_watch(self, watch: messages.Watch) -> messages.WatchAnswer:
         """Wait until a version differs from the given ones, or the timeout."""
-        self._check_leading()
+        self.check_leading()
         with trio.move_on_after(watch.timeout_ms / 1000):
             while watch.versions == self._get_versions():
                 await self._changed.wait()
-                self._check_leading()
+                self.check_leading()
             return messages.WatchAnswer(True)
         return messages.WatchAnswer(False)
 
@@ -134,14 +148,7 @@
         for section in self._sections.values():
             section.start_leadership(now_s)
         for listener in self._listeners:
-            listener(now_s)
-
-    def _check_leading(self) -> None:
-        self._follow(trio.current_time())
-        if self._log.get_leadership(trio.current_time()) is None:
-            raise failures.CallError(
-                "not_leader", self._log.leader_id or "", verdicts.Verdict.NOT_RUN
-            )
+            listener(now_s, self._led_term)
 
     def _get_versions(self) -> dict[str, int]:
         return {name: item.get_version() for name, item in self._sections.items()}
--- a/sedgeswitch/sessions/tokens.py
+++ b/sedgeswitch/sessions/tokens.py
@@ -8,6 +8,7 @@
 from sedgeswitch.groups import positions
 
 LONGEST_TOKEN = 2048
+MOST_GROUPS = 16
 _GROUP_SEPARATOR = ","
 _PART_SEPARATOR = ":"
 
@@ -58,3 +59,17 @@
     return positions.Position(
         max(first.timeline, second.timeline), max(first.lsn, second.lsn)
     )
+
+
+def add_floor(
+    floors: dict[str, positions.Position], group: str, position: positions.Position
+) -> dict[str, positions.Position]:
+    """Return floors in which a group's is at least as high as `position`.
+
+    Groups that were written to longest ago drop out of a token that would
+    grow too long; the session homes still know them.
+    """
+    others = {name: floor for name, floor in floors.items() if name != group}
+    merged = merge_floor(floors.get(group), position) or position
+    recent = list(others.items())[-(MOST_GROUPS - 1) :]
+    return {**dict(recent), group: merged}
--- /dev/null
+++ b/sedgeswitch/statements/authorisation.py
@@ -0,0 +1,139 @@
+"""Who a request runs for, and where the selectors let it run."""
+
+import typing
+
+from sedgeswitch import verdicts
+from sedgeswitch.configuration import follower
+from sedgeswitch.keys import lookup
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import context
+from sedgeswitch.statements import refusals
+
+_DETAIL_BY_PROBLEM = {
+    lookup.KeyProblem.MISSING: "authorization: expected 'Bearer KEY'",
+    lookup.KeyProblem.MALFORMED: "authorization: the key is mistyped",
+    lookup.KeyProblem.UNKNOWN: "authorization: no organisation has this key",
+    lookup.KeyProblem.WITHDRAWN: "authorization: the key was withdrawn",
+}
+
+
+class Purpose(typing.NamedTuple):
+    """What selectors look at in a request.
+
+    Attributes
+    ----------
+    group : str
+    work : str
+    access : str
+    """
+
+    group: str
+    work: str
+    access: str
+
+
+class Authoriser:
+    """Checks keys and selectors against the configuration in force.
+
+    Parameters
+    ----------
+    configuration : follower.Follower
+    pools : backends.Backends
+    freshness_bound_s : float
+        Age of the configuration, in seconds, beyond which nothing is served:
+        a key may have been withdrawn meanwhile.
+    """
+
+    def __init__(
+        self,
+        configuration: follower.Follower,
+        pools: backends.Backends,
+        freshness_bound_s: float,
+    ):
+        self._configuration = configuration
+        self._backends = pools
+        self._freshness_bound_s = freshness_bound_s
+
+    def check_caller(self, authorization: str | None, now_s: float) -> str | None:
+        """Return the organisation of a request's key; None without a key.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            401 for a key that does not work, 503 if this host can't tell.
+        """
+        if self._configuration.get_age_s(now_s) > self._freshness_bound_s:
+            raise verdicts.build_not_run(
+                503,
+                "configuration_stale",
+                "this host has lost touch with the control hosts",
+                refusals.RETRY_AFTER_MS,
+            )
+        presented = lookup.get_bearer(authorization)
+        if authorization and presented is None:
+            raise _build_unauthorised(lookup.KeyProblem.MALFORMED)
+        if presented is None:
+            return None
+        holder = self._configuration.index.check_key(presented)
+        if isinstance(holder, lookup.KeyProblem):
+            raise _build_unauthorised(holder)
+        return holder.organisation
+
+    def get_work(self, organisation: str | None, purpose: Purpose) -> context.Work:
+        """Return where a request may run.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            401 or 403 if no selector matches the caller, 404 for an unknown
+            group, 503 if no backend server that may serve is there now.
+        """
+        index = self._configuration.index
+        group = index.document.groups.get(purpose.group)
+        if group is None:
+            raise verdicts.build_not_run(
+                404,
+                "unknown_group",
+                f"group: expected a configured one, got {purpose.group!r}",
+            )
+        matched = index.get_selectors(
+            organisation, purpose.work, purpose.access, purpose.group
+        )
+        if not matched:
+            raise _build_forbidden(organisation)
+        servers = [
+            server
+            for server in self._backends.get_servers(purpose.group)
+            if index.may_serve(matched, server.instance, server.labels)
+        ]
+        if not servers:
+            raise verdicts.build_not_run(
+                503,
+                "no_backend_server",
+                "every backend server that may serve this is away or drained",
+                refusals.RETRY_AFTER_MS,
+            )
+        overload = index.document.overload
+        return context.Work(
+            organisation or "",
+            purpose.group,
+            group.database,
+            servers,
+            group.replicas_may_serve,
+            group.ack_instances,
+            overload.max_wait_ms / 1000,
+        )
+
+
+def _build_unauthorised(problem: lookup.KeyProblem) -> verdicts.RefusedError:
+    return verdicts.build_not_run(
+        401, f"key_{problem.value}", _DETAIL_BY_PROBLEM[problem]
+    )
+
+
+def _build_forbidden(organisation: str | None) -> verdicts.RefusedError:
+    if organisation is None:
+        return _build_unauthorised(lookup.KeyProblem.MISSING)
+    return verdicts.build_not_run(
+        403, "no_selector", f"no selector lets {organisation} do this work"
+    )
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -112,6 +112,21 @@
             if (target.host, target.port) == (server.host, server.port)
         )
 
+    async def close_idle(self, left_alone: set[tuple[str, int]], now_s: float) -> None:
+        """Close connections that were idle for long, or that must go.
+
+        Parameters
+        ----------
+        left_alone : set of (str, int)
+            Addresses of instances that should have no connection at all.
+        now_s : float
+        """
+        for target, item in list(self._pools.items()):
+            if (target.host, target.port) in left_alone:
+                await item.close()
+            else:
+                await item.close_idle(now_s)
+
     async def close(self) -> None:
         """Close all idle connections."""
         for item in self._pools.values():
--- a/sedgeswitch/statements/requests.py
+++ b/sedgeswitch/statements/requests.py
@@ -14,6 +14,20 @@
 SESSION_HEADER = "sedge-session"
 POSITION_HEADER = "sedge-position"
 LONGEST_HEADER_VALUE = 256
+# The proxy owns the transaction of a statement.
+_TRANSACTION_WORDS = frozenset(
+    [
+        "abort",
+        "begin",
+        "commit",
+        "end",
+        "prepare",
+        "release",
+        "rollback",
+        "savepoint",
+        "start",
+    ]
+)
 
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 _Sql = typing.Annotated[str, msgspec.Meta(min_length=1)]
@@ -146,6 +160,7 @@
     idempotency_key = _get_header(request, IDEMPOTENCY_HEADER)
     if idempotency_key and body["access"] == READ:
         raise build_bad_request("idempotency-key: expected with access 'write' only")
+    check_sql(body["sql"])
     deadline_ms = body.get("deadline_ms", default_deadline_ms)
     return Statement(
         group=body["group"],
@@ -156,12 +171,29 @@
         max_age_ms=body.get("max_age_ms"),
         deadline_s=now_s + deadline_ms / 1000,
         session=_get_header(request, SESSION_HEADER),
-        position_token=_get_header(request, POSITION_HEADER),
+        position_token=request.headers.get(POSITION_HEADER, ""),
         idempotency_key=idempotency_key,
         traceparent=request.headers.get("traceparent", ""),
     )
 
 
+def check_sql(sql: str) -> str:
+    """Return `sql` if it leaves the transaction to the proxy.
+
+    Raises
+    ------
+    verdicts.RefusedError
+        400 if it would begin, end or divide a transaction.
+    """
+    words = sql.split(None, 1)
+    first_word = words[0].rstrip(";").lower() if words else ""
+    if not first_word or first_word in _TRANSACTION_WORDS:
+        raise build_bad_request(
+            f"sql: expected no transaction control, got {sql[:40]!r}"
+        )
+    return sql
+
+
 def encode_parameters(
     parameters: list[str | int | float | bool | None],
 ) -> tuple[str | None, ...]:
--- /dev/null
+++ b/sedgeswitch/statements/service.py
@@ -0,0 +1,154 @@
+"""One statement from its HTTP request to its HTTP response."""
+
+import collections.abc
+import typing
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.callers import http
+from sedgeswitch.groups import positions
+from sedgeswitch.observability import traces
+from sedgeswitch.sessions import floors
+from sedgeswitch.sessions import tokens
+from sedgeswitch.statements import authorisation
+from sedgeswitch.statements import context
+from sedgeswitch.statements import reads
+from sedgeswitch.statements import refusals
+from sedgeswitch.statements import requests
+from sedgeswitch.statements import writes
+
+PATH = "/v1/statements"
+
+
+class Admission(typing.Protocol):
+    """Keeps organisations within their rate and burst over the whole fleet."""
+
+    async def admit(self, organisation: str, deadline_s: float) -> None:
+        """Return if a request may run, or raise `verdicts.RefusedError`."""
+
+
+class StatementService:
+    """Serves single statements.
+
+    Parameters
+    ----------
+    authoriser : authorisation.Authoriser
+    admission : Admission
+    parts : context.Parts
+    tracer : traces.Tracer
+    default_deadline_ms : int
+    """
+
+    def __init__(
+        self,
+        authoriser: authorisation.Authoriser,
+        admission: Admission,
+        parts: context.Parts,
+        tracer: traces.Tracer,
+        default_deadline_ms: int,
+    ):
+        self._authoriser = authoriser
+        self._admission = admission
+        self._parts = parts
+        self._tracer = tracer
+        self._default_deadline_ms = default_deadline_ms
+        self._reader = reads.Reader(parts)
+        self._writer = writes.Writer(parts)
+
+    async def handle(
+        self,
+        request: http.Request,
+        values: tuple[str, ...],  # noqa: ARG002
+    ) -> http.Response:
+        """Answer ``POST /v1/statements``."""
+        now_s = trio.current_time()
+        authorization = request.headers.get("authorization")
+        organisation = self._authoriser.check_caller(authorization, now_s)
+        statement = requests.build_statement(request, self._default_deadline_ms, now_s)
+        span = self._tracer.start_span("entry.statement", statement.traceparent)
+        try:
+            span.set_field("group", statement.group)
+            return await self._run(organisation, statement, span)
+        except verdicts.RefusedError as error:
+            span.set_field("refusal", error.refusal.code)
+            self._parts.metrics.count(f"refusals.{error.refusal.code}")
+            raise
+        finally:
+            span.end()
+
+    async def _run(
+        self,
+        organisation: str | None,
+        statement: requests.Statement,
+        span: traces.Span | traces.NoSpan,
+    ) -> http.Response:
+        purpose = authorisation.Purpose(
+            statement.group, statement.work, statement.access
+        )
+        work = self._authoriser.get_work(organisation, purpose)
+        seen = _decode_token(statement)
+        if organisation is not None:
+            with span.start_child("entry.admission"):
+                await self._admission.admit(organisation, statement.deadline_s)
+        with span.start_child(f"instance.{statement.access}") as child:
+            answer, seen = await self._execute(work, statement, seen)
+            child.set_field("instance", answer.instance)
+        headers = ()
+        if seen:
+            headers = (("Sedge-Position", tokens.encode_token(seen)),)
+        return http.build_json(answer, headers)
+
+    async def _execute(
+        self,
+        work: context.Work,
+        statement: requests.Statement,
+        seen: dict[str, positions.Position],
+    ) -> tuple[requests.Answer, dict[str, positions.Position]]:
+        if statement.access == requests.WRITE:
+            outcome = await run_before(
+                statement.deadline_s, self._writer.run, work, statement
+            )
+            answer, position = outcome
+            return answer, tokens.add_floor(seen, statement.group, position)
+        floor = await self._get_floor(work, statement, seen)
+        answer = await run_before(
+            statement.deadline_s, self._reader.run, work, statement, floor
+        )
+        return answer, seen
+
+    async def _get_floor(
+        self,
+        work: context.Work,
+        statement: requests.Statement,
+        seen: dict[str, positions.Position],
+    ) -> floors.Floor:
+        key = floors.SessionKey(work.organisation, statement.session, work.group)
+        floor = await self._parts.floors.get_floor(key, statement.deadline_s)
+        position = tokens.merge_floor(floor.position, seen.get(work.group))
+        return floors.Floor(position, floor.is_known)
+
+
+async def run_before(
+    deadline_s: float,
+    function: collections.abc.Callable[..., collections.abc.Awaitable],
+    *arguments: typing.Any,
+) -> typing.Any:
+    """Return what a function returns before a deadline.
+
+    Raises
+    ------
+    verdicts.RefusedError
+        504 if the deadline passes first; what ran meanwhile is not known.
+    """
+    with trio.move_on_at(deadline_s):
+        return await function(*arguments)
+    raise refusals.build_deadline_passed(verdicts.Verdict.MAY_HAVE_RUN)
+
+
+def _decode_token(statement: requests.Statement) -> dict[str, positions.Position]:
+    try:
+        return tokens.decode_token(statement.position_token)
+    except ValueError as error:
+        detail = f"{requests.POSITION_HEADER}: {error}"
+        raise requests.build_bad_request(detail) from error
