Add the replicated log of the control hosts

Cause: the control hosts need one agreed order of changes that survives the loss of hosts and disks.

Only the embedded example has been run; tests follow.

--- /dev/null
+++ b/sedgeswitch/agreement/log.py
@@ -0,0 +1,139 @@
+"""The log as held in memory."""
+
+import collections.abc
+
+from sedgeswitch.agreement import storage
+from sedgeswitch.agreement import voters
+
+
+class Log:
+    """The entries after, and some before, the last snapshot.
+
+    Parameters
+    ----------
+    snapshot : storage.Snapshot or None
+        None on a host that has never held a set of voters.
+    entries : sequence of storage.Entry
+    """
+
+    def __init__(
+        self,
+        snapshot: storage.Snapshot | None,
+        entries: collections.abc.Sequence[storage.Entry] = (),
+    ):
+        self.snapshot = snapshot
+        self._entries = list(entries)
+        self._voter_sets: list[tuple[int, voters.VoterSet]] = []
+        self._reload_voter_sets()
+
+    @property
+    def is_formed(self) -> bool:
+        """Whether the log holds a set of voters."""
+        return self.snapshot is not None
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index of the last entry in the snapshot; 0 if there is none."""
+        return self.snapshot.index if self.snapshot else 0
+
+    @property
+    def first_index(self) -> int:
+        """Index of the first entry held, or the next one if none is held."""
+        if self._entries:
+            return self._entries[0].index
+        return self.snapshot_index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._entries[-1].index if self._entries else self.snapshot_index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.get_term(self.last_index) or 0
+
+    @property
+    def voter_set(self) -> voters.VoterSet | None:
+        """The set of voters in force, committed or not."""
+        return self._voter_sets[-1][1] if self._voter_sets else None
+
+    @property
+    def voter_set_index(self) -> int:
+        """Index of the entry that holds the set of voters in force."""
+        return self._voter_sets[-1][0] if self._voter_sets else 0
+
+    def get_term(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it is not known."""
+        if index == 0:
+            return 0
+        position = index - self.first_index
+        if 0 <= position < len(self._entries):
+            return self._entries[position].term
+        if self.snapshot is not None and index == self.snapshot.index:
+            return self.snapshot.term
+        return None
+
+    def get_entry(self, index: int) -> storage.Entry:
+        """Return an entry that is held."""
+        return self._entries[index - self.first_index]
+
+    def get_entries(self, from_index: int, max_bytes: int) -> list[storage.Entry]:
+        """Return entries from an index on: at least one, then up to a size."""
+        start = from_index - self.first_index
+        size_bytes = 0
+        batch = []
+        for position in range(start, len(self._entries)):
+            entry = self._entries[position]
+            size_bytes += len(entry.body)
+            if batch and size_bytes > max_bytes:
+                break
+            batch.append(entry)
+        return batch
+
+    def get_voter_set(self, index: int) -> voters.VoterSet:
+        """Return the set of voters in force at an entry."""
+        return [found for at, found in self._voter_sets if at <= index][-1]
+
+    def get_term_start(self, index: int) -> int:
+        """Return the first index held of the run of the entry's term."""
+        term = self.get_term(index)
+        while index > self.first_index and self.get_term(index - 1) == term:
+            index -= 1
+        return index
+
+    def append(self, entries: collections.abc.Sequence[storage.Entry]) -> None:
+        """Add entries that follow the last one."""
+        self._entries.extend(entries)
+        for entry in entries:
+            self._note_voter_set(entry)
+
+    def truncate(self, from_index: int) -> None:
+        """Remove the entries from an index on."""
+        del self._entries[from_index - self.first_index :]
+        self._reload_voter_sets()
+
+    def install(self, snapshot: storage.Snapshot) -> None:
+        """Replace the log by a snapshot of another host."""
+        self.snapshot = snapshot
+        self._entries = []
+        self._reload_voter_sets()
+
+    def compact(self, snapshot: storage.Snapshot, keep_from_index: int) -> None:
+        """Take a newer snapshot and forget the entries before an index."""
+        del self._entries[: keep_from_index - self.first_index]
+        self.snapshot = snapshot
+        self._reload_voter_sets()
+
+    def _reload_voter_sets(self) -> None:
+        self._voter_sets = []
+        if self.snapshot is not None:
+            self._voter_sets.append((self.snapshot.index, self.snapshot.voter_set))
+        for entry in self._entries:
+            if entry.index > self.snapshot_index:
+                self._note_voter_set(entry)
+
+    def _note_voter_set(self, entry: storage.Entry) -> None:
+        if entry.kind is storage.EntryKind.VOTER_SET:
+            voter_set = voters.decode_voter_set(entry.body)
+            self._voter_sets.append((entry.index, voter_set))
--- /dev/null
+++ b/sedgeswitch/agreement/snapshots.py
@@ -0,0 +1,171 @@
+"""Snapshots: taking them, sending them in pieces, installing them."""
+
+import typing
+
+import trio
+import xxhash
+
+from sedgeswitch.agreement import machines
+from sedgeswitch.agreement import messages
+from sedgeswitch.agreement import network as network_module
+from sedgeswitch.agreement import state as state_module
+from sedgeswitch.agreement import storage
+from sedgeswitch.agreement import voters
+
+
+def take_snapshot(state: state_module.State, registry: machines.Registry) -> None:
+    """Replace the applied entries by a snapshot, but for the last few."""
+    log = state.log
+    index = state.applied_index
+    snapshot = storage.Snapshot(
+        index,
+        log.get_term(index),
+        log.get_voter_set(index),
+        registry.save_snapshot(),
+    )
+    retained = state.settings.retained_entries
+    keep_from_index = max(log.first_index, index + 1 - retained)
+    log.compact(snapshot, keep_from_index)
+    state.writer.submit(storage.SaveSnapshot(snapshot, keep_from_index))
+
+
+async def send_snapshot(
+    state: state_module.State,
+    network: network_module.Network,
+    member: voters.Member,
+    term: int,
+) -> int:
+    """Send the last snapshot to a peer.
+
+    Returns
+    -------
+    int
+        Index of the snapshot that the peer now holds; 0 if it has refused it.
+
+    Raises
+    ------
+    failures.CallError
+        If the peer does not answer.
+    """
+    snapshot = state.log.snapshot
+    checksum = xxhash.xxh3_64_digest(snapshot.body)
+    voter_set = voters.encode_voter_set(snapshot.voter_set)
+    total_bytes = len(snapshot.body)
+    offset_bytes = 0
+    while True:
+        end = offset_bytes + state.settings.max_batch_bytes
+        request = messages.SnapshotRequest(
+            term,
+            state.settings.node_id,
+            member.incarnation,
+            snapshot.index,
+            snapshot.term,
+            voter_set,
+            offset_bytes,
+            total_bytes,
+            snapshot.body[offset_bytes:end],
+            checksum,
+        )
+        sent_s = trio.current_time()
+        reply = await network.call(
+            member.address, request, state.settings.election_timeout_max_s
+        )
+        state.adopt_term(reply.term)
+        if not state.is_leading(term):
+            return 0
+        note_answer(state, member.key, sent_s)
+        if end >= total_bytes:
+            is_installed = reply.next_offset_bytes == total_bytes
+            return snapshot.index if is_installed else 0
+        if reply.next_offset_bytes != end:
+            return 0
+        offset_bytes = end
+
+
+def note_answer(state: state_module.State, key: str, sent_s: float) -> None:
+    """Note that a peer has answered a request sent at a time."""
+    progress = state.progress.get(key)
+    if progress is not None:
+        progress.confirmed_s = max(progress.confirmed_s, sent_s)
+        progress.is_replaced = False
+        state.peer_answered.send()
+
+
+class _Incoming(typing.NamedTuple):
+    """A snapshot of which the first pieces have arrived."""
+
+    index: int
+    index_term: int
+    checksum: bytes
+    body: bytearray
+
+
+class SnapshotReceiver:
+    """Puts the pieces of the leader's snapshot together and installs it.
+
+    Parameters
+    ----------
+    state : state.State
+    registry : machines.Registry
+    """
+
+    def __init__(self, state: state_module.State, registry: machines.Registry):
+        self._state = state
+        self._registry = registry
+        self._incoming: _Incoming | None = None
+
+    async def answer_snapshot(
+        self, request: messages.SnapshotRequest
+    ) -> messages.SnapshotReply:
+        """Take a piece; the last one is answered once the snapshot is synced."""
+        state = self._state
+        state.check_incarnation(request.target_incarnation)
+        if request.term < state.term:
+            return messages.SnapshotReply(state.term, 0)
+        state.hear_leader(request.term, request.leader_id, trio.current_time())
+        next_offset_bytes = self._take_piece(request)
+        if next_offset_bytes == request.total_bytes:
+            next_offset_bytes = self._finish(request)
+        await state.writer.wait()
+        return messages.SnapshotReply(request.term, next_offset_bytes)
+
+    def _take_piece(self, request: messages.SnapshotRequest) -> int:
+        if request.offset_bytes == 0:
+            self._incoming = _Incoming(
+                request.index, request.index_term, request.checksum, bytearray()
+            )
+        incoming = self._incoming
+        if incoming is None:
+            return 0
+        given = (request.index, request.index_term, request.checksum)
+        if incoming[:3] != given or len(incoming.body) != request.offset_bytes:
+            return 0
+        incoming.body.extend(request.chunk)
+        return len(incoming.body)
+
+    def _finish(self, request: messages.SnapshotRequest) -> int:
+        body = bytes(self._incoming.body)
+        self._incoming = None
+        if xxhash.xxh3_64_digest(body) != request.checksum:
+            return 0
+        voter_set = voters.decode_voter_set(request.voter_set)
+        snapshot = storage.Snapshot(request.index, request.index_term, voter_set, body)
+        log = self._state.log
+        if not log.is_formed or snapshot.index > self._state.commit_index:
+            self._install(snapshot)
+        return request.total_bytes
+
+    def _install(self, snapshot: storage.Snapshot) -> None:
+        state = self._state
+        log = state.log
+        keep_from_index = snapshot.index + 1
+        if log.get_term(snapshot.index) == snapshot.term and log.is_formed:
+            # What follows may count in a commit already and must stay.
+            log.compact(snapshot, keep_from_index)
+        else:
+            state.writer.submit(storage.Truncate(log.first_index))
+            log.install(snapshot)
+        state.writer.submit(storage.SaveSnapshot(snapshot, keep_from_index))
+        self._registry.load_snapshot(snapshot.body)
+        state.commit_to(snapshot.index)
+        state.note_applied(snapshot.index)
