--- a/sedgeswitch/callers/routes.py
+++ b/sedgeswitch/callers/routes.py
@@ -27,6 +27,11 @@
     def __init__(self):
         self._exact: dict[str, dict[str, Endpoint]] = {}
         self._routes: list[_Route] = []
+        self._fallback: http.Handler | None = None
+
+    def register_fallback(self, handler: http.Handler) -> None:
+        """Register the handler of the paths that no route matches."""
+        self._fallback = handler
 
     def register_route(self, method: str, path: str, endpoint: Endpoint) -> None:
         """Register an endpoint.
@@ -70,6 +75,8 @@
                 return await route.endpoint(request, values)
         if matching:
             raise _build_wrong_method(request, [route.method for route in matching])
+        if self._fallback is not None:
+            return await self._fallback(request)
         raise verdicts.build_not_run(
             404, "unknown_route", f"path: expected a known one, got {request.path!r}"
         )
--- a/sedgeswitch/daemon/__main__.py
+++ b/sedgeswitch/daemon/__main__.py
@@ -3,6 +3,7 @@
 import random
 import sys
 
+import loguru
 import trio
 from cleo import application
 from cleo.commands import command
@@ -11,12 +12,13 @@
 import sedgeswitch
 from sedgeswitch import settings as daemon_settings
 from sedgeswitch.daemon import daemon
-from sedgeswitch.keys import logs as key_logs
+from sedgeswitch.keys import plain
 from sedgeswitch.observability import logs
 from sedgeswitch.utils import checks
 
 EXIT_OK = 0
 EXIT_INVALID = 1
+EXIT_CRASHED = 2
 
 
 class RunCommand(command.Command):
@@ -33,7 +35,8 @@
         "  sedgeswitchd --settings /etc/sedgeswitch/host.json\n"
         "  sedgeswitchd --settings host.json --check\n\n"
         "SIGTERM shuts down gracefully: running requests are answered.\n"
-        "Exit codes: 0 after a shutdown, 1 for settings that are not valid."
+        "Exit codes: 0 after a shutdown, 1 for settings that are not valid,\n"
+        "2 after a crash, which the log explains."
     )
 
     def handle(self) -> int:
@@ -50,17 +53,21 @@
         if self.option("check"):
             self.line(f"{path}: the settings of {settings.host_id} are valid")
             return EXIT_OK
-        run_daemon(settings)
-        return EXIT_OK
+        return run_daemon(settings)
 
 
-def run_daemon(settings: daemon_settings.Settings) -> None:
-    """Run a daemon with its logs on standard error."""
+def run_daemon(settings: daemon_settings.Settings) -> int:
+    """Run a daemon with its logs on standard error, and return its exit code."""
     logs.configure_logs(
-        settings.host_id, settings.log_level, sys.stderr, key_logs.redact
+        settings.host_id, settings.log_level, sys.stderr, plain.redact
     )
     rng = random.SystemRandom()
-    trio.run(_run, settings, rng)
+    try:
+        trio.run(_run, settings, rng)
+    except Exception:
+        loguru.logger.exception("the daemon crashed")
+        return EXIT_CRASHED
+    return EXIT_OK
 
 
 async def _run(settings: daemon_settings.Settings, rng: random.Random) -> None:
--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -16,6 +16,7 @@
 from sedgeswitch.agreement import node
 from sedgeswitch.agreement import settings as agreement_settings
 from sedgeswitch.agreement import sqlite_storage
+from sedgeswitch.callers import http
 from sedgeswitch.callers import routes
 from sedgeswitch.configuration import distributor
 from sedgeswitch.configuration import machine as configuration_machine
@@ -91,7 +92,6 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
-            await nursery.start(self.network.run)
             nursery.start_soon(self.node.run)
             nursery.start_soon(self.registrar.run)
             nursery.start_soon(self.supervisor.run)
@@ -99,7 +99,7 @@
 
     def register_routes(self, router: routes.Router) -> None:
         """Register the operators' endpoints."""
-        services = operators.Services(
+        self._services = operators.Services(
             machine=self.configuration,
             distributor=self.distributor,
             propose=self._propose_change,
@@ -111,7 +111,20 @@
             replace_voter=self._replace_voter,
             operator_token_digest=self._settings.operator_token_digest,
         )
-        operator_routes.register_routes(router, services)
+        router.register_fallback(self._answer_operator)
+
+    async def _answer_operator(self, request: http.Request) -> http.Response:
+        response = await operator_routes.handle(
+            self._services,
+            operator_routes.OperatorRequest(
+                request.method,
+                request.path,
+                request.headers.get("authorization"),
+                request.body,
+            ),
+            trio.current_time(),
+        )
+        return http.Response(response.status, response.body, response.content_type)
 
     def _build_node(self, rng: random.Random) -> node.Node:
         registry = machines.Registry()
@@ -262,7 +275,7 @@
         if self.node.get_leadership(now_s) is None:
             return []
         moves = []
-        for group in list(self.groups.groups.values()):
+        for group in list(self.groups.get_groups()):
             target = self._find_target(group)
             if target is not None:
                 moves.append(mover.Move(group.group, target))
--- a/sedgeswitch/daemon/status.py
+++ b/sedgeswitch/daemon/status.py
@@ -63,7 +63,7 @@
     """
 
     def list_groups(now_s: float) -> list[GroupStatus]:  # noqa: ARG001
-        return [_build_group(group) for group in control.groups.groups.values()]
+        return [_build_group(group) for group in control.groups.get_groups()]
 
     def list_entry_hosts(now_s: float) -> list[EntryStatus]:
         return [
@@ -106,7 +106,7 @@
 def _build_backend(
     control: typing.Any, server: typing.Any, now_s: float
 ) -> BackendStatus:
-    group = control.groups.groups.get(server.group)
+    group = control.groups.get_group(server.group)
     is_primary = group is not None and group.primary == server.instance
     is_drained = adapters.is_drained(control.configuration.document, server)
     in_use = None
