Replace primaries under agreed terms, with watchers and leases

Cause: asynchronous replication and no outside order to promote; a primary must be replaced without losing acknowledged writes. Ruled out: adopting any instance on a newer timeline. Nobody knows whether it holds the acknowledged writes, so a candidate is agreed before it is told to promote itself, and only such an instance is adopted.

--- /dev/null
+++ b/sedgeswitch/groups/choice.py
@@ -0,0 +1,147 @@
+"""Choice of the instance that becomes the primary of a fenced group."""
+
+import enum
+import typing
+
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import positions
+from sedgeswitch.groups.generated import ttypes
+
+
+class Step(enum.Enum):
+    """What a failover does next."""
+
+    WAIT = "wait"
+    ADOPT = "adopt"
+    PROMOTE = "promote"
+    CATCH_UP = "catch_up"
+
+
+class Decision(typing.NamedTuple):
+    """The next step of a failover.
+
+    Attributes
+    ----------
+    step : Step
+        ``WAIT`` for more instances to answer; ``ADOPT`` an instance that is the
+        new primary already; ``PROMOTE`` an instance; wait for a replica to
+        ``CATCH_UP`` with the old primary, which is live.
+    instance : str
+        Empty where the step concerns no instance.
+    """
+
+    step: Step
+    instance: str = ""
+
+
+class Readings(typing.NamedTuple):
+    """The readings of a group, by what they may be used for.
+
+    Attributes
+    ----------
+    promoted : dict of str to InstanceState
+        Chosen candidates that have become a primary.
+    replicas : dict of str to InstanceState
+        May be promoted.
+    strays : dict of str to InstanceState
+        Former primaries that have not rejoined; they hold acknowledged writes,
+        but cannot be promoted.
+    old_primary : InstanceState or None
+        The primary of the term that has ended, if it is still one.
+    """
+
+    promoted: dict[str, instances.InstanceState]
+    replicas: dict[str, instances.InstanceState]
+    strays: dict[str, instances.InstanceState]
+    old_primary: instances.InstanceState | None
+
+
+def sort_readings(
+    group: ttypes.Group, states: typing.Mapping[str, instances.InstanceState]
+) -> Readings:
+    """Sort what the agreed instances of a group say about themselves.
+
+    Notes
+    -----
+    A timeline above the group's is explained only by a candidate that was
+    chosen since the fence. Without one it is somebody else's promotion, of
+    which nobody knows whether it holds the acknowledged writes: such an
+    instance counts for nothing.
+    """
+    readings = Readings({}, {}, {}, states.get(group.primary))
+    for name in group.instances:
+        state = states.get(name)
+        if state is None:
+            continue
+        timeline = state.position.timeline
+        if timeline > group.timeline and not group.candidates:
+            continue
+        if state.in_recovery:
+            readings.replicas[name] = state
+        elif timeline > group.timeline and name in group.candidates:
+            readings.promoted[name] = state
+        elif timeline < group.timeline:
+            readings.strays[name] = state
+    old = readings.old_primary
+    if old is not None and (old.in_recovery or old.position.timeline != group.timeline):
+        return readings._replace(old_primary=None)
+    return readings
+
+
+def decide(
+    group: ttypes.Group,
+    states: typing.Mapping[str, instances.InstanceState],
+    ack_instances: int,
+    get_rank: typing.Callable[[str], tuple],
+    target: str | None = None,
+) -> Decision:
+    """Return the next step for a fenced group that nobody may write to.
+
+    Parameters
+    ----------
+    group : Group
+    states : mapping of str to InstanceState
+        The instances that answered after the last lease on the term ended.
+    ack_instances : int
+        Instances that hold each acknowledged write, counted with the primary.
+    get_rank : callable
+        Rank of an instance by name; the lowest is preferred among instances
+        that hold the same position.
+    target : str, optional
+        The instance that an operator wants; waits for it to catch up.
+
+    Notes
+    -----
+    ``n - ack_instances + 1`` of n instances meet each set that has acknowledged
+    a write, so the highest of them holds every such write. The old primary
+    alone holds every such write too.
+    """
+    readings = sort_readings(group, states)
+    for name in group.candidates:
+        if name in readings.promoted:
+            return Decision(Step.ADOPT, name)
+    floor = _get_floor(group, readings, ack_instances, target is not None)
+    if floor is None:
+        return Decision(Step.WAIT)
+    fit = [name for name, state in readings.replicas.items() if state.position >= floor]
+    if target is not None:
+        fit = [name for name in fit if name == target]
+    if fit:
+        return Decision(Step.PROMOTE, min(fit, key=get_rank))
+    if readings.old_primary is not None:
+        return Decision(Step.CATCH_UP)
+    return Decision(Step.WAIT)
+
+
+def _get_floor(
+    group: ttypes.Group, readings: Readings, ack_instances: int, is_move: bool
+) -> positions.Position | None:
+    """Return a position that holds every acknowledged write, None if unknown."""
+    others = [*readings.replicas.values(), *readings.strays.values()]
+    needed = len(group.instances) - ack_instances + 1
+    old = readings.old_primary
+    if old is not None and (is_move or len(others) < needed):
+        return old.position
+    if len(others) < needed:
+        return None
+    return max(state.position for state in others)
--- /dev/null
+++ b/sedgeswitch/groups/failover.py
@@ -0,0 +1,356 @@
+"""One change of a group's primary, written straight down."""
+
+import contextlib
+import typing
+
+import trio
+
+from sedgeswitch.agreement import errors
+from sedgeswitch.groups import choice
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import leases as groups_leases
+from sedgeswitch.groups import machine as groups_machine
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups.generated import ttypes
+
+SLICE_NAME = "groups"
+MOVE_REASON = "move"
+
+
+class LeadershipLostError(Exception):
+    """The host no longer leads, or the group moved on without this task."""
+
+
+class FailoverReport(typing.NamedTuple):
+    """A change of primary and the time that each phase took.
+
+    Attributes
+    ----------
+    group : str
+    old_term : int
+    new_term : int
+    reason : str
+    old_primary : str
+    new_primary : str
+        The same as `old_primary` if it was given the group back.
+    detect_s : float
+        From the first sign of trouble to the agreed fence; 0 for a failover
+        that this leader took over from another.
+    lease_wait_s : float
+        Until no entry host could acknowledge a write under the old term.
+    choose_s : float
+        Until the next primary was chosen and agreed.
+    promote_s : float
+        Until it had become a primary and the new term was agreed.
+    learn_s : float
+        Until every entry host with a lease had acknowledged the new term.
+    """
+
+    group: str
+    old_term: int
+    new_term: int
+    reason: str
+    old_primary: str
+    new_primary: str
+    detect_s: float
+    lease_wait_s: float
+    choose_s: float
+    promote_s: float
+    learn_s: float
+
+
+class Control(typing.NamedTuple):
+    """What a control host gives to a failover.
+
+    Attributes
+    ----------
+    machine : groups.machine.GroupsMachine
+        The agreed state as this host has applied it.
+    propose : callable
+        ``await propose(slice_name, body, timeout_s)`` returns the result.
+    get_leadership : callable
+        ``get_leadership(now_s)``: the confirmed leadership of this host or None.
+    leases : groups.leases.LeaseView
+    directory : groups.instances.Directory
+    driver : object
+        Backend driver, with ``connect(target, timeout_s)``.
+    settings : groups.settings.GroupSettings
+    get_rank : callable
+        ``get_rank(group, instance)``: a tuple, lowest first, that tells which
+        of several equally advanced instances should become the primary.
+    record_report : callable
+        Takes each `FailoverReport`.
+    """
+
+    machine: groups_machine.GroupsMachine
+    propose: typing.Callable
+    get_leadership: typing.Callable
+    leases: groups_leases.LeaseView
+    directory: instances.Directory
+    driver: typing.Any
+    settings: groups_settings.GroupSettings
+    get_rank: typing.Callable
+    record_report: typing.Callable
+
+
+class Failover:
+    """Fences a group, waits for its leases, promotes and agrees the new term.
+
+    Parameters
+    ----------
+    control : Control
+    leadership_term : int
+        The failover stops when this host no longer leads under that term.
+    group : str
+    reason : str
+    started_s : float
+        The first sign of trouble.
+    target : str, optional
+        Instance that an operator wants as the primary.
+
+    Notes
+    -----
+    Every step is idempotent and starts from the agreed state, so that the next
+    leader can run a new `Failover` on a group that it finds fenced.
+    """
+
+    def __init__(
+        self,
+        control: Control,
+        leadership_term: int,
+        group: str,
+        reason: str,
+        started_s: float,
+        target: str | None = None,
+    ):
+        self._control = control
+        self._settings = control.settings
+        self._leadership_term = leadership_term
+        self._group = group
+        self._reason = reason
+        self._mark_s = started_s
+        self._target = target
+        self._attempts: dict[str, int] = {}
+
+    async def run(self) -> FailoverReport:
+        """Change the primary and return the report, without its `learn_s`.
+
+        Raises
+        ------
+        LeadershipLostError
+            If this host stopped leading, or another change came first. The
+            group may be left fenced, for the next leader to carry on.
+        """
+        old = self._get_state()
+        detect_s = await self._fence(old)
+        await self._wait_for_holders(self._get_state().version)
+        lease_wait_s = self._take_phase_s()
+        new_primary = await self._choose()
+        choose_s = self._take_phase_s()
+        new = await self._promote(new_primary)
+        promote_s = self._take_phase_s()
+        return FailoverReport(
+            group=self._group,
+            old_term=old.term,
+            new_term=new.term,
+            reason=self._reason,
+            old_primary=old.primary,
+            new_primary=new.primary,
+            detect_s=detect_s,
+            lease_wait_s=lease_wait_s,
+            choose_s=choose_s,
+            promote_s=promote_s,
+            learn_s=0.0,
+        )
+
+    async def wait_learned(self, report: FailoverReport) -> FailoverReport:
+        """Wait until the entry hosts know the new term, and record the report.
+
+        Notes
+        -----
+        The group serves already. Whoever watches for the next failure of the
+        group need not wait for this.
+        """
+        with contextlib.suppress(LeadershipLostError):
+            await self._wait_for_holders(self._get_state().version)
+        report = report._replace(learn_s=self._take_phase_s())
+        self._control.record_report(report)
+        return report
+
+    def _take_phase_s(self) -> float:
+        """Return the time since the last phase ended, and end this one."""
+        now_s = trio.current_time()
+        phase_s = now_s - self._mark_s
+        self._mark_s = now_s
+        return phase_s
+
+    def _get_state(self) -> ttypes.Group:
+        """Return the agreed state; raises once this host no longer leads."""
+        leadership = self._control.get_leadership(trio.current_time())
+        if leadership is None or leadership.term != self._leadership_term:
+            raise LeadershipLostError(self._group)
+        return self._control.machine.get_group(self._group)
+
+    async def _propose(self, command: typing.Any) -> ttypes.Group:
+        """Agree on a command and return the group's state after it."""
+        body = groups_machine.encode_command(command)
+        while True:
+            self._get_state()
+            try:
+                answer = await self._control.propose(
+                    SLICE_NAME, body, self._settings.propose_timeout_s
+                )
+            except errors.OutcomeUnknownError:
+                # Commands name their term, so one that did run changes nothing.
+                continue
+            except errors.NotLeaderError as error:
+                raise LeadershipLostError(self._group) from error
+            result = groups_machine.decode_result(answer)
+            done = (ttypes.Outcome.ACCEPTED, ttypes.Outcome.UNCHANGED)
+            if result.outcome not in done:
+                raise LeadershipLostError(self._group)
+            return result.group
+
+    async def _fence(self, state: ttypes.Group) -> float:
+        if state.phase == ttypes.GroupPhase.FENCED:
+            self._mark_s = trio.current_time()
+            self._reason = state.reason
+            return 0.0
+        await self._propose(ttypes.Fence(self._group, state.term, self._reason))
+        return self._take_phase_s()
+
+    async def _wait_for_holders(self, version: int) -> None:
+        """Wait until no host works under a table older than `version`."""
+        leases = self._control.leases
+        while groups_leases.get_blocking(leases, version, trio.current_time()):
+            self._get_state()
+            await trio.sleep(self._settings.check_interval_s)
+        self._get_state()
+
+    async def _choose(self) -> str:
+        """Return the next primary, recorded as a candidate where it must be."""
+        give_up_s = trio.current_time() + self._settings.catch_up_s
+        while True:
+            decision = await self._decide()
+            if decision.step is choice.Step.ADOPT:
+                return decision.instance
+            if decision.step is choice.Step.PROMOTE:
+                await self._record_candidate(decision.instance)
+                return decision.instance
+            if trio.current_time() >= give_up_s:
+                self._target = None
+                state = self._get_state()
+                if decision.step is choice.Step.CATCH_UP and not state.candidates:
+                    return state.primary
+            await trio.sleep(self._settings.check_interval_s)
+
+    async def _decide(self) -> choice.Decision:
+        states = await self._read_states()
+        return choice.decide(
+            self._get_state(),
+            states,
+            self._settings.ack_instances,
+            self._get_rank,
+            self._target,
+        )
+
+    async def _read_states(self) -> dict[str, instances.InstanceState]:
+        """Read the state of each agreed instance; those that answer in time."""
+        states: dict[str, instances.InstanceState] = {}
+
+        async def read(instance: instances.Instance) -> None:
+            state = await instances.read_state(
+                self._control.driver, instance.target, self._settings.read_timeout_s
+            )
+            if state is not None:
+                states[instance.instance] = state
+
+        async with trio.open_nursery() as nursery:
+            for instance in self._control.directory.get_instances(self._group):
+                nursery.start_soon(read, instance)
+        return states
+
+    def _get_rank(self, instance: str) -> tuple:
+        """Rank an instance, lowest first.
+
+        An instance that was told to promote itself comes first, so that no
+        second one is told; one that did not obey comes last.
+        """
+        candidates = self._control.machine.get_group(self._group).candidates
+        attempts = self._attempts.get(instance, 0)
+        is_exhausted = attempts >= self._settings.promote_attempts
+        is_new = instance not in candidates
+        rank = self._control.get_rank(self._group, instance)
+        return is_exhausted, is_new, rank, instance
+
+    async def _record_candidate(self, instance: str) -> None:
+        state = self._get_state()
+        if instance not in state.candidates:
+            await self._propose(ttypes.Choose(self._group, state.term, instance))
+
+    async def _promote(self, instance: str) -> ttypes.Group:
+        """Make an instance the primary, or another if it does not obey."""
+        while True:
+            state = self._get_state()
+            if instance == state.primary and not state.candidates:
+                return await self._reinstate(state)
+            promoted = await self._order_promotion(instance, state.timeline)
+            if promoted is not None:
+                return await self._propose(
+                    ttypes.Promoted(
+                        self._group,
+                        state.term + 1,
+                        instance,
+                        promoted.position.timeline,
+                        promoted.position.lsn,
+                    )
+                )
+            instance = await self._choose()
+
+    async def _reinstate(self, state: ttypes.Group) -> ttypes.Group:
+        return await self._propose(
+            ttypes.Promoted(
+                self._group, state.term + 1, state.primary, state.timeline, 0
+            )
+        )
+
+    async def _order_promotion(
+        self, instance: str, old_timeline: int
+    ) -> instances.InstanceState | None:
+        """Tell an instance to promote itself and read whether it has."""
+        self._attempts[instance] = self._attempts.get(instance, 0) + 1
+        target = self._get_target(instance)
+        if target is None:
+            return None
+        timeout_s = self._settings.promote_timeout_s
+        state = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                instances.order_promotion, self._control.driver, target, timeout_s
+            )
+            with trio.move_on_after(timeout_s):
+                state = await self._wait_promoted(target, old_timeline)
+            nursery.cancel_scope.cancel()
+        return state
+
+    async def _wait_promoted(
+        self, target: typing.Any, old_timeline: int
+    ) -> instances.InstanceState:
+        while True:
+            self._get_state()
+            state = await instances.read_state(
+                self._control.driver, target, self._settings.read_timeout_s
+            )
+            if state is not None and _is_promoted(state, old_timeline):
+                return state
+            await trio.sleep(self._settings.check_interval_s)
+
+    def _get_target(self, instance: str) -> typing.Any | None:
+        for announced in self._control.directory.get_instances(self._group):
+            if announced.instance == instance:
+                return announced.target
+        return None
+
+
+def _is_promoted(state: instances.InstanceState, old_timeline: int) -> bool:
+    return not state.in_recovery and state.position.timeline > old_timeline
--- /dev/null
+++ b/sedgeswitch/groups/health.py
@@ -0,0 +1,176 @@
+"""The leader's view of the health reports of all watchers."""
+
+import typing
+
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups.generated import ttypes
+
+_MS_PER_S = 1000.0
+UNREACHABLE_REASON = "primary_unreachable"
+STALLED_REASON = "replication_stalled"
+
+
+class Suspicion(typing.NamedTuple):
+    """Why the primary of a group should be replaced.
+
+    Attributes
+    ----------
+    reason : str
+    since_s : float
+        When the trouble began, as far as it is known.
+    """
+
+    reason: str
+    since_s: float
+
+
+class InstanceView(typing.NamedTuple):
+    """The freshest report on one instance.
+
+    Attributes
+    ----------
+    in_recovery : bool
+    position : positions.Position
+    age_s : float or None
+        Greatest age of the instance's data now; None if it is not known.
+    is_reachable : bool
+        Whether a watcher that reported lately does not suspect the instance.
+    """
+
+    in_recovery: bool
+    position: positions.Position
+    age_s: float | None
+    is_reachable: bool
+
+
+class _Report(typing.NamedTuple):
+    received_s: float
+    delay_s: float
+    health: ttypes.GroupHealth
+
+
+class HealthBoard:
+    """Keeps the last report of each watcher on each group; leader only.
+
+    Parameters
+    ----------
+    settings : groups.settings.GroupSettings
+    """
+
+    def __init__(self, settings: groups_settings.GroupSettings):
+        self._settings = settings
+        self._reports: dict[str, dict[str, _Report]] = {}
+        self._troubled: set[str] = set()
+
+    def clear(self) -> None:
+        """Forget all reports, at the start of a leadership."""
+        self._reports.clear()
+        self._troubled.clear()
+
+    def receive(
+        self, host_id: str, health: ttypes.GroupHealth, delay_s: float, now_s: float
+    ) -> None:
+        """Keep the report of one watcher on one group.
+
+        Parameters
+        ----------
+        host_id : str
+        health : GroupHealth
+        delay_s : float
+            Longest time that the report can have been under way.
+        now_s : float
+        """
+        reports = self._reports.setdefault(health.group, {})
+        reports[host_id] = _Report(now_s, delay_s, health)
+        if health.is_stalled or any(_is_suspect(item) for item in health.instances):
+            self._troubled.add(health.group)
+
+    def take_troubled(self) -> set[str]:
+        """Return the groups with trouble reported since the last call."""
+        troubled, self._troubled = self._troubled, set()
+        return troubled
+
+    def get_suspicion(
+        self,
+        group: ttypes.Group,
+        watchers: typing.Sequence[str],
+        now_s: float,
+    ) -> Suspicion | None:
+        """Return why a group's primary should be replaced, None if it should not.
+
+        Parameters
+        ----------
+        group : Group
+        watchers : sequence of str
+            The entry hosts assigned to the group.
+        now_s : float
+
+        Notes
+        -----
+        It takes a majority of the assigned watchers: callers that alone cannot
+        reach the primary, or watchers that fell silent, replace nobody.
+        """
+        needed = len(watchers) // 2 + 1
+        reports = self._get_fresh(group.group, watchers, now_s)
+        unreachable = [report for report in reports if _suspects(report, group.primary)]
+        if len(unreachable) >= needed:
+            silence_s = max(_get_silence_s(item, group.primary) for item in unreachable)
+            return Suspicion(UNREACHABLE_REASON, now_s - silence_s)
+        if sum(report.health.is_stalled for report in reports) >= needed:
+            return Suspicion(STALLED_REASON, now_s - self._settings.stall_limit_s)
+        return None
+
+    def get_view(self, group: str, instance: str, now_s: float) -> InstanceView | None:
+        """Return the freshest report on an instance, None without a report."""
+        best = None
+        is_reachable = False
+        for report in self._get_fresh(group, None, now_s):
+            item = _find_instance(report.health, instance)
+            if item is None or item.lsn is None:
+                continue
+            is_reachable = is_reachable or not _is_suspect(item)
+            view = _build_view(report, item, now_s)
+            if best is None or view.position >= best.position:
+                best = view
+        return None if best is None else best._replace(is_reachable=is_reachable)
+
+    def _get_fresh(
+        self, group: str, hosts: typing.Sequence[str] | None, now_s: float
+    ) -> list[_Report]:
+        oldest_s = now_s - self._settings.report_age_s
+        return [
+            report
+            for host_id, report in self._reports.get(group, {}).items()
+            if (hosts is None or host_id in hosts) and report.received_s >= oldest_s
+        ]
+
+
+def _find_instance(
+    health: ttypes.GroupHealth, instance: str
+) -> ttypes.InstanceHealth | None:
+    return next((item for item in health.instances if item.instance == instance), None)
+
+
+def _is_suspect(item: ttypes.InstanceHealth) -> bool:
+    return item.condition == ttypes.Condition.SUSPECT
+
+
+def _suspects(report: _Report, instance: str) -> bool:
+    item = _find_instance(report.health, instance)
+    return item is not None and _is_suspect(item)
+
+
+def _get_silence_s(report: _Report, instance: str) -> float:
+    return _find_instance(report.health, instance).silence_ms / _MS_PER_S
+
+
+def _build_view(
+    report: _Report, item: ttypes.InstanceHealth, now_s: float
+) -> InstanceView:
+    age_s = None
+    if item.age_ms is not None:
+        waited_s = now_s - report.received_s
+        age_s = item.age_ms / _MS_PER_S + report.delay_s + waited_s
+    position = positions.Position(item.timeline, item.lsn)
+    return InstanceView(item.in_recovery, position, age_s, is_reachable=False)
--- /dev/null
+++ b/sedgeswitch/groups/machine.py
@@ -0,0 +1,245 @@
+"""The agreed state of the groups: term, timeline, primary and fence.
+
+Every command names the term that it expects, so that a command which is applied
+twice, or late, changes nothing.
+"""
+
+import copy
+import typing
+
+from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.transport import catalog
+
+_FIRST_TERM = 1
+
+_HANDLER_BY_FIELD: dict[str, typing.Callable] = {}
+
+
+def _register_command(field: str) -> typing.Callable:
+    """Return a decorator that registers the handler of one command."""
+
+    def decorate(handler: typing.Callable) -> typing.Callable:
+        _HANDLER_BY_FIELD[field] = handler
+        return handler
+
+    return decorate
+
+
+def encode_command(command: typing.Any) -> bytes:
+    """Return the log entry body of a command struct.
+
+    Parameters
+    ----------
+    command : RegisterGroup, AddInstance, Fence, Choose or Promoted
+    """
+    for field, command_type in _TYPE_BY_FIELD.items():
+        if isinstance(command, command_type):
+            return catalog.encode_struct(ttypes.Command(**{field: command}))
+    raise TypeError(f"command: expected a command struct, got {command!r}")
+
+
+_TYPE_BY_FIELD = {
+    "register_group": ttypes.RegisterGroup,
+    "add_instance": ttypes.AddInstance,
+    "fence": ttypes.Fence,
+    "choose": ttypes.Choose,
+    "promoted": ttypes.Promoted,
+}
+
+
+def decode_result(body: bytes) -> ttypes.CommandResult:
+    """Return the result that `GroupsMachine.apply` gave."""
+    return catalog.decode_struct(ttypes.CommandResult, body)
+
+
+class GroupsMachine:
+    """Deterministic state machine over the terms and primaries of all groups.
+
+    Notes
+    -----
+    A group is ``SERVING`` under a term, or ``FENCED``: its term has ended and
+    the next has no primary yet. While it is fenced, each instance is recorded
+    with `Choose` before it is told to promote itself. So a later leader knows
+    which instances may have become a primary, and `Promoted` is accepted for
+    one of these only, or for the old primary as long as none was chosen.
+    """
+
+    def __init__(self):
+        self._version = 0
+        self._groups: dict[str, ttypes.Group] = {}
+        self._fenced: set[str] = set()
+
+    def get_version(self) -> int:
+        """Return the version of the table that entry hosts must learn."""
+        return self._version
+
+    def get_group(self, group: str) -> ttypes.Group | None:
+        """Return the agreed state of a group, None if it is unknown."""
+        return self._groups.get(group)
+
+    def get_groups(self) -> list[ttypes.Group]:
+        """Return the agreed state of all groups."""
+        return list(self._groups.values())
+
+    def get_fenced(self) -> list[ttypes.Group]:
+        """Return the groups that wait for a new primary."""
+        return [self._groups[name] for name in sorted(self._fenced)]
+
+    def get_changed(self, version: int) -> list[ttypes.Group]:
+        """Return the groups that changed after a version of the table."""
+        if version >= self._version:
+            return []
+        return [group for group in self._groups.values() if group.version > version]
+
+    def apply(self, index: int, body: bytes) -> bytes:  # noqa: ARG002
+        """Apply one command and return the encoded `CommandResult`.
+
+        Parameters
+        ----------
+        index : int
+            Place of the entry in the log.
+        body : bytes
+            What `encode_command` gave.
+        """
+        command = catalog.decode_struct(ttypes.Command, body)
+        outcome, name = self._dispatch(command)
+        result = ttypes.CommandResult(outcome, self._groups.get(name))
+        return catalog.encode_struct(result)
+
+    def save_snapshot(self) -> bytes:
+        """Return the whole state."""
+        groups = sorted(self._groups.values(), key=lambda group: group.group)
+        return catalog.encode_struct(ttypes.Snapshot(self._version, groups))
+
+    def load_snapshot(self, body: bytes) -> None:
+        """Replace the whole state by what `save_snapshot` gave."""
+        snapshot = catalog.decode_struct(ttypes.Snapshot, body)
+        self._version = snapshot.version
+        self._groups = {group.group: group for group in snapshot.groups}
+        fenced = ttypes.GroupPhase.FENCED
+        self._fenced = {
+            group.group for group in snapshot.groups if group.phase == fenced
+        }
+
+    def _dispatch(self, command: ttypes.Command) -> tuple[int, str]:
+        for field, handler in _HANDLER_BY_FIELD.items():
+            details = getattr(command, field)
+            if details is not None:
+                return handler(self, details), details.group
+        return ttypes.Outcome.NOT_ALLOWED, ""
+
+    def _copy_group(self, name: str) -> ttypes.Group | None:
+        """Return a copy, so that readers of the state never see it change."""
+        group = copy.copy(self._groups.get(name))
+        if group is not None:
+            group.instances = list(group.instances)
+            group.candidates = list(group.candidates)
+        return group
+
+    def _change(self, group: ttypes.Group) -> int:
+        """Store a group under a new version of the table."""
+        self._version += 1
+        group.version = self._version
+        self._groups[group.group] = group
+        if group.phase == ttypes.GroupPhase.FENCED:
+            self._fenced.add(group.group)
+        else:
+            self._fenced.discard(group.group)
+        return ttypes.Outcome.ACCEPTED
+
+    @_register_command("register_group")
+    def _register_group(self, command: ttypes.RegisterGroup) -> int:
+        if command.group in self._groups:
+            return ttypes.Outcome.UNCHANGED
+        if command.primary not in command.instances:
+            return ttypes.Outcome.NOT_ALLOWED
+        return self._change(
+            ttypes.Group(
+                group=command.group,
+                term=_FIRST_TERM,
+                timeline=command.timeline,
+                primary=command.primary,
+                phase=ttypes.GroupPhase.SERVING,
+                version=0,
+                instances=list(command.instances),
+                reason="",
+                candidates=[],
+            )
+        )
+
+    @_register_command("add_instance")
+    def _add_instance(self, command: ttypes.AddInstance) -> int:
+        group = self._copy_group(command.group)
+        if group is None:
+            return ttypes.Outcome.UNKNOWN_GROUP
+        if command.instance in group.instances:
+            return ttypes.Outcome.UNCHANGED
+        if not _is_serving(group, command.term):
+            return ttypes.Outcome.STALE_TERM
+        group.instances.append(command.instance)
+        return self._change(group)
+
+    @_register_command("fence")
+    def _fence(self, command: ttypes.Fence) -> int:
+        group = self._copy_group(command.group)
+        if group is None:
+            return ttypes.Outcome.UNKNOWN_GROUP
+        if _is_fenced(group, command.term):
+            return ttypes.Outcome.UNCHANGED
+        if not _is_serving(group, command.term):
+            return ttypes.Outcome.STALE_TERM
+        group.phase = ttypes.GroupPhase.FENCED
+        group.reason = command.reason
+        group.candidates = []
+        return self._change(group)
+
+    @_register_command("choose")
+    def _choose(self, command: ttypes.Choose) -> int:
+        group = self._copy_group(command.group)
+        if group is None:
+            return ttypes.Outcome.UNKNOWN_GROUP
+        if not _is_fenced(group, command.term):
+            return ttypes.Outcome.STALE_TERM
+        if command.instance in group.candidates:
+            return ttypes.Outcome.UNCHANGED
+        if command.instance not in group.instances:
+            return ttypes.Outcome.NOT_ALLOWED
+        # Entry hosts need not learn of a candidate, so the version stays.
+        group.candidates.append(command.instance)
+        self._groups[group.group] = group
+        return ttypes.Outcome.ACCEPTED
+
+    @_register_command("promoted")
+    def _promoted(self, command: ttypes.Promoted) -> int:
+        group = self._copy_group(command.group)
+        if group is None:
+            return ttypes.Outcome.UNKNOWN_GROUP
+        if _is_serving(group, command.term) and group.primary == command.primary:
+            return ttypes.Outcome.UNCHANGED
+        if not _is_fenced(group, command.term - 1):
+            return ttypes.Outcome.STALE_TERM
+        if not _is_successor(group, command):
+            return ttypes.Outcome.NOT_ALLOWED
+        group.term = command.term
+        group.timeline = command.timeline
+        group.primary = command.primary
+        group.phase = ttypes.GroupPhase.SERVING
+        group.reason = ""
+        group.candidates = []
+        return self._change(group)
+
+
+def _is_serving(group: ttypes.Group, term: int) -> bool:
+    return group.phase == ttypes.GroupPhase.SERVING and group.term == term
+
+
+def _is_fenced(group: ttypes.Group, term: int) -> bool:
+    return group.phase == ttypes.GroupPhase.FENCED and group.term == term
+
+
+def _is_successor(group: ttypes.Group, command: ttypes.Promoted) -> bool:
+    """Return whether the instance may serve the next term."""
+    if command.primary in group.candidates:
+        return command.timeline > group.timeline
+    is_reinstated = not group.candidates and command.primary == group.primary
+    return is_reinstated and command.timeline == group.timeline
--- /dev/null
+++ b/sedgeswitch/groups/supervisor.py
@@ -0,0 +1,240 @@
+"""The leader's care for all groups: registration and changes of primary."""
+
+import typing
+
+import loguru
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.agreement import errors
+from sedgeswitch.groups import failover
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import machine as groups_machine
+from sedgeswitch.groups import sections
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups.generated import ttypes
+
+_REGISTER_INTERVAL_S = 1.0
+_RETRY_AFTER_MS = 1000
+_CONFLICT_STATUS = 409
+_UNAVAILABLE_STATUS = 503
+
+
+class Supervisor:
+    """Registers groups and replaces their primaries while this host leads.
+
+    Parameters
+    ----------
+    control : groups.failover.Control
+    section : groups.sections.ControlSection
+        Receives the reports of the watchers.
+
+    Notes
+    -----
+    All state here is soft: a new leader finds fenced groups in the agreed state
+    and suspected primaries in the reports that it receives.
+    """
+
+    def __init__(self, control: failover.Control, section: sections.ControlSection):
+        self._control = control
+        self._section = section
+        self._busy: set[str] = set()
+
+    async def run(self) -> None:
+        """Supervise whenever this host leads, until cancelled."""
+        while True:
+            leadership = self._control.get_leadership(trio.current_time())
+            if leadership is not None:
+                await self._lead(leadership.term)
+            await trio.sleep(self._control.settings.check_interval_s)
+
+    async def move_primary(self, group: str, instance: str) -> failover.FailoverReport:
+        """Make an instance the primary of a group, for an operator or a drain.
+
+        Returns
+        -------
+        failover.FailoverReport
+            `new_primary` tells who got the group: the old primary again, if the
+            instance did not catch up in time.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            Not run, if this host does not lead, the group is changing already
+            or the instance does not belong to it. May have run, if this host
+            lost its leadership.
+        """
+        leadership = self._control.get_leadership(trio.current_time())
+        if leadership is None:
+            raise _build_not_leader()
+        self._check_move(group, instance)
+        task = failover.Failover(
+            self._control,
+            leadership.term,
+            group,
+            failover.MOVE_REASON,
+            trio.current_time(),
+            target=instance,
+        )
+        self._busy.add(group)
+        try:
+            report = await task.run()
+        except failover.LeadershipLostError as error:
+            raise verdicts.build_may_have_run(
+                _UNAVAILABLE_STATUS,
+                "leadership_lost",
+                f"the control host lost its leadership while group {group} moved",
+                _RETRY_AFTER_MS,
+            ) from error
+        finally:
+            self._busy.discard(group)
+        return await task.wait_learned(report)
+
+    def _check_move(self, group: str, instance: str) -> None:
+        state = self._control.machine.get_group(group)
+        if state is None or instance not in state.instances:
+            raise verdicts.build_not_run(
+                _CONFLICT_STATUS,
+                "unknown_instance",
+                f"group {group} has no instance {instance}",
+            )
+        is_fenced = state.phase == ttypes.GroupPhase.FENCED
+        if is_fenced or group in self._busy or state.primary == instance:
+            raise verdicts.build_not_run(
+                _CONFLICT_STATUS,
+                "group_changing" if state.primary != instance else "primary_already",
+                f"group {group} is changing, or {instance} is its primary already",
+                _RETRY_AFTER_MS,
+            )
+
+    def _leads(self, term: int) -> bool:
+        leadership = self._control.get_leadership(trio.current_time())
+        return leadership is not None and leadership.term == term
+
+    async def _lead(self, term: int) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._register_all)
+            while self._leads(term):
+                self._start_due(nursery, term)
+                await trio.sleep(self._control.settings.check_interval_s)
+            nursery.cancel_scope.cancel()
+
+    def _start_due(self, nursery: trio.Nursery, term: int) -> None:
+        """Start a task for each fenced group and each suspected primary."""
+        now_s = trio.current_time()
+        for state in self._control.machine.get_fenced():
+            self._start(nursery, term, state.group, state.reason, now_s)
+        for name in self._section.board.take_troubled():
+            state = self._control.machine.get_group(name)
+            if state is None:
+                continue
+            suspicion = self._section.get_suspicion(state, now_s)
+            if suspicion is not None:
+                self._start(nursery, term, name, suspicion.reason, suspicion.since_s)
+
+    def _start(
+        self,
+        nursery: trio.Nursery,
+        term: int,
+        group: str,
+        reason: str,
+        started_s: float,
+    ) -> None:
+        if group in self._busy:
+            return
+        self._busy.add(group)
+        task = failover.Failover(self._control, term, group, reason, started_s)
+        nursery.start_soon(self._run_failover, group, task)
+
+    async def _run_failover(self, group: str, task: failover.Failover) -> None:
+        try:
+            report = await task.run()
+        except failover.LeadershipLostError:
+            loguru.logger.info("failover stopped", group=group)
+            return
+        finally:
+            self._busy.discard(group)
+        report = await task.wait_learned(report)
+        loguru.logger.info("primary changed", **report._asdict())
+
+    async def _register_all(self) -> None:
+        """Register new groups, and new instances of known ones."""
+        while True:
+            for group in list(self._control.directory.get_groups()):
+                command = await self._build_registration(group)
+                if command is not None:
+                    await self._propose(command)
+            await trio.sleep(_REGISTER_INTERVAL_S)
+
+    async def _propose(self, command: typing.Any) -> None:
+        try:
+            await self._control.propose(
+                failover.SLICE_NAME,
+                groups_machine.encode_command(command),
+                self._control.settings.propose_timeout_s,
+            )
+        except (errors.NotLeaderError, errors.OutcomeUnknownError):
+            loguru.logger.info("registration not agreed", group=command.group)
+
+    async def _build_registration(self, group: str) -> typing.Any | None:
+        """Return the command that a group's announcements call for, if any."""
+        state = self._control.machine.get_group(group)
+        announced = self._control.directory.get_instances(group)
+        known = [] if state is None else state.instances
+        new = [item for item in announced if item.instance not in known]
+        if not new:
+            return None
+        states = {}
+        for item in announced if state is None else new:
+            read = await instances.read_state(
+                self._control.driver,
+                item.target,
+                self._control.settings.read_timeout_s,
+            )
+            if read is not None:
+                states[item.instance] = read
+        if state is None:
+            return build_register_group(group, states, self._control.settings)
+        return _build_add_instance(state, states)
+
+
+def build_register_group(
+    group: str,
+    states: typing.Mapping[str, instances.InstanceState],
+    settings: groups_settings.GroupSettings,
+) -> ttypes.RegisterGroup | None:
+    """Return the command for a group that is seen for the first time.
+
+    Returns
+    -------
+    RegisterGroup or None
+        None until enough instances answer and one of them is a primary.
+    """
+    needed = settings.group_size - settings.ack_instances + 1
+    primaries = [
+        (state.position.timeline, name)
+        for name, state in states.items()
+        if not state.in_recovery
+    ]
+    if len(states) < needed or not primaries:
+        return None
+    timeline, primary = max(primaries)
+    return ttypes.RegisterGroup(group, primary, timeline, sorted(states))
+
+
+def _build_add_instance(
+    group: ttypes.Group, states: typing.Mapping[str, instances.InstanceState]
+) -> ttypes.AddInstance | None:
+    for name, state in states.items():
+        if state.in_recovery and state.position.timeline == group.timeline:
+            return ttypes.AddInstance(group.group, group.term, name)
+    return None
+
+
+def _build_not_leader() -> verdicts.RefusedError:
+    return verdicts.build_not_run(
+        _UNAVAILABLE_STATUS,
+        "not_leader",
+        "this control host does not lead",
+        _RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/sedgeswitch/groups/tests/measure_gap.py
@@ -0,0 +1,56 @@
+"""Print the gap in writes and its phases over many seeds, in virtual time.
+
+Run as ``python -m sedgeswitch.groups.tests.measure_gap [seeds]``.
+"""
+
+import statistics
+import sys
+
+import loguru
+
+from sedgeswitch.groups.tests import builders
+
+PHASES = ("detect_s", "lease_wait_s", "choose_s", "promote_s", "learn_s")
+
+
+def measure(fault, seed, is_silent):
+    """Return the gap in seconds and the report of one failover."""
+    world = builders.World(seed=seed)
+
+    async def scenario(world):
+        if is_silent:
+            world.paused.add("entry-5")
+        setattr(world.instances["lots-0"], fault, True)
+
+    builders.run(world, scenario, duration_s=9.0)
+    return builders.get_gap_s(world), world.reports
+
+
+def main():
+    """Measure each fault and print one row of the table for each."""
+    loguru.logger.remove()
+    seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 200
+    names = ("fault", "gap p50", "gap p99", "gap max", *PHASES)
+    sys.stdout.write("| " + " | ".join(names) + " |\n")
+    for fault, is_silent in (
+        ("is_killed", False),
+        ("is_frozen", False),
+        ("is_killed", True),
+    ):
+        runs = [measure(fault, seed, is_silent) for seed in range(seeds)]
+        gaps = sorted(gap_s for gap_s, _ in runs)
+        reports = [reports[0] for _, reports in runs if reports]
+        cells = [
+            fault + (" + silent entry host" if is_silent else ""),
+            f"{statistics.median(gaps):.2f}",
+            f"{gaps[int(0.99 * (len(gaps) - 1))]:.2f}",
+            f"{gaps[-1]:.2f}",
+        ]
+        for phase in PHASES:
+            times = [getattr(report, phase) for report in reports]
+            cells.append(f"{statistics.median(times):.2f}/{max(times):.2f}")
+        sys.stdout.write("| " + " | ".join(cells) + f" | {len(reports)} runs\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sedgeswitch/groups/watcher.py
@@ -0,0 +1,279 @@
+"""Health watching of one group by one entry host."""
+
+import collections
+import typing
+
+import trio
+
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import observation
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups.generated import ttypes
+
+_SLOW_S = 0.25
+_SILENCE_FACTOR = 3.0
+_LATENCIES_KEPT = 10
+_CLOSE_TIMEOUT_S = 0.1
+_MS_PER_S = 1000
+
+# The server answers, but is not serving: it starts, stops or recovers.
+_NOT_SERVING_SQLSTATES = frozenset({"57P01", "57P02", "57P03"})
+
+
+class _InstanceRecord:
+    """What the probes of one instance have shown."""
+
+    def __init__(self):
+        self.state: instances.InstanceState | None = None
+        self.sample_sent_s = float("-inf")
+        self.moved_s = float("-inf")
+        self.silent_since_s: float | None = None
+        self.refused = 0
+        self.is_busy = False
+        self._latencies_s: collections.deque[float] = collections.deque(
+            maxlen=_LATENCIES_KEPT
+        )
+
+    def note_sent(self, now_s: float) -> None:
+        if self.silent_since_s is None:
+            self.silent_since_s = now_s
+
+    def note_answer(
+        self, state: instances.InstanceState, sent_s: float, now_s: float
+    ) -> None:
+        if self.state is None or self.state.position != state.position:
+            self.moved_s = now_s
+        self.state = state
+        self.sample_sent_s = sent_s
+        self._note_live(sent_s, now_s)
+        self.is_busy = False
+
+    def note_busy(self, sent_s: float, now_s: float) -> None:
+        self._note_live(sent_s, now_s)
+        self.is_busy = True
+
+    def note_refused(self) -> None:
+        self.refused += 1
+
+    def get_latency_s(self) -> float | None:
+        return self._latencies_s[-1] if self._latencies_s else None
+
+    def get_silence_s(self, now_s: float) -> float:
+        return 0.0 if self.silent_since_s is None else now_s - self.silent_since_s
+
+    def get_condition(
+        self, settings: groups_settings.GroupSettings, now_s: float
+    ) -> int:
+        if self.refused >= settings.refused_limit:
+            return ttypes.Condition.SUSPECT
+        if self.get_silence_s(now_s) >= self._get_silence_limit_s(settings):
+            return ttypes.Condition.SUSPECT
+        if self.is_busy:
+            return ttypes.Condition.BUSY
+        is_slow = (self.get_latency_s() or 0.0) >= _SLOW_S
+        return ttypes.Condition.SLOW if is_slow else ttypes.Condition.LIVE
+
+    def _note_live(self, sent_s: float, now_s: float) -> None:
+        self.silent_since_s = None
+        self.refused = 0
+        self._latencies_s.append(now_s - sent_s)
+
+    def _get_silence_limit_s(self, settings: groups_settings.GroupSettings) -> float:
+        """Return a limit that an instance which answers slowly does not meet."""
+        slowest_s = max(self._latencies_s, default=0.0)
+        limit_s = max(settings.silence_limit_s, _SILENCE_FACTOR * slowest_s)
+        return min(limit_s, settings.max_silence_limit_s)
+
+
+class Watcher:
+    """Probes every instance of a group over one kept connection each.
+
+    Parameters
+    ----------
+    group : str
+    table : groups.table.GroupTable
+        Names the primary.
+    directory : groups.instances.Directory
+    driver : object
+        Backend driver, with ``connect(target, timeout_s)``.
+    settings : groups.settings.GroupSettings
+
+    Notes
+    -----
+    A probe waits for its answer as long as `probe_timeout_s`, longer than the
+    silence that makes an instance suspect, so that a late answer clears the
+    suspicion. An instance that refuses because its slots are taken is live.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        table: typing.Any,
+        directory: instances.Directory,
+        driver: typing.Any,
+        settings: groups_settings.GroupSettings,
+    ):
+        self._group = group
+        self._table = table
+        self._directory = directory
+        self._driver = driver
+        self._settings = settings
+        self._records: dict[str, _InstanceRecord] = {}
+        self._history = observation.SampleHistory()
+        self._suspected = trio.Event()
+
+    async def run(self) -> None:
+        """Probe until cancelled; follows instances that come and go."""
+        scopes: dict[str, trio.CancelScope] = {}
+        async with trio.open_nursery() as nursery:
+            while True:
+                wanted = self._directory.get_instances(self._group)
+                by_id = {instance.instance: instance for instance in wanted}
+                for name in sorted(scopes.keys() - by_id.keys()):
+                    scopes.pop(name).cancel()
+                    self._records.pop(name, None)
+                for name in sorted(by_id.keys() - scopes.keys()):
+                    scopes[name] = trio.CancelScope()
+                    self._records[name] = _InstanceRecord()
+                    nursery.start_soon(self._watch, by_id[name], scopes[name])
+                await trio.sleep(self._settings.probe_interval_s)
+
+    def build_health(self, now_s: float) -> ttypes.GroupHealth:
+        """Return what the probes have shown, for the next heartbeat."""
+        reports = [
+            self._build_instance(name, record, now_s)
+            for name, record in sorted(self._records.items())
+        ]
+        return ttypes.GroupHealth(self._group, reports, self._is_stalled(now_s))
+
+    def _build_instance(
+        self, name: str, record: _InstanceRecord, now_s: float
+    ) -> ttypes.InstanceHealth:
+        report = ttypes.InstanceHealth(
+            instance=name,
+            condition=record.get_condition(self._settings, now_s),
+            consecutive_failures=record.refused,
+            silence_ms=_get_ms(record.get_silence_s(now_s)),
+        )
+        latency_s = record.get_latency_s()
+        if latency_s is not None:
+            report.latency_ms = _get_ms(latency_s)
+        if record.state is not None:
+            self._add_state(report, record, now_s)
+        return report
+
+    def _add_state(
+        self, report: ttypes.InstanceHealth, record: _InstanceRecord, now_s: float
+    ) -> None:
+        report.in_recovery = record.state.in_recovery
+        report.timeline = record.state.position.timeline
+        report.lsn = record.state.position.lsn
+        report.sample_age_ms = _get_ms(now_s - record.sample_sent_s)
+        age_s = self._history.get_age_s(record.state.position, now_s)
+        if age_s is not None:
+            report.age_ms = _get_ms(age_s)
+
+    def _is_stalled(self, now_s: float) -> bool:
+        """Return whether replication has stopped while the primary moved."""
+        group = self._table.get_group(self._group)
+        since_s = now_s - self._settings.stall_limit_s
+        floor = self._history.get_position_at(since_s)
+        if group is None or floor is None or floor.timeline != group.timeline:
+            return False
+        stalled = [
+            name
+            for name, record in self._records.items()
+            if name != group.primary and _is_stuck(record, floor, since_s, now_s)
+        ]
+        needed = len(group.instances) - self._settings.ack_instances + 1
+        return len(stalled) >= needed
+
+    async def _watch(
+        self, instance: instances.Instance, scope: trio.CancelScope
+    ) -> None:
+        record = self._records[instance.instance]
+        connection = None
+        with scope:
+            try:
+                while True:
+                    started_s = trio.current_time()
+                    connection = await self._probe(instance, record, connection)
+                    await trio.sleep_until(started_s + self._settings.probe_interval_s)
+            finally:
+                await _close(connection)
+
+    async def _probe(
+        self,
+        instance: instances.Instance,
+        record: _InstanceRecord,
+        connection: typing.Any | None,
+    ) -> typing.Any | None:
+        """Probe once and return the connection to keep, None if it is lost."""
+        sent_s = trio.current_time()
+        record.note_sent(sent_s)
+        is_answered = False
+        timeout_s = self._settings.probe_timeout_s
+        with trio.move_on_after(timeout_s):
+            try:
+                if connection is None:
+                    connection = await self._driver.connect(instance.target, timeout_s)
+                    sent_s = trio.current_time()
+                rows = await connection.execute(instances.STATE_QUERY, ())
+                state = instances.decode_state(rows)
+                is_answered = True
+            except Exception as error:
+                _note_error(record, error, sent_s, trio.current_time())
+        if not is_answered:
+            await _close(connection)
+            return None
+        record.note_answer(state, sent_s, trio.current_time())
+        self._add_sample(instance.instance, state, sent_s)
+        return connection
+
+    def _add_sample(
+        self, name: str, state: instances.InstanceState, sent_s: float
+    ) -> None:
+        group = self._table.get_group(self._group)
+        if group is None or name != group.primary or state.in_recovery:
+            return
+        if state.position.timeline == group.timeline:
+            self._history.add_sample(state.position, sent_s)
+
+
+def _is_stuck(
+    record: _InstanceRecord,
+    floor: positions.Position,
+    since_s: float,
+    now_s: float,
+) -> bool:
+    """Return whether a live replica stands still behind `floor`."""
+    if record.state is None or not record.state.in_recovery:
+        return False
+    if record.get_silence_s(now_s) > _SLOW_S or record.moved_s > since_s:
+        return False
+    position = record.state.position
+    # A replica on an older timeline has yet to join the new primary.
+    return position.timeline == floor.timeline and position.lsn < floor.lsn
+
+
+def _note_error(
+    record: _InstanceRecord, error: Exception, sent_s: float, now_s: float
+) -> None:
+    sqlstate = getattr(error, "sqlstate", None)
+    if sqlstate and sqlstate not in _NOT_SERVING_SQLSTATES:
+        record.note_busy(sent_s, now_s)
+    else:
+        record.note_refused()
+
+
+async def _close(connection: typing.Any | None) -> None:
+    if connection is None:
+        return
+    with trio.CancelScope(shield=True), trio.move_on_after(_CLOSE_TIMEOUT_S):
+        await connection.close()
+
+
+def _get_ms(duration_s: float) -> int:
+    """Return whole milliseconds, rounded up."""
+    return -int(-duration_s * _MS_PER_S // 1)
