--- a/sedgeswitch/admission/grantor.py
+++ b/sedgeswitch/admission/grantor.py
@@ -76,7 +76,7 @@
                 del self._buckets[organisation]
             elif self._buckets[organisation].limit != limits[organisation]:
                 self._buckets[organisation].set_limit(limits[organisation], now_s)
-        if self._recovery is not None:
+        if self._term:
             self._add_buckets(now_s)
 
     def start_leadership(self, now_s: float, term: int) -> None:
--- a/sedgeswitch/admission/tests/test_fleet_rate.py
+++ b/sedgeswitch/admission/tests/test_fleet_rate.py
@@ -4,6 +4,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from sedgeswitch.admission import grantor
 from sedgeswitch.admission import messages
 from sedgeswitch.admission import settings
 from sedgeswitch.admission import wallet
@@ -164,3 +165,23 @@
                 catalog.decode_struct(message_type, body)
             except catalog.MessageError:
                 continue
+
+
+class NewOrganisationTest(unittest.TestCase):
+    def test_organisation_added_after_recovery_gets_grants(self):
+        limit = settings.Limit(rate_per_s=50.0, burst=20)
+        leader = grantor.Grantor(lambda: ["host-0"])
+        leader.set_limits({}, now_s=0.0)
+        leader.start_leadership(now_s=0.0, term=1)
+        holder = wallet.Wallet("host-0", "run-1", now_s=0.0)
+        self._draw(leader, holder, now_s=10.0)
+        leader.set_limits({"ward-9": limit}, now_s=11.0)
+        holder.set_limits({"ward-9": limit})
+        pending = holder.take("ward-9", now_s=11.0)
+        self._draw(leader, holder, now_s=11.0)
+        self.assertIsInstance(pending.outcome, wallet.Admitted)
+
+    def _draw(self, leader, holder, now_s):
+        for _ in range(2):
+            reply = leader.draw(holder.build_draw(now_s), now_s)
+            holder.receive_grants(reply, now_s, now_s)
--- a/sedgeswitch/daemon/__main__.py
+++ b/sedgeswitch/daemon/__main__.py
@@ -58,9 +58,7 @@
 
 def run_daemon(settings: daemon_settings.Settings) -> int:
     """Run a daemon with its logs on standard error, and return its exit code."""
-    logs.configure_logs(
-        settings.host_id, settings.log_level, sys.stderr, plain.redact
-    )
+    logs.configure_logs(settings.host_id, settings.log_level, sys.stderr, plain.redact)
     rng = random.SystemRandom()
     try:
         trio.run(_run, settings, rng)
--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -219,7 +219,9 @@
 
     def _record_failover(self, report: failover.FailoverReport) -> None:
         self._metrics.count("groups.failovers")
-        status.log_failover(report)
+        for name, value in report._asdict().items():
+            if name.endswith("_s"):
+                self._metrics.record_duration(f"groups.failover.{name}", value)
 
     def _start_grants(self, now_s: float, term: int) -> None:
         self.grantor.set_limits(
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -199,7 +199,7 @@
             return
         self._limits_version = self.configuration.version
         limits = adapters.build_limits(self.configuration.document)
-        self.wallet.set_limits(limits, trio.current_time())
+        self.wallet.set_limits(limits)
 
     async def _call_draw(
         self, request: admission_messages.Draw
--- a/sedgeswitch/daemon/status.py
+++ b/sedgeswitch/daemon/status.py
@@ -3,10 +3,7 @@
 import collections.abc
 import typing
 
-import loguru
-
 from sedgeswitch.daemon import adapters
-from sedgeswitch.groups import failover
 from sedgeswitch.groups.generated import ttypes
 
 Provider = collections.abc.Callable[[float], list]
@@ -123,8 +120,3 @@
         in_use,
         is_drained and not is_primary and in_use == 0,
     )
-
-
-def log_failover(report: failover.FailoverReport) -> None:
-    """Log how long each phase of a change of primary took."""
-    loguru.logger.bind(**report._asdict()).info("primary changed")
