--- /dev/null
+++ b/sedgeswitch/cli/base.py
@@ -0,0 +1,327 @@
+"""What all commands share: options, the client, errors and output."""
+
+import pathlib
+import re
+import typing
+
+import msgspec
+from cleo import helpers
+from cleo.commands import command
+from cleo.io.outputs import output as outputs
+
+from sedgeswitch import verdicts
+from sedgeswitch.cli import client
+from sedgeswitch.cli import environment as environments
+from sedgeswitch.cli import exit_codes
+from sedgeswitch.configuration import changes
+from sedgeswitch.configuration import documents
+from sedgeswitch.configuration import operations
+from sedgeswitch.utils import checks
+from sedgeswitch.utils import records
+
+CONTROL_VARIABLE = "SEDGESWITCH_CONTROL"
+TOKEN_VARIABLE = "SEDGESWITCH_OPERATOR_TOKEN"
+TOKEN_FILE_VARIABLE = "SEDGESWITCH_OPERATOR_TOKEN_FILE"
+AUTHOR_VARIABLES = ("SEDGESWITCH_AUTHOR", "USER")
+DEFAULT_AUTHOR = "operator"
+DEFAULT_TIMEOUT_S = "10"
+MAX_CONFLICT_RETRIES = 5
+
+_REQUEST_ID_BYTES = 16
+_CONFLICT_STATUS = 409
+
+JSON_OPTION = helpers.option("json", None, "Print JSON for scripts.")
+CONTROL_OPTIONS = (
+    helpers.option(
+        "control",
+        None,
+        f"Control hosts as host:port,... (else {CONTROL_VARIABLE}).",
+        flag=False,
+    ),
+    helpers.option(
+        "timeout",
+        None,
+        "Seconds after which an unanswered request is given up.",
+        flag=False,
+        default=DEFAULT_TIMEOUT_S,
+    ),
+    JSON_OPTION,
+)
+
+
+class CommandError(Exception):
+    """Ends a command.
+
+    Parameters
+    ----------
+    exit_code : exit_codes.ExitCode
+    detail : str
+        Explanation for a person.
+    """
+
+    def __init__(self, exit_code: exit_codes.ExitCode, detail: str):
+        super().__init__(detail)
+        self.exit_code = exit_code
+
+
+class ConfigurationInForce(typing.NamedTuple):
+    """The configuration that the control hosts hold."""
+
+    version: int
+    document: documents.Document
+
+
+BuildSteps = typing.Callable[
+    [documents.Document], typing.Sequence[operations.Operation]
+]
+
+
+class BaseCommand(command.Command):
+    """A command that turns errors into exit codes.
+
+    Parameters
+    ----------
+    environment : environment.Environment
+    """
+
+    def __init__(self, environment: environments.Environment):
+        super().__init__()
+        self.environment = environment
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        try:
+            return self.execute_command()
+        except CommandError as error:
+            return self._fail(error.exit_code, str(error))
+        except checks.CheckError as error:
+            return self._fail(exit_codes.ExitCode.REFUSED, str(error))
+        except client.UnreachableError as error:
+            return self._fail(exit_codes.ExitCode.UNREACHABLE, str(error))
+
+    def execute_command(self) -> int:
+        """Do the work of the command and return its exit code."""
+        raise NotImplementedError
+
+    def print_text(self, text: str) -> None:
+        """Print a line as it is, whatever markup it seems to hold."""
+        self.io.write_line(text, type=outputs.Type.RAW)
+
+    def print_json(self, value: typing.Any) -> None:
+        """Print a value or record as JSON."""
+        body = records.encode_json(value)
+        self.print_text(msgspec.json.format(body, indent=2).decode())
+
+    def print_rows(
+        self, headers: typing.Sequence[str], rows: typing.Iterable[typing.Sequence]
+    ) -> None:
+        """Print a table for people."""
+        rows = [[_to_text(value) for value in row] for row in rows]
+        lines = [list(headers), *rows]
+        widths = [max(len(line[i]) for line in lines) for i in range(len(headers))]
+        for line in lines:
+            cells = zip(line, widths, strict=True)
+            self.print_text(
+                "  ".join(cell.ljust(width) for cell, width in cells).rstrip()
+            )
+
+    def print_result(self, value: typing.Any, text: str) -> None:
+        """Print `value` as JSON if that was asked for, else `text`."""
+        if self.option("json"):
+            self.print_json(value)
+        else:
+            self.print_text(text)
+
+    def _fail(self, exit_code: exit_codes.ExitCode, detail: str) -> int:
+        self.io.write_error_line(f"error: {detail}", type=outputs.Type.RAW)
+        return exit_code
+
+
+class ControlCommand(BaseCommand):
+    """A command that talks to the control hosts."""
+
+    def build_client(self) -> client.ControlClient:
+        """Return a client of the control hosts that the operator named."""
+        named = self.option("control") or self.environment.variables.get(
+            CONTROL_VARIABLE
+        )
+        if not named:
+            raise CommandError(
+                exit_codes.ExitCode.USAGE, f"name --control or set {CONTROL_VARIABLE}"
+            )
+        addresses = [client.build_address(part) for part in named.split(",")]
+        timeout_s = parse_seconds("timeout", self.option("timeout"))
+        return client.ControlClient(
+            addresses, self._load_token(), timeout_s, self.environment
+        )
+
+    def call(
+        self,
+        control: client.ControlClient,
+        method: str,
+        path: str,
+        plain: object = None,
+        response_timeout_s: float = client.RESPONSE_TIMEOUT_S,
+    ) -> typing.Any:
+        """Return the document of a successful answer.
+
+        Raises
+        ------
+        CommandError
+            If the request was refused.
+        """
+        body = b"" if plain is None else records.encode_json(plain)
+        return _check_response(control.call(method, path, body, response_timeout_s))
+
+    def read_configuration(self, control: client.ControlClient) -> ConfigurationInForce:
+        """Return the configuration that the control hosts hold."""
+        view = self.call(control, "GET", "/v1/configuration")
+        document = documents.build_document(view["document"])
+        return ConfigurationInForce(view["version"], document)
+
+    def send_change(
+        self,
+        control: client.ControlClient,
+        base_version: int,
+        steps: typing.Sequence[operations.Operation],
+    ) -> int:
+        """Send a change and return the version that it made.
+
+        Raises
+        ------
+        CommandError
+            If another change came first, or the change is not allowed.
+        """
+        request_id = self.environment.get_random_bytes(_REQUEST_ID_BYTES).hex()
+        change = changes.Change(base_version, request_id, self._get_author(), steps)
+        body = changes.encode_change(change)
+        response = control.call("POST", "/v1/configuration/changes", body)
+        return _check_response(response)["version"]
+
+    def change_newest(
+        self, control: client.ControlClient, build_steps: BuildSteps
+    ) -> int:
+        """Change whatever version is newest and return the version made.
+
+        Only for changes that are right whatever else has changed.  Without any
+        steps nothing is sent.
+        """
+        for _ in range(MAX_CONFLICT_RETRIES):
+            found = self.read_configuration(control)
+            steps = build_steps(found.document)
+            if not steps:
+                return found.version
+            try:
+                return self.send_change(control, found.version, steps)
+            except CommandError as error:
+                if error.exit_code != exit_codes.ExitCode.CONFLICT:
+                    raise
+                conflict = error
+        raise conflict
+
+    def _get_author(self) -> str:
+        for variable in AUTHOR_VARIABLES:
+            name = re.sub(
+                r"[^A-Za-z0-9._-]", "-", self.environment.variables.get(variable, "")
+            )
+            if name:
+                return name[:64]
+        return DEFAULT_AUTHOR
+
+    def _load_token(self) -> str | None:
+        variables = self.environment.variables
+        if TOKEN_VARIABLE in variables:
+            return variables[TOKEN_VARIABLE]
+        if TOKEN_FILE_VARIABLE in variables:
+            return load_text(variables[TOKEN_FILE_VARIABLE]).strip()
+        return None
+
+
+def parse_seconds(name: str, text: str) -> float:
+    """Return the seconds that an option names.
+
+    Raises
+    ------
+    CommandError
+        If it is no number.
+    """
+    try:
+        return checks.check_range(name, float(text), 0, 86_400)
+    except ValueError as error:
+        detail = f"--{name}: expected seconds, got {text!r}"
+        raise CommandError(exit_codes.ExitCode.USAGE, detail) from error
+
+
+def parse_labels(texts: typing.Sequence[str]) -> dict[str, str]:
+    """Return the labels of arguments of the form ``LABEL=VALUE``.
+
+    Raises
+    ------
+    CommandError
+        If an argument has another form.
+    """
+    labels = {}
+    for text in texts:
+        name, equals, value = text.partition("=")
+        if not equals:
+            detail = f"expected LABEL=VALUE, got {text!r}"
+            raise CommandError(exit_codes.ExitCode.USAGE, detail)
+        labels[checks.check_name("label", name)] = checks.check_name("value", value)
+    return labels
+
+
+def load_text(path: str) -> str:
+    """Return the text of a file.
+
+    Raises
+    ------
+    CommandError
+        If it cannot be read.
+    """
+    try:
+        return pathlib.Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise CommandError(exit_codes.ExitCode.USAGE, f"{path}: {error}") from error
+
+
+def load_json(path: str) -> typing.Any:
+    """Return the plain value that a JSON file holds.
+
+    Raises
+    ------
+    CommandError
+        If it cannot be read.
+    CheckError
+        If it is not JSON.
+    """
+    return records.decode_json(load_text(path).encode(), path)
+
+
+def _check_response(response: client.Response) -> typing.Any:
+    if response.status == 200:
+        return response.document
+    conflict = response.status == _CONFLICT_STATUS
+    exit_code = (
+        exit_codes.ExitCode.CONFLICT if conflict else exit_codes.ExitCode.REFUSED
+    )
+    detail = f"{response.document['detail']} ({response.document['code']})"
+    if response.document["verdict"] == verdicts.Verdict.MAY_HAVE_RUN.value:
+        detail += "; it may have been done"
+    raise CommandError(exit_code, detail)
+
+
+def _to_text(value: typing.Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    if isinstance(value, dict):
+        return (
+            ",".join(f"{name}={_to_text(item)}" for name, item in sorted(value.items()))
+            or "-"
+        )
+    if isinstance(value, (list, tuple)):
+        return ",".join(_to_text(item) for item in value) or "-"
+    return str(value)
--- /dev/null
+++ b/sedgeswitch/cli/configuration_commands.py
@@ -0,0 +1,254 @@
+"""Commands that show, compare and change the configuration."""
+
+import typing
+
+from cleo import helpers
+
+from sedgeswitch import settings
+from sedgeswitch.cli import base
+from sedgeswitch.cli import exit_codes
+from sedgeswitch.configuration import differences
+from sedgeswitch.configuration import distributor
+from sedgeswitch.configuration import documents
+from sedgeswitch.configuration import operations
+from sedgeswitch.utils import records
+
+POLL_INTERVAL_S = 0.5
+_FILE_ARGUMENT = helpers.argument(
+    "file", 'A desired configuration, whole or partial, or {"operations": [...]}.'
+)
+
+
+class ShowCommand(base.ControlCommand):
+    """Prints the configuration in force."""
+
+    name = "show"
+    description = "Print the configuration in force."
+    options = [*base.CONTROL_OPTIONS]
+    help = """\
+Prints the configuration with digests in place of keys.
+
+Examples:
+  sedgeswitch show --control 10.0.0.1:7000,10.0.0.2:7000
+  sedgeswitch show --json > configuration.json"""
+
+    def execute_command(self) -> int:
+        """Print the configuration in force."""
+        found = self.read_configuration(self.build_client())
+        if self.option("json"):
+            self.print_json(found.document)
+            return exit_codes.ExitCode.OK
+        self.print_text(f"version {found.version}")
+        for title, headers, rows in _list_tables(found.document):
+            if rows:
+                self.print_text("")
+                self.print_text(title)
+                self.print_rows(headers, rows)
+        return exit_codes.ExitCode.OK
+
+
+class DiffCommand(base.ControlCommand):
+    """Prints what a file would change."""
+
+    name = "diff"
+    description = "Print what applying a file would change."
+    arguments = [_FILE_ARGUMENT]
+    options = [*base.CONTROL_OPTIONS]
+    help = """\
+Each line is a field: + new, - gone, ~ changed.  A collection that the file
+leaves out stays as it is, and so do keys.
+
+Examples:
+  sedgeswitch diff configuration.json"""
+
+    def execute_command(self) -> int:
+        """Print what a file would change."""
+        desired = base.load_json(self.argument("file"))
+        found = self.read_configuration(self.build_client())
+        steps = differences.build_steps(found.document, desired)
+        fields = list_fields(found.document, steps)
+        if self.option("json"):
+            plain = [operations.to_plain(step) for step in steps]
+            value = {"base_version": found.version, "operations": plain}
+            self.print_json({**value, "fields": fields})
+            return exit_codes.ExitCode.OK
+        self.print_text(f"against version {found.version}: {len(fields)} differences")
+        for field in fields:
+            self.print_text(format_field(field))
+        return exit_codes.ExitCode.OK
+
+
+class ApplyCommand(base.ControlCommand):
+    """Applies a file."""
+
+    name = "apply"
+    description = "Make the configuration what a file says."
+    arguments = [_FILE_ARGUMENT]
+    options = [
+        *base.CONTROL_OPTIONS,
+        helpers.option(
+            "base-version",
+            None,
+            "Refuse (exit code 4) unless this version is in force.",
+            flag=False,
+        ),
+    ]
+    help = """\
+Reads the configuration in force and sends what the file changes.  If another
+change comes between, nothing is changed and the exit code is 4: look at the
+difference again.  A collection that the file leaves out stays as it is.
+
+Examples:
+  sedgeswitch apply configuration.json
+  sedgeswitch apply configuration.json --base-version 17"""
+
+    def execute_command(self) -> int:
+        """Apply a file."""
+        desired = base.load_json(self.argument("file"))
+        control = self.build_client()
+        found = self.read_configuration(control)
+        base_version = self._get_base_version(found.version)
+        steps = differences.build_steps(found.document, desired)
+        if not steps:
+            text = f"nothing to change; version {found.version} stays"
+            self.print_result({"version": found.version, "operations": 0}, text)
+            return exit_codes.ExitCode.OK
+        version = self.send_change(control, base_version, steps)
+        lines = [f"version {version} accepted ({len(steps)} operations)"]
+        lines += map(format_field, list_fields(found.document, steps))
+        result = {"version": version, "operations": len(steps)}
+        self.print_result(result, "\n".join(lines))
+        return exit_codes.ExitCode.OK
+
+    def _get_base_version(self, version: int) -> int:
+        text = self.option("base-version")
+        if text is None:
+            return version
+        if not text.isdecimal():
+            detail = f"--base-version: expected a whole number, got {text!r}"
+            raise base.CommandError(exit_codes.ExitCode.USAGE, detail)
+        if int(text) != version:
+            detail = f"version {version} is in force, not {text}; nothing was changed"
+            raise base.CommandError(exit_codes.ExitCode.CONFLICT, detail)
+        return version
+
+
+class InForceCommand(base.ControlCommand):
+    """Tells where the newest configuration is in force."""
+
+    name = "in-force"
+    description = "Tell on which entry hosts the newest configuration is in force."
+    options = [
+        *base.CONTROL_OPTIONS,
+        helpers.option(
+            "wait", None, "Seconds to wait until it is everywhere.", False, default="0"
+        ),
+    ]
+    help = """\
+The exit code is 0 if the newest version is in force everywhere, 5 if not yet.
+
+Examples:
+  sedgeswitch in-force --wait 5"""
+
+    def execute_command(self) -> int:
+        """Tell where the newest configuration is in force."""
+        control = self.build_client()
+        wait_s = base.parse_seconds("wait", self.option("wait"))
+        deadline_s = self.environment.get_time_s() + wait_s
+        while True:
+            plain = self.call(control, "GET", "/v1/configuration/in-force")
+            found = records.build_record(distributor.InForce, plain)
+            if found.everywhere or self.environment.get_time_s() >= deadline_s:
+                break
+            self.environment.sleep(POLL_INTERVAL_S)
+        self._print(found)
+        return (
+            exit_codes.ExitCode.OK if found.everywhere else exit_codes.ExitCode.NOT_YET
+        )
+
+    def _print(self, found: distributor.InForce) -> None:
+        if self.option("json"):
+            self.print_json(found)
+            return
+        behind = found.get_behind()
+        told = "everywhere" if found.everywhere else f"not yet on {', '.join(behind)}"
+        self.print_text(f"version {found.version} is in force: {told}")
+        self.print_rows(distributor.HostVersion._fields, found.hosts)
+
+
+class CheckCommand(base.BaseCommand):
+    """Checks a file."""
+
+    name = "check"
+    description = "Check a settings or configuration file without sending it."
+    arguments = [
+        helpers.argument("kind", "settings or configuration"),
+        helpers.argument("file", "Path of the JSON file."),
+    ]
+    help = """Examples:
+  sedgeswitch check settings settings.json
+  sedgeswitch check configuration configuration.json"""
+
+    def execute_command(self) -> int:
+        """Check a file."""
+        check = _CHECK_BY_KIND.get(self.argument("kind"))
+        if check is None:
+            detail = f"kind: expected one of {', '.join(_CHECK_BY_KIND)}"
+            raise base.CommandError(exit_codes.ExitCode.USAGE, detail)
+        check(base.load_json(self.argument("file")))
+        self.print_text(f"{self.argument('file')} is allowed")
+        return exit_codes.ExitCode.OK
+
+
+def list_fields(
+    document: documents.Document, steps: typing.Iterable[operations.Operation]
+) -> tuple[differences.FieldChange, ...]:
+    """Return the fields that operations would change."""
+    after = operations.apply_operations(document, steps)
+    return differences.list_field_changes(document, after)
+
+
+def format_field(field: differences.FieldChange) -> str:
+    """Return the line that tells of a changed field."""
+    before = records.encode_json(field.before).decode()
+    after = records.encode_json(field.after).decode()
+    if field.before is None:
+        return f"+ {field.path} = {after}"
+    if field.after is None:
+        return f"- {field.path} = {before}"
+    return f"~ {field.path} = {after} (was {before})"
+
+
+_CHECK_BY_KIND = {
+    "settings": settings.build_settings,
+    "configuration": documents.build_document,
+}
+
+
+class _Table(typing.NamedTuple):
+    title: str
+    headers: typing.Sequence[str]
+    rows: typing.Sequence[typing.Sequence]
+
+
+def _list_tables(document: documents.Document) -> typing.Iterator[_Table]:
+    organisations = document.organisations.items()
+    headers = ("organisation", "rate_per_s", "burst", "keys", "withdrawn")
+    rows = [
+        (name, item.rate_per_s, item.burst, len(item.keys), _count_withdrawn(item))
+        for name, item in sorted(organisations)
+    ]
+    yield _Table("organisations", headers, rows)
+    for collection, record_type in (
+        ("selectors", documents.Selector),
+        ("groups", documents.Group),
+        ("backend_servers", documents.BackendServer),
+        ("drains", documents.Drain),
+    ):
+        items = sorted(getattr(document, collection).items())
+        rows = [(name, *item) for name, item in items]
+        yield _Table(collection, ("name", *record_type._fields), rows)
+
+
+def _count_withdrawn(organisation: documents.Organisation) -> int:
+    return sum(key.withdrawn for key in organisation.keys.values())
--- /dev/null
+++ b/sedgeswitch/cli/environment.py
@@ -0,0 +1,36 @@
+"""What commands take from the world around them, so that tests can replace it."""
+
+import os
+import socket
+import time
+import typing
+
+
+class Environment(typing.NamedTuple):
+    """The world around a command.
+
+    Attributes
+    ----------
+    variables : mapping of str to str
+        Environment variables.
+    get_random_bytes : callable
+    get_time_s : callable
+        Returns a monotonic time in seconds.
+    sleep : callable
+        Waits for a number of seconds.
+    connect : callable
+        ``connect((host, port), timeout_s)`` returns a connected socket.
+    """
+
+    variables: typing.Mapping[str, str]
+    get_random_bytes: typing.Callable[[int], bytes]
+    get_time_s: typing.Callable[[], float]
+    sleep: typing.Callable[[float], None]
+    connect: typing.Callable[[tuple[str, int], float], socket.socket]
+
+
+def build_environment() -> Environment:
+    """Return the environment of this process."""
+    return Environment(
+        os.environ, os.urandom, time.monotonic, time.sleep, socket.create_connection
+    )
--- /dev/null
+++ b/sedgeswitch/cli/status_commands.py
@@ -0,0 +1,139 @@
+"""Commands that show the fleet and move duties within it."""
+
+import typing
+
+from cleo import helpers
+
+from sedgeswitch.cli import base
+from sedgeswitch.cli import client
+from sedgeswitch.cli import exit_codes
+from sedgeswitch.utils import checks
+
+KINDS = ("groups", "control", "entry", "backend")
+MOVE_TIMEOUT_S = 60.0
+
+# Columns that lead, in this order; others follow by name.
+_LEADING_COLUMNS = (
+    "instance",
+    "host_id",
+    "group",
+    "state",
+    "role",
+    "term",
+    "primary",
+    "availability_zone",
+    "address",
+)
+
+
+class StatusCommand(base.ControlCommand):
+    """Shows the fleet."""
+
+    name = "status"
+    description = "Show groups, control hosts, entry hosts or backend servers."
+    arguments = [
+        helpers.argument("kind", f"One of {', '.join(KINDS)}; all if left out.", True)
+    ]
+    options = [*base.CONTROL_OPTIONS]
+    help = """Examples:
+  sedgeswitch status
+  sedgeswitch status backend --json"""
+
+    def execute_command(self) -> int:
+        """Show the fleet."""
+        kind = self.argument("kind")
+        if kind is not None and kind not in KINDS:
+            detail = f"kind: expected one of {', '.join(KINDS)}, got {kind!r}"
+            raise base.CommandError(exit_codes.ExitCode.USAGE, detail)
+        control = self.build_client()
+        kinds = KINDS if kind is None else (kind,)
+        views = {
+            kind: self.call(control, "GET", f"/v1/status/{kind}")["rows"]
+            for kind in kinds
+        }
+        if self.option("json"):
+            self.print_json(views)
+            return exit_codes.ExitCode.OK
+        for kind, rows in views.items():
+            self.print_text(f"{kind}: {len(rows)}")
+            if rows:
+                columns = _list_columns(rows)
+                self.print_rows(columns, [list(map(row.get, columns)) for row in rows])
+        return exit_codes.ExitCode.OK
+
+
+class MovePrimaryCommand(base.ControlCommand):
+    """Moves a primary."""
+
+    name = "move-primary"
+    description = "Make an instance the primary of its group."
+    arguments = [
+        helpers.argument("group", "Id of the group."),
+        helpers.argument("instance", "Id of the instance."),
+    ]
+    options = [*base.CONTROL_OPTIONS]
+    help = """\
+Returns once the instance is the primary.
+
+Examples:
+  sedgeswitch move-primary draw-1 draw-1-b"""
+
+    def execute_command(self) -> int:
+        """Move a primary."""
+        group = checks.check_name("group", self.argument("group"))
+        plain = {"instance": checks.check_name("instance", self.argument("instance"))}
+        found = call_slowly(self, f"/v1/groups/{group}/primary", plain)
+        self.print_result(found, f"{found['instance']} is the primary of {group}")
+        return exit_codes.ExitCode.OK
+
+
+class ReplaceControlCommand(base.ControlCommand):
+    """Replaces a control host."""
+
+    name = "replace-control"
+    description = "Let a new control host take the place of an old one."
+    arguments = [
+        helpers.argument("old", "Id of the control host that goes."),
+        helpers.argument("new", "Id of the control host that comes."),
+    ]
+    options = [
+        *base.CONTROL_OPTIONS,
+        helpers.option(
+            "address", None, "host:port of the new one between daemons.", flag=False
+        ),
+    ]
+    help = """\
+The new host must run already, with an empty data folder.  Returns once it has
+caught up and the old one is out.
+
+Examples:
+  sedgeswitch replace-control c2 c4 --address 10.0.0.4:7100"""
+
+    def execute_command(self) -> int:
+        """Replace a control host."""
+        if not self.option("address"):
+            raise base.CommandError(exit_codes.ExitCode.USAGE, "name --address")
+        address = client.build_address(self.option("address"), "address")
+        plain = {
+            "old": checks.check_name("old", self.argument("old")),
+            "new": checks.check_name("new", self.argument("new")),
+            "address": str(address),
+        }
+        found = call_slowly(self, "/v1/control/voters", plain)
+        text = f"{found['new']} at {address} has taken the place of {found['old']}"
+        self.print_result(found, text)
+        return exit_codes.ExitCode.OK
+
+
+def call_slowly(
+    command: base.ControlCommand, path: str, plain: dict[str, str]
+) -> dict[str, typing.Any]:
+    """Return the answer to a request that takes the fleet a while."""
+    control = command.build_client()
+    return command.call(control, "POST", path, plain, MOVE_TIMEOUT_S)
+
+
+def _list_columns(rows: typing.Sequence[dict]) -> list[str]:
+    names = {name for row in rows for name in row}
+    leading = [name for name in _LEADING_COLUMNS if name in names]
+    return leading + sorted(names.difference(leading))
--- a/sedgeswitch/utils/records.py
+++ b/sedgeswitch/utils/records.py
@@ -111,7 +111,7 @@
     for name in document:
         if name not in hints:
             allowed = f"one of the fields {', '.join(hints)}"
-            raise checks.CheckError(_join(field, str(name)), allowed, document[name])
+            raise checks.CheckError(_join(field, str(name)), allowed, name)
     values = {}
     for name, hint in hints.items():
         path = _join(field, name)
