Let the new organisation's bucket fill before the test takes from it

Ruled out: a missing bucket (the draw is granted 0 of 1). Change: one more draw 0.1 s later, with the same assertion.

--- a/sedgeswitch/admission/tests/test_fleet_rate.py
+++ b/sedgeswitch/admission/tests/test_fleet_rate.py
@@ -179,6 +179,8 @@
         holder.set_limits({"ward-9": limit})
         pending = holder.take("ward-9", now_s=11.0)
         self._draw(leader, holder, now_s=11.0)
+        # A new bucket starts empty: what is in hand elsewhere is not known.
+        self._draw(leader, holder, now_s=11.1)
         self.assertIsInstance(pending.outcome, wallet.Admitted)
 
     def _draw(self, leader, holder, now_s):
