Keep session floors at three homes, placed by rendezvous hashing

Cause: floors were kept only on the host that wrote. Weighed: a token alone (other devices of a household lack it); reading at the primary always (no replica reads); homes with majorities. Change: members section, peers between entry hosts, batched records and queries, bases that make an empty home safe.

--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -36,6 +36,7 @@
 from sedgeswitch.groups import supervisor
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import machine as members_machine
+from sedgeswitch.membership import member_sections
 from sedgeswitch.membership import messages as membership_messages
 from sedgeswitch.membership import registrar
 from sedgeswitch.observability import metrics
@@ -46,6 +47,7 @@
 GROUPS = "groups"
 DIRECTORY = "directory"
 DRAINING = "draining"
+MEMBERS = "members"
 LOG_FOLDER = "agreement"
 REPLACE_TIMEOUT_S = 30.0
 
@@ -182,6 +184,7 @@
         register(GROUPS, self.groups_section)
         register(DIRECTORY, self.directory)
         register(DRAINING, self.draining)
+        register(MEMBERS, member_sections.ControlSection(self.members))
         self.registrar.register_leadership_listener(self._start_grants)
 
     def _register_handlers(self, serving: server.Server) -> None:
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -15,6 +15,7 @@
 from sedgeswitch.daemon import adapters
 from sedgeswitch.daemon import announcements
 from sedgeswitch.daemon import control
+from sedgeswitch.daemon import homes
 from sedgeswitch.daemon import slots
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
@@ -22,11 +23,12 @@
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
+from sedgeswitch.membership import entry_peers
 from sedgeswitch.membership import heart
+from sedgeswitch.membership import member_sections
 from sedgeswitch.observability import metrics
 from sedgeswitch.observability import traces
 from sedgeswitch.pools import pool
-from sedgeswitch.sessions import floors
 from sedgeswitch.statements import authorisation
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
@@ -89,7 +91,6 @@
         tracer: traces.Tracer,
         rng: random.Random,
     ):
-        del serving
         self._settings = settings
         self._metrics = gauges
         self._incarnation = secrets.token_hex(8)
@@ -109,12 +110,17 @@
         )
         self.backends = self._build_backends(driver, rng)
         self.groups_section = self._build_groups(driver)
+        self.peers = entry_peers.EntryPeers(settings.host_id)
+        self.homes = self._build_homes()
+        self.homes.register_handlers(serving)
         self._register_sections()
         self.statements = self._build_service(tracer)
 
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
+            await nursery.start(self.peers.run)
+            await nursery.start(self.homes.floors.run)
             nursery.start_soon(self.control_peers.run)
             nursery.start_soon(self.heart.run)
             nursery.start_soon(self.groups_section.run)
@@ -168,6 +174,20 @@
             self.groups, servers, driver, groups_settings.GroupSettings()
         )
 
+    def _build_homes(self) -> homes.SessionHomes:
+        reader = homes.PrimaryReader(self.groups, self.backends, self._get_database)
+        return homes.SessionHomes(
+            self._settings.host_id,
+            self.peers,
+            reader.read,
+            self.heart.is_lease_valid,
+            self._settings.lease_s,
+        )
+
+    def _get_database(self, group: str) -> str | None:
+        configured = self.configuration.document.groups.get(group)
+        return None if configured is None else configured.database
+
     def _register_sections(self) -> None:
         draining = draining_sections.EntrySection(
             lambda: self.configuration.version, self._count_drained
@@ -176,12 +196,15 @@
         self.heart.register_section(control.GROUPS, self.groups_section)
         self.heart.register_section(control.DIRECTORY, self.directory)
         self.heart.register_section(control.DRAINING, draining)
+        members = member_sections.EntrySection()
+        members.register_listener(self.homes.set_members)
+        self.heart.register_section(control.MEMBERS, members)
         self.heart.register_lease_listener(self.groups.set_lease)
         self.heart.register_lease_listener(self._follow_limits)
 
     def _build_service(self, tracer: traces.Tracer) -> service.StatementService:
         parts = context.Parts(
-            self.groups, self.backends, floors.LocalFloors(), self._metrics
+            self.groups, self.backends, self.homes.floors, self._metrics
         )
         authoriser = authorisation.Authoriser(
             self.configuration, self.backends, self._settings.freshness_bound_s
--- a/sedgeswitch/membership/machine.py
+++ b/sedgeswitch/membership/machine.py
@@ -44,7 +44,7 @@
             Empty; a removal of another incarnation changes nothing.
         """
         command = catalog.decode_struct(messages.MemberCommand, body)
-        member = _build_member(command)
+        member = build_member(command)
         if not command.is_removal:
             self.members[member.host_id] = member
             self.version += 1
@@ -63,7 +63,7 @@
         snapshot = catalog.decode_struct(messages.Members, body)
         self.version = snapshot.version
         self.members = {
-            command.host_id: _build_member(command) for command in snapshot.members
+            command.host_id: build_member(command) for command in snapshot.members
         }
 
 
@@ -72,7 +72,8 @@
     return messages.MemberCommand(*member, is_removal)
 
 
-def _build_member(command: messages.MemberCommand) -> Member:
+def build_member(command: messages.MemberCommand) -> Member:
+    """Return the member that a command names."""
     return Member(
         command.host_id,
         command.incarnation,
--- /dev/null
+++ b/sedgeswitch/membership/member_sections.py
@@ -0,0 +1,67 @@
+"""The members part of the heartbeat: entry hosts learn of each other."""
+
+import collections.abc
+
+from sedgeswitch.membership import machine
+from sedgeswitch.membership import messages
+from sedgeswitch.transport import catalog
+
+Listener = collections.abc.Callable[[int, list[machine.Member], float], None]
+
+
+class EntrySection:
+    """The entry host's copy of the registered entry hosts."""
+
+    def __init__(self):
+        self.version = -1
+        self._listeners: list[Listener] = []
+
+    def register_listener(self, listener: Listener) -> None:
+        """Register a function of version, members and now_s, called on a change."""
+        self._listeners.append(listener)
+
+    def build_report(self, now_s: float) -> bytes:  # noqa: ARG002
+        """Return the version that this host follows."""
+        return catalog.encode_struct(messages.Members(self.version, []))
+
+    def receive_answer(self, body: bytes, now_s: float) -> None:
+        """Take in the members if they have changed."""
+        answer = catalog.decode_struct(messages.Members, body)
+        if answer.version <= self.version:
+            return
+        self.version = answer.version
+        members = [machine.build_member(command) for command in answer.members]
+        for listener in self._listeners:
+            listener(self.version, members, now_s)
+
+
+class ControlSection:
+    """The leader's side.
+
+    Parameters
+    ----------
+    members : machine.MembersMachine
+    """
+
+    def __init__(self, members: machine.MembersMachine):
+        self._members = members
+        self._encoded_version = -1
+        self._encoded = b""
+
+    def start_leadership(self, now_s: float) -> None:
+        """Keep no soft state."""
+
+    def get_version(self) -> int:
+        """Return the version of the agreed members."""
+        return self._members.version
+
+    def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:  # noqa: ARG002
+        """Return all members to a host that follows an older version."""
+        report = catalog.decode_struct(messages.Members, body)
+        version = self._members.version
+        if report.version >= version:
+            return catalog.encode_struct(messages.Members(version, []))
+        if self._encoded_version != version:
+            self._encoded = self._members.save_snapshot()
+            self._encoded_version = version
+        return self._encoded
--- /dev/null
+++ b/sedgeswitch/sessions/homes.py
@@ -0,0 +1,198 @@
+"""Read-your-writes over any entry host, without a token from the caller.
+
+Three homes keep the last position that a session has written. A write is
+recorded on a majority of them before it is acknowledged; a read asks until a
+majority has answered that it knows. The two majorities meet in a home.
+"""
+
+import collections.abc
+import typing
+
+import trio
+import xxhash
+
+from sedgeswitch.groups import positions
+from sedgeswitch.sessions import batching
+from sedgeswitch.sessions import floors
+from sedgeswitch.sessions import keeper
+from sedgeswitch.sessions import messages
+from sedgeswitch.sessions import placement
+from sedgeswitch.sessions import tokens
+
+RETRY_DELAY_S = 0.02
+QUERY_TIMEOUT_S = 0.25
+_HASH_MASK = (1 << 63) - 1
+
+BuildClient = collections.abc.Callable[[str], batching.HomeClient]
+
+
+def get_session(key: floors.SessionKey) -> int:
+    """Return the 63-bit hash that names a session between hosts."""
+    return xxhash.xxh3_64_intdigest("\0".join(key).encode()) & _HASH_MASK
+
+
+class _Home(typing.NamedTuple):
+    records: batching.Batcher
+    queries: batching.Batcher
+
+
+class _Tally:
+    """Counts the answers of homes until enough have come, or too few can."""
+
+    def __init__(self, homes: placement.Homes):
+        self._needed = placement.get_quorum(homes)
+        self._left = len(homes)
+        self.answers: list[typing.Any] = []
+        self.settled = trio.Event()
+        self._check()
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether a majority has answered."""
+        return len(self.answers) >= self._needed
+
+    def add(self, answer: typing.Any) -> None:
+        """Count an answer; None for a home that gave none."""
+        self._left -= 1
+        if answer is not None:
+            self.answers.append(answer)
+        self._check()
+
+    def _check(self) -> None:
+        if self.is_reached or len(self.answers) + self._left < self._needed:
+            self.settled.set()
+
+
+class HomeFloors:
+    """Records and asks floors at the homes of a session.
+
+    Parameters
+    ----------
+    build_client : callable
+        Returns the client of a home by host id.
+    is_lease_valid : callable
+        ``is_lease_valid(now_s)``: without a lease this host may follow old
+        members, and what homes say is not enough.
+    settle_s : float
+        Time after a change of members for which writes are recorded at the
+        homes of before, too, in seconds.
+    """
+
+    def __init__(
+        self,
+        build_client: BuildClient,
+        is_lease_valid: collections.abc.Callable[[float], bool],
+        settle_s: float,
+    ):
+        self._build_client = build_client
+        self._is_lease_valid = is_lease_valid
+        self._settle_s = settle_s
+        self._placed = placement.EMPTY
+        # Placements that other hosts may still read by, with their end.
+        self._earlier: list[tuple[float, placement.Placement]] = []
+        self._homes: dict[str, _Home] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Send batches to homes until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    def set_placement(self, placed: placement.Placement, now_s: float) -> None:
+        """Follow a change of members."""
+        if self._placed.version >= 0:
+            self._earlier.append((now_s + self._settle_s, self._placed))
+        self._placed = placed
+
+    async def record(
+        self, key: floors.SessionKey, position: positions.Position, deadline_s: float
+    ) -> bool:
+        """Keep a position on a majority of the homes before its write is done.
+
+        Returns
+        -------
+        bool
+            False if a majority was not reached before the deadline.
+        """
+        # An organisation sees the writes of all its households.
+        keys = {key, key._replace(session="")}
+        with trio.move_on_at(deadline_s):
+            async with trio.open_nursery() as nursery:
+                for scope in keys:
+                    nursery.start_soon(self._record_scope, scope, position)
+            return True
+        return False
+
+    async def get_floor(
+        self, key: floors.SessionKey, deadline_s: float
+    ) -> floors.Floor:
+        """Return what a majority of the homes knows of a session."""
+        session = get_session(key)
+        homes = self._placed.homes[placement.get_bucket(session)]
+        tally = _Tally(homes)
+        query = messages.FloorQuery(session, key.group)
+        for member in homes:
+            batcher = self._get_home(member.host_id).queries
+            batcher.submit(query, lambda answer: tally.add(_skip_unknown(answer)))
+        with trio.move_on_at(min(deadline_s, trio.current_time() + QUERY_TIMEOUT_S)):
+            await tally.settled.wait()
+        is_known = tally.is_reached and self._is_lease_valid(trio.current_time())
+        return _merge_answers(tally.answers, is_known)
+
+    async def _record_scope(
+        self, key: floors.SessionKey, position: positions.Position
+    ) -> None:
+        session = get_session(key)
+        record = messages.FloorRecord(session, key.group, *position)
+        bucket = placement.get_bucket(session)
+        while True:
+            tallies = [
+                self._submit_record(homes, record)
+                for homes in self._get_home_sets(bucket, trio.current_time())
+            ]
+            for tally in tallies:
+                await tally.settled.wait()
+            if all(tally.is_reached for tally in tallies):
+                return
+            await trio.sleep(RETRY_DELAY_S)
+
+    def _submit_record(
+        self, homes: placement.Homes, record: messages.FloorRecord
+    ) -> _Tally:
+        tally = _Tally(homes)
+        for member in homes:
+            self._get_home(member.host_id).records.submit(record, tally.add)
+        return tally
+
+    def _get_home_sets(self, bucket: int, now_s: float) -> list[placement.Homes]:
+        self._earlier = [item for item in self._earlier if item[0] > now_s]
+        placements = [self._placed, *(placed for _, placed in self._earlier)]
+        return list({placed.homes[bucket]: None for placed in placements})
+
+    def _get_home(self, host_id: str) -> _Home:
+        home = self._homes.get(host_id)
+        if home is None:
+            client = self._build_client(host_id)
+            home = _Home(
+                batching.Batcher(client.record),
+                batching.Batcher(client.query),
+            )
+            self._homes[host_id] = home
+            self._nursery.start_soon(home.records.run)
+            self._nursery.start_soon(home.queries.run)
+        return home
+
+
+def _skip_unknown(answer: messages.FloorAnswer | None) -> messages.FloorAnswer | None:
+    return answer if answer is not None and answer.is_known else None
+
+
+def _merge_answers(answers: list[messages.FloorAnswer], is_known: bool) -> floors.Floor:
+    position = None
+    for answer in answers:
+        position = tokens.merge_floor(position, keeper.build_floor(answer).position)
+    return floors.Floor(position, is_known)
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -4,6 +4,9 @@
 import random
 import typing
 
+import trio
+
+from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import positions
@@ -152,3 +155,22 @@
     state = instances.decode_state(await pooled.execute(instances.STATE_QUERY))
     pooled.position = state.position
     return state.position
+
+
+async def try_read_position(
+    connections: pool.InstancePool, timeout_s: float
+) -> positions.Position | None:
+    """Return the log position of an instance, None if it gives none in time."""
+    deadline_s = trio.current_time() + timeout_s
+    try:
+        pooled = await connections.acquire("", deadline_s)
+    except verdicts.RefusedError:
+        return None
+    try:
+        with trio.move_on_at(deadline_s):
+            return await read_position(pooled)
+        return None
+    except base.DriverError:
+        return None
+    finally:
+        await connections.release(pooled, trio.current_time())
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -177,7 +177,8 @@
         reached: list[positions.Position] = []
 
         async def poll(server: directory.BackendServer) -> None:
-            position = await self._read_replica(server, database)
+            connections = self._parts.backends.get_pool(server, database)
+            position = await backends.try_read_position(connections, POLL_TIMEOUT_S)
             if position is not None:
                 reached.append(position)
 
@@ -190,22 +191,6 @@
                         nursery.start_soon(poll, server)
         return reached
 
-    async def _read_replica(
-        self, server: directory.BackendServer, database: str
-    ) -> positions.Position | None:
-        connections = self._parts.backends.get_pool(server, database)
-        deadline_s = trio.current_time() + POLL_TIMEOUT_S
-        try:
-            pooled = await connections.acquire("", deadline_s)
-        except verdicts.RefusedError:
-            return None
-        try:
-            return await backends.read_position(pooled)
-        except base.DriverError:
-            return None
-        finally:
-            await connections.release(pooled, trio.current_time())
-
 
 async def _write(
     pooled: pool.PooledConnection, work: context.Work, statement: requests.Statement
--- a/sedgeswitch/transport/peer.py
+++ b/sedgeswitch/transport/peer.py
@@ -58,6 +58,7 @@
         self._pending: dict[int, _Pending] = {}
         self._next_request_id = 0
         self._wake = trio.Event()
+        self._connected = trio.Event()
         self.bytes_sent = 0
 
     @property
@@ -65,6 +66,11 @@
         """Whether a connection to the peer is open."""
         return self._stream is not None
 
+    async def wait_connected(self) -> None:
+        """Wait until a connection to the peer is open."""
+        self._wake.set()
+        await self._connected.wait()
+
     async def run(self) -> None:
         """Keep a connection open until cancelled."""
         delay_s = RECONNECT_MIN_S
@@ -148,6 +154,7 @@
 
     async def _receive(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
+        self._connected.set()
         reader = frames.FrameReader(stream)
         try:
             async with stream:
@@ -173,6 +180,7 @@
         if self._stream is not stream:
             return
         self._stream = None
+        self._connected = trio.Event()
         pendings = list(self._pending.values())
         self._pending.clear()
         for pending in pendings:
