--- a/sedgeswitch/cli/drain_commands.py
+++ b/sedgeswitch/cli/drain_commands.py
@@ -14,7 +14,7 @@
 POLL_INTERVAL_S = 0.5
 DEFAULT_WATCH_S = "120"
 
-_COLUMNS = ("instance", "group", "role", "draining", "running", "idle")
+_COLUMNS = ("instance", "group", "role", "is_drained", "in_use", "is_idle")
 _LABELS_ARGUMENT = helpers.argument(
     "labels", "LABEL=VALUE; backend servers that carry all of them.", multiple=True
 )
@@ -36,7 +36,7 @@
     def is_idle(self, version: int) -> bool:
         """Return whether all are idle under the version of the drain."""
         return self.version >= version and all(
-            row["draining"] and row["idle"] for row in self.rows
+            row["is_drained"] and row["is_idle"] for row in self.rows
         )
 
 
@@ -123,7 +123,9 @@
     ) -> BackendStatus:
         plain = self.call(control, "GET", "/v1/status/backend")
         rows = (
-            row for row in plain["rows"] if selectors.has_labels(row["labels"], labels)
+            row
+            for row in plain["rows"]
+            if selectors.has_labels(row.get("labels", {}), labels)
         )
         return BackendStatus(plain["version"], tuple(rows))
 
--- a/sedgeswitch/cli/tests/builders.py
+++ b/sedgeswitch/cli/tests/builders.py
@@ -104,9 +104,9 @@
                 "group": item["group"],
                 "labels": item["labels"],
                 "role": item["role"],
-                "draining": bool(self.machine.document.drains),
-                "running": max(0, self.polls_until_idle),
-                "idle": self.polls_until_idle <= 0,
+                "is_drained": bool(self.machine.document.drains),
+                "in_use": max(0, self.polls_until_idle),
+                "is_idle": self.polls_until_idle <= 0,
             }
             for item in self.instances
         ]
--- a/sedgeswitch/daemon/tests/test_settings.py
+++ b/sedgeswitch/daemon/tests/test_settings.py
@@ -1,10 +1,14 @@
+import json
 import pathlib
 import tempfile
 import unittest
 
 from sedgeswitch import settings
+from sedgeswitch.configuration import documents
 from sedgeswitch.utils import checks
 
+EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
+
 
 class SettingsTest(unittest.TestCase):
     def test_example_is_allowed(self):
@@ -49,3 +53,28 @@
             path.write_text('{"host_id": ')
             with self.assertRaisesRegex(checks.CheckError, "settings.json: .*JSON"):
                 settings.load_settings(path)
+
+
+class ExamplesTest(unittest.TestCase):
+    def test_examples_agree_with_themselves(self):
+        for name, host_count in (("daura-lots", 7), ("rijeka", 6)):
+            with self.subTest(example=name):
+                folder = EXAMPLES / name
+                paths = sorted(folder.glob("settings/*.json"))
+                hosts = [settings.load_settings(path) for path in paths]
+                self.assertEqual(len(hosts), host_count)
+                self.assertEqual(len({host.control_hosts for host in hosts}), 1)
+                control_ids = {item.host_id for item in hosts[0].control_hosts}
+                for host in hosts:
+                    is_control = settings.CONTROL_ROLE in host.roles
+                    self.assertEqual(is_control, host.host_id in control_ids)
+                body = (folder / "configuration.json").read_bytes()
+                document = documents.decode_document(body)
+                found = json.loads((folder / "instances.json").read_text())
+                instances = found["instances"]
+                groups = [item["group"] for item in instances]
+                self.assertEqual(sorted(groups), sorted([*document.groups] * 3))
+                ports = [item["port"] for item in instances]
+                ports += [host.callers.port for host in hosts]
+                ports += [host.peers.port for host in hosts]
+                self.assertEqual(len(set(ports)), len(ports))
