Test that a late whole document never reverts, and that an unnamed leader is followed

Cause: on a scratch copy, taking in lower versions and ignoring the named leader both passed the tests; 11 other deliberate faults were caught. Change: one test for each; both fail with the fault and pass without. Conclusion: never reverting no longer rests on the random search alone.

--- a/sedgeswitch/cli/tests/test_client.py
+++ b/sedgeswitch/cli/tests/test_client.py
@@ -29,6 +29,10 @@
         self.assertEqual({request.body for request in self.fleet.requests}, {self.body})
         self.assertEqual(self.fleet.machine.version, 1)
 
+    def test_leader_that_was_not_named_is_followed(self):
+        self.fleet.leader = "10.0.0.9:7000"
+        self.assertEqual(self.send().document, {"kind": "accepted", "version": 1})
+
     def test_unknown_outcome_is_asked_for_again(self):
         self.fleet.unknown_outcomes = 1
         self.assertEqual(self.send().document, {"kind": "accepted", "version": 1})
--- a/sedgeswitch/configuration/tests/test_follower.py
+++ b/sedgeswitch/configuration/tests/test_follower.py
@@ -37,6 +37,17 @@
         self.assertEqual(self.follower.version, 2)
         self.assertEqual(self.follower.get_age_s(6.0), 5.0)
 
+    def test_late_whole_document_does_not_bring_back_an_older_one(self):
+        builders.apply_rates(self.machine, 1)
+        self.machine._deltas.clear()
+        report = self.follower.build_report(1.0)
+        late = self.distributor.answer_report("e1", report, 1.0)
+        builders.apply_rates(self.machine, 1)
+        self.exchange(2.0, 2.0)
+        self.follower.receive_answer(late, 3.0)
+        self.assertEqual(self.follower.version, 2)
+        self.assertEqual(self.follower.document, self.machine.document)
+
     def test_document_that_differs_after_deltas_is_fetched_whole(self):
         builders.apply_rates(self.machine, 1)
         self.exchange(1.0, 1.0)
