Make the property tests the same on every run

Ruled out: deriving the examples alone; the run found then missed a follower that takes in lower versions, which only the plain test caught. Change: hypothesis derives its examples from the test, 200 in place of 60, and each run of the follower ends by repeating all answers.

--- a/sedgeswitch/configuration/tests/test_follower.py
+++ b/sedgeswitch/configuration/tests/test_follower.py
@@ -89,7 +89,7 @@
         self.exchange(2.0, 2.0)
         self.assertTrue(self.follower.index.keys[digest].withdrawn)
 
-    @hypothesis.settings(deadline=None, max_examples=60)
+    @hypothesis.settings(deadline=None, max_examples=200, derandomize=True)
     @hypothesis.given(
         strategies.lists(
             strategies.one_of(
@@ -117,5 +117,8 @@
                 self.follower.receive_answer(answers[event % len(answers)], 1.0)
                 self.assertGreaterEqual(self.follower.version, before)
         self.exchange(2.0, 2.0)
-        self.assertEqual(self.follower.version, self.machine.version)
-        self.assertEqual(self.follower.document, self.machine.document)
+        for answer in [None, *answers]:
+            if answer is not None:
+                self.follower.receive_answer(answer, 2.0)
+            self.assertEqual(self.follower.version, self.machine.version)
+            self.assertEqual(self.follower.document, self.machine.document)
--- a/sedgeswitch/configuration/tests/test_machine.py
+++ b/sedgeswitch/configuration/tests/test_machine.py
@@ -93,7 +93,7 @@
         answer = builders.apply_change(self.machine, first)
         self.assertEqual(answer, changes.VersionConflict(0, 1))
 
-    @hypothesis.settings(deadline=None, max_examples=60)
+    @hypothesis.settings(deadline=None, max_examples=200, derandomize=True)
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(
