Add a first stand-in database instance

Tests and the quickstart need a database group that exposes timelines and log positions without a third-party server.

--- /dev/null
+++ b/standin/instance/session.py
@@ -0,0 +1,356 @@
+"""The session of one client connection: one task, written straight down."""
+
+import contextlib
+import secrets
+import typing
+
+import trio
+
+from standin.instance import errors
+from standin.instance import server
+from standin.instance import transactions
+from standin.instance import translation
+from standin.instance import wire
+
+RECEIVE_BYTES = 65536
+SECRET_BITS = 32
+
+_PARAMETER_STATUSES = (
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+    ("TimeZone", "UTC"),
+)
+_INTEGER_OIDS = (20, 21, 23)
+_TEXT_OIDS = (0, 25, 1043)
+
+
+class _Portal(typing.NamedTuple):
+    """A statement with its values, ready to run."""
+
+    statement: translation.Statement
+    values: tuple[str | None, ...]
+    result_formats: tuple[int, ...]
+
+
+class Session:
+    """Serves one client connection.
+
+    Parameters
+    ----------
+    instance : server.Instance
+    stream : trio.abc.Stream
+    """
+
+    def __init__(self, instance: server.Instance, stream: trio.abc.Stream):
+        self._instance = instance
+        self._stream = stream
+        self._decoder = wire.Decoder()
+        self._output = bytearray()
+        self._statements: dict[str, wire.Parse] = {}
+        self._portals: dict[str, _Portal] = {}
+        self._described: set[str] = set()
+        self._is_skipping = False
+        self._is_canceled = False
+        self._session_scope = trio.CancelScope()
+        self._statement_scope: trio.CancelScope | None = None
+        self._transactions: transactions.Transactions | None = None
+        self.process_id = instance.take_process_id()
+        self.secret = secrets.randbits(SECRET_BITS)
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        with self._session_scope, contextlib.suppress(trio.BrokenResourceError):
+            async with self._stream:
+                try:
+                    await self._serve()
+                except wire.WireError as error:
+                    await self._end_with(errors.PROTOCOL_VIOLATION, str(error))
+                except errors.DatabaseError as error:
+                    await self._end_with(error.sqlstate, error.message)
+
+    def end(self) -> None:
+        """End the session at once."""
+        self._session_scope.cancel()
+
+    def cancel_statement(self) -> None:
+        """Cancel the statement that runs, if any."""
+        if self._statement_scope is not None:
+            self._is_canceled = True
+            self._statement_scope.cancel()
+
+    async def _end_with(self, sqlstate: str, message: str) -> None:
+        self._output += wire.encode_error(sqlstate, message, is_fatal=True)
+        await self._send()
+
+    async def _serve(self) -> None:
+        startup = await self._receive_startup()
+        if startup is None:
+            return
+        with self._count_connection():
+            await self._open(startup)
+            assert self._transactions is not None
+            try:
+                await self._serve_messages()
+            finally:
+                self._transactions.close()
+
+    async def _receive(self) -> wire.Message | None:
+        while True:
+            message = self._decoder.read_message()
+            if message is not None:
+                await self._instance.wait_thawed()
+                return message
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return None
+            self._decoder.feed(data)
+
+    async def _receive_startup(self) -> wire.Startup | None:
+        while True:
+            message = await self._receive()
+            match message:
+                case wire.EncryptionRequest():
+                    self._output += wire.ENCRYPTION_REFUSED
+                    await self._send()
+                case wire.CancelRequest():
+                    self._cancel_other(message)
+                    return None
+                case wire.Startup() | None:
+                    return message
+
+    def _cancel_other(self, request: wire.CancelRequest) -> None:
+        other = self._instance.sessions.get(request.process_id)
+        if other is not None and other.secret == request.secret & (2**SECRET_BITS - 1):
+            other.cancel_statement()
+
+    @contextlib.contextmanager
+    def _count_connection(self) -> typing.Iterator[None]:
+        counters = self._instance.counters
+        if self._instance.is_rewinding:
+            raise errors.DatabaseError(
+                errors.CANNOT_CONNECT_NOW, "the database system is starting up"
+            )
+        if counters.connections >= self._instance.settings.max_connections:
+            counters.refused_connections += 1
+            raise errors.DatabaseError(
+                errors.TOO_MANY_CONNECTIONS, "sorry, too many clients already"
+            )
+        counters.connections += 1
+        counters.highest_connections = max(
+            counters.highest_connections, counters.connections
+        )
+        self._instance.sessions[self.process_id] = self
+        try:
+            yield
+        finally:
+            counters.connections -= 1
+            del self._instance.sessions[self.process_id]
+
+    async def _open(self, startup: wire.Startup) -> None:
+        await trio.sleep(self._instance.faults.connect_delay_ms / 1000)
+        await self._instance.wait_thawed()
+        options = _read_options(startup.parameters.get("options", ""))
+        self._transactions = transactions.Transactions(
+            self._instance, self.process_id, options
+        )
+        self._output += wire.encode_authentication_ok()
+        for name, value in _PARAMETER_STATUSES:
+            self._output += wire.encode_parameter_status(name, value)
+        self._output += wire.encode_backend_key(self.process_id, self.secret)
+        await self._send_ready()
+
+    async def _send(self) -> None:
+        if self._output:
+            await self._instance.wait_thawed()
+            data = bytes(self._output)
+            self._output.clear()
+            await self._stream.send_all(data)
+
+    async def _send_ready(self) -> None:
+        self._output += wire.encode_ready(self._transactions.status.value)
+        await self._send()
+
+    async def _serve_messages(self) -> None:
+        while True:
+            message = await self._receive()
+            if message is None or isinstance(message, wire.Terminate):
+                return
+            if self._is_skipping and not isinstance(message, wire.Sync):
+                continue
+            try:
+                await self._answer(message)
+            except errors.DatabaseError as error:
+                await self._answer_error(error, message)
+
+    async def _answer_error(
+        self, error: errors.DatabaseError, message: wire.Message
+    ) -> None:
+        if error.fatal:
+            raise error
+        self._instance.counters.failed_statements += 1
+        self._transactions.fail()
+        self._output += wire.encode_error(error.sqlstate, error.message, is_fatal=False)
+        if isinstance(message, wire.Query | wire.Sync):
+            await self._send_ready()
+            return
+        self._is_skipping = True
+
+    async def _answer(self, message: wire.Message) -> None:
+        match message:
+            case wire.Query():
+                await self._answer_query(message)
+            case wire.Parse():
+                self._statements[message.name] = message
+                self._output += wire.encode_parse_complete()
+            case wire.Bind():
+                self._bind(message)
+            case wire.Describe():
+                self._describe(message)
+            case wire.Execute():
+                await self._answer_execute(message)
+            case wire.Close():
+                self._close(message)
+            case wire.Flush():
+                await self._send()
+            case wire.Sync():
+                await self._answer_sync()
+            case _:
+                raise wire.WireError("a startup message in an open session")
+
+    async def _answer_query(self, message: wire.Query) -> None:
+        pieces = translation.split_statements(message.sql)
+        if not pieces:
+            self._output += wire.encode_empty_query()
+        for piece in pieces:
+            result = await self._run(translation.read_statement(piece), ())
+            if result.columns:
+                self._output += wire.encode_row_description(result.columns)
+            self._put_rows(result)
+        self._transactions.finish_implicit()
+        await self._send_ready()
+
+    async def _answer_sync(self) -> None:
+        self._is_skipping = False
+        self._portals.clear()
+        self._described.clear()
+        self._transactions.finish_implicit()
+        await self._send_ready()
+
+    def _bind(self, message: wire.Bind) -> None:
+        parse = self._get_prepared(message.statement)
+        values = tuple(
+            _read_value(
+                value,
+                wire.get_format(message.formats, position),
+                _get_oid(parse.parameter_oids, position),
+            )
+            for position, value in enumerate(message.values)
+        )
+        statement = translation.read_statement(parse.sql)
+        self._portals[message.portal] = _Portal(
+            statement, values, message.result_formats
+        )
+        self._output += wire.encode_bind_complete()
+
+    def _get_prepared(self, name: str) -> wire.Parse:
+        if name not in self._statements:
+            raise errors.DatabaseError(
+                errors.INVALID_STATEMENT_NAME, f"no prepared statement {name!r}"
+            )
+        return self._statements[name]
+
+    def _describe(self, message: wire.Describe) -> None:
+        if message.kind is wire.TargetKind.PORTAL:
+            # The columns are known once the portal has run.
+            self._described.add(message.name)
+            return
+        parse = self._get_prepared(message.name)
+        count = translation.read_statement(parse.sql).parameter_count
+        oids = [_get_oid(parse.parameter_oids, position) for position in range(count)]
+        self._output += wire.encode_parameter_description(
+            [oid or wire.TEXT_OID for oid in oids]
+        )
+        self._output += wire.encode_no_data()
+
+    async def _answer_execute(self, message: wire.Execute) -> None:
+        portal = self._portals.get(message.portal)
+        if portal is None:
+            raise errors.DatabaseError(
+                errors.INVALID_CURSOR_NAME, f"no portal {message.portal!r}"
+            )
+        if not portal.statement.verb:
+            self._output += wire.encode_empty_query()
+            return
+        result = await self._run(portal.statement, portal.values)
+        if message.portal in self._described:
+            self._described.discard(message.portal)
+            self._output += _encode_columns(result, portal.result_formats)
+        self._put_rows(result)
+
+    def _close(self, message: wire.Close) -> None:
+        is_portal = message.kind is wire.TargetKind.PORTAL
+        names = self._portals if is_portal else self._statements
+        names.pop(message.name, None)
+        self._output += wire.encode_close_complete()
+
+    def _put_rows(self, result: transactions.Result) -> None:
+        for row in result.rows:
+            self._output += wire.encode_data_row(row)
+        self._output += wire.encode_command_complete(result.status)
+
+    async def _run(
+        self, statement: translation.Statement, values: tuple[str | None, ...]
+    ) -> transactions.Result:
+        self._instance.counters.statements += 1
+        self._is_canceled = False
+        with trio.CancelScope() as self._statement_scope:
+            try:
+                return await self._transactions.execute(statement, values)
+            finally:
+                self._statement_scope = None
+        raise errors.DatabaseError(
+            errors.QUERY_CANCELED, "canceling statement due to user request"
+        )
+
+
+def _encode_columns(
+    result: transactions.Result, formats: typing.Sequence[int]
+) -> bytes:
+    if not result.columns:
+        return wire.encode_no_data()
+    return wire.encode_row_description(result.columns, formats)
+
+
+def _get_oid(oids: typing.Sequence[int], position: int) -> int:
+    return oids[position] if position < len(oids) else 0
+
+
+def _read_value(value: bytes | None, format_code: int, oid: int) -> str | None:
+    if value is None:
+        return None
+    if format_code == wire.BINARY_FORMAT and oid in _INTEGER_OIDS:
+        return str(int.from_bytes(value, "big", signed=True))
+    if format_code == wire.BINARY_FORMAT and oid not in _TEXT_OIDS:
+        raise errors.DatabaseError(
+            errors.FEATURE_NOT_SUPPORTED, f"binary parameter of type {oid}"
+        )
+    try:
+        return value.decode()
+    except UnicodeDecodeError as error:
+        raise errors.DatabaseError(
+            errors.INVALID_TEXT_REPRESENTATION, "a parameter is not UTF-8"
+        ) from error
+
+
+def _read_options(text: str) -> dict[str, str]:
+    """Return the settings of ``-c name=value`` and ``--name=value`` options."""
+    options: dict[str, str] = {}
+    for word in text.replace("-c ", "--").replace("-c", "--").split():
+        name, separator, value = word.removeprefix("--").partition("=")
+        if separator:
+            options[name.replace("-", "_").lower()] = value
+    return options
