Open the lock holder of a test in a thread

The test connected from the event loop that also served the connection, so it waited for itself. The connection is now opened in a thread, as in the other tests; what it checks is unchanged.

--- a/standin/instance/tests/test_instance.py
+++ b/standin/instance/tests/test_instance.py
@@ -94,12 +94,12 @@
 
         async with builders.open_group(lock_timeout_ms=20) as (_, (primary,)):
             await primary.fetch(CREATE)
-            with primary.connect() as holder:
-                await trio.to_thread.run_sync(holder.execute, "BEGIN")
-                insert = "INSERT INTO t VALUES (1, 'a')"
-                await trio.to_thread.run_sync(holder.execute, insert)
-                await primary.in_client(work)
-                await trio.to_thread.run_sync(holder.close)
+            holder = await trio.to_thread.run_sync(primary.connect)
+            await trio.to_thread.run_sync(holder.execute, "BEGIN")
+            insert = "INSERT INTO t VALUES (1, 'a')"
+            await trio.to_thread.run_sync(holder.execute, insert)
+            await primary.in_client(work)
+            await trio.to_thread.run_sync(holder.close)
 
     @trio_test
     async def test_cancel_request_ends_the_statement(self):
