Add the load tool with its model of the truth

The invariants need a check of every answer, not of counts: each household has a register that only grows, each non-repeatable request a tag of its own, and each read an echo of its id.

--- a/standin/instance/__main__.py
+++ b/standin/instance/__main__.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from standin import addresses
 from standin.instance import program
 from standin.instance import settings
 
@@ -69,8 +70,8 @@
             peer_port=int(self.option("peer-port")),
             control_port=int(self.option("control-port")),
             is_first_primary=self.option("primary"),
-            peers=settings.get_addresses(self.option("peers")),
-            announce_to=settings.get_addresses(self.option("announce-to")),
+            peers=addresses.get_addresses(self.option("peers")),
+            announce_to=addresses.get_addresses(self.option("announce-to")),
             availability_zone=self.option("availability-zone"),
             labels=settings.get_labels(self.option("labels")),
             slots=int(self.option("slots")),
--- a/standin/instance/announcer.py
+++ b/standin/instance/announcer.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from standin import addresses
 from standin import http1
 from standin.instance import server
 from standin.instance import settings
@@ -48,7 +49,7 @@
 
 
 async def _announce_to(
-    instance: server.Instance, port: int, receiver: settings.Address
+    instance: server.Instance, port: int, receiver: addresses.Address
 ) -> None:
     body = msgspec.json.encode(build_announcement(instance.settings, port))
     request = http1.Request("POST", PATH, {"connection": "close"}, body)
--- a/standin/instance/replication.py
+++ b/standin/instance/replication.py
@@ -12,8 +12,8 @@
 import msgspec
 import trio
 
+from standin import addresses
 from standin.instance import server
-from standin.instance import settings
 from standin.instance import store
 
 STATUS_INTERVAL_S = 0.1
@@ -115,7 +115,7 @@
     def __init__(self, instance: server.Instance):
         self._instance = instance
         self._received: collections.deque[_Received] = collections.deque()
-        self._statuses: dict[settings.Address, Answer] = {}
+        self._statuses: dict[addresses.Address, Answer] = {}
         self._source_history: tuple[store.Switch, ...] = ()
         self._arrival = trio.Event()
         instance.before_promotion = self._apply_received
@@ -162,7 +162,7 @@
         if self._instance.faults.cut_peers:
             raise _CutError
 
-    async def _follow(self, address: settings.Address) -> None:
+    async def _follow(self, address: addresses.Address) -> None:
         while True:
             try:
                 with trio.fail_after(ANSWER_TIMEOUT_S):
@@ -174,7 +174,7 @@
                 self._statuses.pop(address, None)
             await trio.sleep(STATUS_INTERVAL_S)
 
-    async def _ask(self, address: settings.Address, stream: trio.SocketStream) -> None:
+    async def _ask(self, address: addresses.Address, stream: trio.SocketStream) -> None:
         lines = _Lines(stream)
         while True:
             await self._instance.wait_thawed()
@@ -190,14 +190,14 @@
             if request.after_lsn is None:
                 await trio.sleep(STATUS_INTERVAL_S)
 
-    def _build_request(self, address: settings.Address) -> Request:
+    def _build_request(self, address: addresses.Address) -> Request:
         is_source = address == self._get_source()
         is_full = len(self._received) >= LONGEST_RECEIVED_ENTRIES
         if is_full or not is_source or self._instance.faults.cut_replication:
             return Request(None)
         return Request(self._get_received_lsn())
 
-    def _get_source(self) -> settings.Address | None:
+    def _get_source(self) -> addresses.Address | None:
         """Return the peer that is the primary on the highest timeline."""
         timeline = self._instance.store.timeline
         least = timeline + 1 if self._instance.is_primary else timeline
@@ -214,7 +214,7 @@
         return self._instance.store.lsn
 
     async def _receive(
-        self, address: settings.Address, request: Request, answer: Answer
+        self, address: addresses.Address, request: Request, answer: Answer
     ) -> None:
         if address != self._get_source():
             return
--- a/standin/instance/settings.py
+++ b/standin/instance/settings.py
@@ -6,31 +6,7 @@
 
 import msgspec
 
-
-class Address(typing.NamedTuple):
-    """A TCP address."""
-
-    host: str
-    port: int
-
-
-def get_address(text: str) -> Address:
-    """Return the address that ``host:port`` states.
-
-    Raises
-    ------
-    ValueError
-        If the text is no address.
-    """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"expected host:port, got {text!r}")
-    return Address(host, int(port))
-
-
-def get_addresses(text: str) -> tuple[Address, ...]:
-    """Return the addresses of a comma-separated list; empty for no text."""
-    return tuple(get_address(part.strip()) for part in text.split(",") if part.strip())
+from standin import addresses
 
 
 class Settings(typing.NamedTuple):
@@ -74,8 +50,8 @@
     peer_port: int = 0
     control_port: int = 0
     is_first_primary: bool = False
-    peers: tuple[Address, ...] = ()
-    announce_to: tuple[Address, ...] = ()
+    peers: tuple[addresses.Address, ...] = ()
+    announce_to: tuple[addresses.Address, ...] = ()
     availability_zone: str = ""
     labels: dict[str, str] = {}
     slots: int = 3
--- a/standin/instance/tests/builders.py
+++ b/standin/instance/tests/builders.py
@@ -10,6 +10,7 @@
 import psycopg
 import trio
 
+from standin import addresses
 from standin import http1
 from standin.instance import program
 from standin.instance import settings
@@ -105,7 +106,7 @@
                     f"i{index}",
                     is_first_primary=index == 0,
                     peer_port=port,
-                    peers=tuple(settings.Address(HOST, other) for other in others),
+                    peers=tuple(addresses.Address(HOST, other) for other in others),
                     **changes,
                 )
                 running.append(await start(nursery, own))
--- a/standin/instance/tests/test_instance.py
+++ b/standin/instance/tests/test_instance.py
@@ -7,8 +7,8 @@
 import psycopg.errors
 import trio
 
+from standin import addresses
 from standin import http1
-from standin.instance import settings
 from standin.instance.tests import builders
 
 CREATE = "CREATE TABLE t (id INTEGER PRIMARY KEY, v TEXT)"
@@ -234,7 +234,7 @@
                 lambda stream: http1.serve_connection(stream, answer),
                 listeners,
             )
-            target = settings.Address(builders.HOST, port)
+            target = addresses.Address(builders.HOST, port)
             async with builders.open_group(announce_to=(target,)) as (_, (primary,)):
                 request = await receiver.receive()
                 body = msgspec.json.decode(request.body)
--- /dev/null
+++ b/standin/load/__init__.py
@@ -0,0 +1,1 @@
+"""Drives the callers' API of a fleet and checks every answer."""
--- /dev/null
+++ b/standin/load/_traffic.py
@@ -0,0 +1,311 @@
+"""Sends an open-loop stream of requests and checks their answers."""
+
+import itertools
+import random
+import typing
+
+import trio
+
+from sedgeswitch import verdicts
+from standin import addresses
+from standin.load import _client
+from standin.load import _mix
+from standin.load import _tally
+from standin.load import _truth
+
+LONGEST_OPEN_REQUESTS = 20_000
+LEAST_RETRY_S = 0.02
+RATE_CODE = "rate_exceeded"
+DESK_SHARE = 0.1
+"""Share of requests that come from the organisation itself, without a session."""
+POSITION_SHARE = 0.5
+"""Share of requests that send the position of an earlier answer."""
+
+_MS_PER_S = 1000
+
+
+class Plan(typing.NamedTuple):
+    """What a run is made of.
+
+    Attributes
+    ----------
+    hosts : tuple of addresses.Address
+        Entry hosts.
+    rate_per_s, duration_s : float
+        Requests per second of all organisations, and for how long.
+    give_up_s : float
+        How long a request is sent again.
+    run : str
+        Name of the run, part of each household and tag.
+    """
+
+    hosts: tuple[addresses.Address, ...]
+    organisations: tuple[_mix.Organisation, ...]
+    mix: _mix.Mix
+    rate_per_s: float
+    duration_s: float
+    give_up_s: float
+    run: str
+    is_tagged: bool
+
+
+class Call(typing.NamedTuple):
+    """One request; the fields named as a `_mix.Parameter` fill parameters."""
+
+    work: _mix.Work
+    caller: _mix.Organisation
+    group: str
+    session: str
+    request_id: str
+    run: str
+    organisation: str
+    household: str
+    value: str
+    tag: str
+
+
+def build_parameters(
+    names: typing.Sequence[_mix.Parameter], values: typing.Any
+) -> list[str | None]:
+    """Return the values of a statement's parameters."""
+    return [getattr(values, name.value) for name in names]
+
+
+class Traffic:
+    """Sends the requests of a run.
+
+    Parameters
+    ----------
+    plan : Plan
+    client : _client.Client
+    truth : _truth.Truth
+    tally : _tally.Tally
+    generator : random.Random
+    """
+
+    def __init__(
+        self,
+        plan: Plan,
+        client: _client.Client,
+        truth: _truth.Truth,
+        tally: _tally.Tally,
+        generator: random.Random,
+    ):
+        self._plan = plan
+        self._client = client
+        self._truth = truth
+        self._tally = tally
+        self._random = generator
+        # Attempts depend on the answers: they must not disturb the arrivals.
+        self._attempt_random = random.Random(generator.random())
+        self._numbers = itertools.count(1)
+        self._positions: dict[str, str] = {}
+        self._open_requests = 0
+
+    async def run(self) -> None:
+        """Send requests for the duration of the plan and await their ends."""
+        start_s = trio.current_time()
+        due_s = start_s
+        async with trio.open_nursery() as nursery:
+            while True:
+                due_s += self._random.expovariate(self._plan.rate_per_s)
+                if due_s > start_s + self._plan.duration_s:
+                    break
+                await trio.sleep_until(due_s)
+                if self._open_requests >= LONGEST_OPEN_REQUESTS:
+                    self._tally.dropped += 1
+                    continue
+                self._open_requests += 1
+                nursery.start_soon(self._serve, self._build_call(), due_s)
+            await trio.sleep_until(start_s + self._plan.duration_s)
+            self._tally.finish(trio.current_time())
+
+    def _build_call(self) -> Call:
+        caller = self._choose(self._plan.organisations)
+        work = self._choose(self._plan.mix.works)
+        number = next(self._numbers)
+        index = self._random.randrange(self._plan.mix.households)
+        household = f"{self._plan.run}.{caller.organisation}.{index}"
+        request_id = f"{self._plan.run}.{number}"
+        is_desk = self._random.random() < DESK_SHARE
+        return Call(
+            work=work,
+            caller=caller,
+            group=caller.groups[index % len(caller.groups)],
+            session="" if is_desk else household,
+            request_id=request_id,
+            run=self._plan.run,
+            organisation=caller.organisation,
+            household=household,
+            value=str(number),
+            tag=request_id,
+        )
+
+    def _choose(self, entries: typing.Sequence) -> typing.Any:
+        weights = [entry.share for entry in entries]
+        return self._random.choices(entries, weights)[0]
+
+    async def _serve(self, call: Call, due_s: float) -> None:
+        tally = self._tally.organisations[call.organisation]
+        tally.sent += 1
+        is_within_rate = tally.bucket.take(due_s)
+        try:
+            outcome, is_throttled = await self._send_until_done(call, due_s)
+        finally:
+            self._open_requests -= 1
+        tally.throttled_within_rate += is_within_rate and is_throttled
+        if isinstance(outcome, _client.Problem):
+            tally.refused[outcome.code] += 1
+            tally.refused_within_rate += is_within_rate
+            return
+        tally.answered += 1
+        tally.record_latency(trio.current_time() - due_s)
+        if not is_within_rate:
+            tally.bucket.take_beyond()
+
+    async def _send_until_done(
+        self, call: Call, due_s: float
+    ) -> tuple[_client.Answer | _client.Problem, bool]:
+        """Return the last outcome, and whether the rate ever refused the call."""
+        tally = self._tally.organisations[call.organisation]
+        give_up_s = due_s + self._plan.give_up_s
+        is_throttled = False
+        host = self._attempt_random.choice(self._plan.hosts)
+        while True:
+            outcome = await self._attempt(call, host)
+            if isinstance(outcome, _client.Answer):
+                return outcome, is_throttled
+            tally.refused_attempts[outcome.code] += 1
+            is_throttled |= outcome.code == RATE_CODE
+            wait_s = max(outcome.retry_after_ms / _MS_PER_S, LEAST_RETRY_S)
+            if not may_retry(call.work, outcome):
+                return outcome, is_throttled
+            if trio.current_time() + wait_s > give_up_s:
+                return outcome, is_throttled
+            await trio.sleep(wait_s * self._attempt_random.uniform(1.0, 1.5))
+            host = self._choose_other(host)
+
+    def _choose_other(self, host: addresses.Address) -> addresses.Address:
+        others = [other for other in self._plan.hosts if other != host]
+        return self._attempt_random.choice(others) if others else host
+
+    async def _attempt(
+        self, call: Call, host: addresses.Address
+    ) -> _client.Answer | _client.Problem:
+        is_write = call.work.access is _mix.Access.WRITE
+        if is_write:
+            self._truth.start_attempt(build_write(call))
+        read = build_read(call, trio.current_time())
+        outcome = await self._client.send(
+            host, self._build_statement(call), self._build_credentials(call)
+        )
+        if isinstance(outcome, _client.Answer):
+            self._keep_position(call, outcome)
+        if is_write:
+            self._settle_write(call, outcome)
+        elif isinstance(outcome, _client.Answer):
+            self._check_read(call, read, outcome)
+        return outcome
+
+    def _settle_write(
+        self, call: Call, outcome: _client.Answer | _client.Problem
+    ) -> None:
+        now_s = trio.current_time()
+        if isinstance(outcome, _client.Problem):
+            self._truth.refuse(call.request_id, outcome.verdict)
+            return
+        self._truth.acknowledge(call.request_id, now_s)
+        self._tally.record_write(call.group, now_s)
+
+    def _check_read(
+        self, call: Call, read: _truth.Read, answer: _client.Answer
+    ) -> None:
+        self._tally.reads += 1
+        self._tally.replica_reads += answer.replica
+        rows = build_rows(answer)
+        if call.work.effect is _mix.Effect.READ_REGISTER:
+            self._truth.check_row_count(call.request_id, 1, rows)
+        self._truth.check_read(read, rows)
+
+    def _build_statement(self, call: Call) -> _client.Statement:
+        work = call.work
+        tag = f"/* id={call.request_id} */ " if self._plan.is_tagged else ""
+        return _client.Statement(
+            group=call.group,
+            work=work.name,
+            access=work.access.value,
+            sql=tag + work.sql,
+            parameters=build_parameters(work.parameters, call),
+            max_age_ms=work.max_age_ms,
+            deadline_ms=work.deadline_ms,
+        )
+
+    def _build_credentials(self, call: Call) -> _client.Credentials:
+        is_position_sent = self._attempt_random.random() < POSITION_SHARE
+        position = self._positions.get(_get_position_name(call), "")
+        return _client.Credentials(
+            key=call.caller.key,
+            session=call.session,
+            position=position if is_position_sent else "",
+            idempotency_key="" if call.work.is_repeatable else call.tag,
+        )
+
+    def _keep_position(self, call: Call, answer: _client.Answer) -> None:
+        if answer.position:
+            self._positions[_get_position_name(call)] = answer.position
+
+
+def _get_position_name(call: Call) -> str:
+    return call.session or call.organisation
+
+
+def may_retry(work: _mix.Work, problem: _client.Problem) -> bool:
+    """Return whether a refused request may be sent again.
+
+    What may have run is sent again if it is repeatable, or if only its answer
+    was lost: the second arrival then shows the same idempotency key.
+    """
+    if problem.verdict is verdicts.Verdict.NOT_RUN:
+        return True
+    return work.is_repeatable or problem.code == _client.LOST_CODE
+
+
+def build_write(call: Call) -> _truth.Write:
+    """Return the write of a call for the model of the truth."""
+    if call.work.effect is _mix.Effect.INSERT_TAG:
+        return _truth.Write(
+            call.request_id, call.organisation, call.session, tag=call.tag
+        )
+    return _truth.Write(
+        call.request_id,
+        call.organisation,
+        call.session,
+        household=call.household,
+        value=int(call.value),
+    )
+
+
+def build_read(call: Call, sent_s: float) -> _truth.Read:
+    """Return the read of a call for the model of the truth."""
+    age_ms = call.work.max_age_ms
+    max_age_s = None if age_ms is None else age_ms / _MS_PER_S
+    return _truth.Read(
+        call.request_id, call.organisation, call.session, sent_s, max_age_s
+    )
+
+
+def build_rows(answer: _client.Answer) -> list[_truth.Row]:
+    """Return the rows of an answer; a value that is no number is no value."""
+    rows = []
+    for row in answer.rows:
+        fields = dict(zip(answer.columns, row, strict=False))
+        value = fields.get("value")
+        rows.append(
+            _truth.Row(
+                fields.get("request_id"),
+                fields.get("organisation"),
+                fields.get("household"),
+                int(value) if value and value.isdigit() else None,
+            )
+        )
+    return rows
