Let writes serve their time before they take the write lock

A write held the lock for its whole service time, so a group did one write at a time whatever its slots. It now holds only a slot for that time and the lock from its first run to the end of its transaction. Idle now also means that no statement waits for a slot or the lock. Session settings got a module of their own, and the HTTP reader refuses bytes that follow an answer unasked.

--- a/standin/http1.py
+++ b/standin/http1.py
@@ -50,6 +50,10 @@
         self.body = bytearray()
         self.is_complete = False
 
+    def on_message_begin(self) -> None:
+        if self.is_complete:
+            raise HttpError("another message follows unasked")
+
     def on_url(self, url: bytes) -> None:
         self.path += url.decode("latin-1")
 
--- a/standin/instance/control.py
+++ b/standin/instance/control.py
@@ -64,7 +64,7 @@
         statements=counters.statements,
         failed_statements=counters.failed_statements,
         open_transactions=counters.open_transactions,
-        in_use=counters.open_transactions + counters.running_statements,
+        in_use=counters.open_transactions + counters.active_statements,
         last_statement_age_ms=None if last_s is None else (now_s - last_s) * 1000,
     )
 
--- a/standin/instance/session.py
+++ b/standin/instance/session.py
@@ -7,6 +7,7 @@
 import trio
 
 from standin.instance import errors
+from standin.instance import options
 from standin.instance import server
 from standin.instance import transactions
 from standin.instance import translation
@@ -54,7 +55,6 @@
         self._portals: dict[str, _Portal] = {}
         self._described: set[str] = set()
         self._is_skipping = False
-        self._is_canceled = False
         self._session_scope = trio.CancelScope()
         self._statement_scope: trio.CancelScope | None = None
         self._transactions: transactions.Transactions | None = None
@@ -79,7 +79,6 @@
     def cancel_statement(self) -> None:
         """Cancel the statement that runs, if any."""
         if self._statement_scope is not None:
-            self._is_canceled = True
             self._statement_scope.cancel()
 
     async def _end_with(self, sqlstate: str, message: str) -> None:
@@ -153,9 +152,9 @@
     async def _open(self, startup: wire.Startup) -> None:
         await trio.sleep(self._instance.faults.connect_delay_ms / 1000)
         await self._instance.wait_thawed()
-        options = _read_options(startup.parameters.get("options", ""))
+        session_options = options.Options(startup.parameters.get("options", ""))
         self._transactions = transactions.Transactions(
-            self._instance, self.process_id, options
+            self._instance, self.process_id, session_options
         )
         self._output += wire.encode_authentication_ok()
         for name, value in _PARAMETER_STATUSES:
@@ -305,12 +304,14 @@
     async def _run(
         self, statement: translation.Statement, values: tuple[str | None, ...]
     ) -> transactions.Result:
-        self._instance.counters.statements += 1
-        self._is_canceled = False
+        counters = self._instance.counters
+        counters.statements += 1
+        counters.active_statements += 1
         with trio.CancelScope() as self._statement_scope:
             try:
                 return await self._transactions.execute(statement, values)
             finally:
+                counters.active_statements -= 1
                 self._statement_scope = None
         raise errors.DatabaseError(
             errors.QUERY_CANCELED, "canceling statement due to user request"
@@ -344,13 +345,3 @@
         raise errors.DatabaseError(
             errors.INVALID_TEXT_REPRESENTATION, "a parameter is not UTF-8"
         ) from error
-
-
-def _read_options(text: str) -> dict[str, str]:
-    """Return the settings of ``-c name=value`` and ``--name=value`` options."""
-    options: dict[str, str] = {}
-    for word in text.replace("-c ", "--").replace("-c", "--").split():
-        name, separator, value = word.removeprefix("--").partition("=")
-        if separator:
-            options[name.replace("-", "_").lower()] = value
-    return options
--- a/standin/instance/settings.py
+++ b/standin/instance/settings.py
@@ -105,13 +105,30 @@
 
 @dataclasses.dataclass
 class Counters:
-    """Counts since the start of the process."""
+    """Counts since the start of the process.
+
+    Attributes
+    ----------
+    connections, highest_connections, refused_connections : int
+        Connections that are open, the most at once, and those refused.
+    running_statements, highest_running_statements : int
+        Statements that hold a slot now, and the most at once.
+    active_statements : int
+        Statements that are not answered yet, waiting ones included.
+    statements, failed_statements : int
+        Statements that arrived, and those answered with an error.
+    open_transactions : int
+        Transactions that are open or failed.
+    last_statement_s : float or None
+        When a statement last took a slot; status functions take none.
+    """
 
     connections: int = 0
     highest_connections: int = 0
     refused_connections: int = 0
     running_statements: int = 0
     highest_running_statements: int = 0
+    active_statements: int = 0
     statements: int = 0
     failed_statements: int = 0
     open_transactions: int = 0
--- a/standin/instance/tests/test_instance.py
+++ b/standin/instance/tests/test_instance.py
@@ -115,6 +115,28 @@
             await trio.sleep(builders.POLL_S)
         await trio.to_thread.run_sync(connection.cancel_safe)
 
+    @trio_test
+    async def test_statements_beyond_the_slots_wait(self):
+        async with builders.open_group(slots=2, statement_ms=5) as (_, (primary,)):
+            async with trio.open_nursery() as clients:
+                for _ in range(6):
+                    clients.start_soon(primary.fetch, "SELECT 1")
+            stats = await primary.control("GET", "/stats")
+            self.assertEqual(2, stats["highest_running_statements"])
+            self.assertEqual(0, stats["in_use"])
+
+    @trio_test
+    async def test_lost_connection_rolls_back_and_frees_the_lock(self):
+        async with builders.open_group() as (_, (primary,)):
+            await primary.fetch(CREATE)
+            holder = await trio.to_thread.run_sync(primary.connect)
+            await trio.to_thread.run_sync(holder.execute, "BEGIN")
+            insert = "INSERT INTO t VALUES (1, 'a')"
+            await trio.to_thread.run_sync(holder.execute, insert)
+            await trio.to_thread.run_sync(holder.close)
+            await primary.fetch("INSERT INTO t VALUES (2, 'b')")
+            self.assertEqual([("2",)], await primary.fetch(IDS))
+
     @trio_test
     async def test_connections_beyond_the_limit_are_refused(self):
         async with builders.open_group(max_connections=1) as (_, (primary,)):
--- a/standin/instance/transactions.py
+++ b/standin/instance/transactions.py
@@ -1,7 +1,6 @@
 """Runs the statements of one client connection in transactions."""
 
 import enum
-import math
 import re
 import sqlite3
 import typing
@@ -9,20 +8,12 @@
 import trio
 
 from standin.instance import errors
+from standin.instance import options
 from standin.instance import server
 from standin.instance import store as store_module
 from standin.instance import translation
 
-READ_ONLY_DEFAULT = "default_transaction_read_only"
-LOCK_TIMEOUT = "lock_timeout"
-STATEMENT_TIMEOUT = "statement_timeout"
-
-_SET = re.compile(
-    r"^set\s+(?:session\s+|local\s+)?(?P<name>[a-z_.]+)\s*(?:=|\s+to\s+)\s*(?P<value>.+)$",
-    re.IGNORECASE,
-)
 _READ_ONLY = re.compile(r"\bread\s+only\b", re.IGNORECASE)
-_TRUE_TEXTS = ("on", "true", "yes", "1")
 
 
 class Status(enum.Enum):
@@ -54,8 +45,8 @@
     instance : server.Instance
     process_id : int
         Answer of ``pg_backend_pid()``.
-    options : dict of str
-        Settings from the start of the session.
+    settings : options.Options
+        Settings of the session.
 
     Notes
     -----
@@ -65,12 +56,11 @@
     """
 
     def __init__(
-        self, instance: server.Instance, process_id: int, options: dict[str, str]
+        self, instance: server.Instance, process_id: int, settings: options.Options
     ):
         self._instance = instance
         self._process_id = process_id
-        self._first_options = options
-        self._options = dict(options)
+        self._settings = settings
         self._connection = instance.store.build_connection()
         self._logged: list[store_module.LoggedStatement] = []
         self._write_tags: list[str] = []
@@ -90,7 +80,9 @@
             If it is refused or fails; the transaction has then failed.
         """
         try:
-            with trio.move_on_after(self._get_timeout_s(STATEMENT_TIMEOUT)) as scope:
+            with trio.move_on_after(
+                self._settings.get_timeout_s(options.STATEMENT_TIMEOUT)
+            ) as scope:
                 return await self._execute(statement, values)
         except sqlite3.Error as error:
             raise errors.build_database_error(error) from error
@@ -154,18 +146,19 @@
         self, statement: translation.Statement, values: typing.Sequence[str | None]
     ) -> Result:
         self._check_writable()
-        await self._take_lock()
         async with self._instance.hold_slot(trio.current_time()):
-            await self._instance.wait_thawed()
-            self._check_writable()
-            if not self._connection.in_transaction:
-                self._connection.execute("BEGIN IMMEDIATE")
-            result = self._run(statement, values)
-            logged = store_module.LoggedStatement(statement.sql, tuple(values))
-            self._logged.append(logged)
-            if statement.tag:
-                self._write_tags.append(statement.tag)
-            return result
+            pass
+        # Waiting for the lock takes no slot: its holder needs one to go on.
+        await self._take_lock()
+        await self._instance.wait_thawed()
+        self._check_writable()
+        if not self._connection.in_transaction:
+            self._connection.execute("BEGIN IMMEDIATE")
+        result = self._run(statement, values)
+        self._logged.append(store_module.LoggedStatement(statement.sql, tuple(values)))
+        if statement.tag:
+            self._write_tags.append(statement.tag)
+        return result
 
     def _run(
         self, statement: translation.Statement, values: typing.Sequence[str | None]
@@ -214,18 +207,13 @@
     def _is_read_only_now(self) -> bool:
         if self.status is Status.OPEN and self._is_read_only:
             return True
-        return self._options.get(READ_ONLY_DEFAULT, "off").lower() in _TRUE_TEXTS
-
-    def _get_timeout_s(self, name: str) -> float:
-        digits = re.match(r"\d+", self._options.get(name, ""))
-        timeout_ms = int(digits[0]) if digits else 0
-        return timeout_ms / 1000 if timeout_ms else math.inf
+        return self._settings.is_read_only
 
     async def _take_lock(self) -> None:
         if self._has_lock:
             return
         timeout_s = min(
-            self._get_timeout_s(LOCK_TIMEOUT),
+            self._settings.get_timeout_s(options.LOCK_TIMEOUT),
             self._instance.settings.lock_timeout_ms / 1000,
         )
         with trio.move_on_after(timeout_s):
@@ -255,21 +243,23 @@
                 self._set_option(statement.translated)
                 return build_status("SET")
             case translation.Kind.RESET:
-                self._options = dict(self._first_options)
+                self._settings.reset()
                 return build_status(statement.translated.upper())
             case translation.Kind.SHOW:
                 name = statement.translated.split()[-1].lower()
-                rows = ((self._options.get(name, ""),),)
+                rows = ((self._settings.get(name),),)
                 return Result((name,), rows, "SHOW")
         raise errors.DatabaseError(
             errors.FEATURE_NOT_SUPPORTED, f"unsupported statement {statement.verb}"
         )
 
     def _set_option(self, translated: str) -> None:
-        found = _SET.match(translated)
-        if found:
-            self._options[found["name"].lower()] = found["value"].strip().strip("'")
-        elif self.status is Status.OPEN and _READ_ONLY.search(translated):
+        is_named = self._settings.set(translated)
+        if (
+            not is_named
+            and self.status is Status.OPEN
+            and _READ_ONLY.search(translated)
+        ):
             self._is_read_only = True
 
     def _end(self, is_commit: bool) -> Result:
--- a/standin/load/tests/test_run.py
+++ b/standin/load/tests/test_run.py
@@ -1,5 +1,6 @@
 import unittest
 
+import msgspec
 import trio
 
 from sedgeswitch import verdicts
@@ -28,6 +29,14 @@
                 self.assertEqual([], report.violations)
                 self.assertEqual(report.sent, report.answered)
 
+    def test_json_report_names_its_fields(self):
+        entry = builders.FakeEntry()
+        entry.break_write = lambda _: True
+        report = trio.run(_run_mix, "daura-lots", entry)
+        document = msgspec.json.decode(_tally.encode_report(report))
+        self.assertIn("p99_ms", document["organisations"][0])
+        self.assertEqual("lost_write", document["violations"][-1]["kind"])
+
     def test_acknowledged_write_that_is_dropped_is_found(self):
         entry = builders.FakeEntry()
         entry.break_write = lambda _: True
