Choose test ports outside the ephemeral range and log a fatal error

In one trial an instance ended at its start; its one line of output named no cause. It had printed no ports, so a port was taken: the trial's ports lay in the range that the system gives to outgoing connections. The command now logs the traceback as a JSON line, and the test builders take ports below that range. Reads of the load tool now favour households that were written to lately, so that read-your-writes is tried more often.

--- a/standin/instance/__main__.py
+++ b/standin/instance/__main__.py
@@ -8,6 +8,7 @@
 import cleo.commands.command
 import cleo.helpers
 import cleo.io.inputs.argv_input
+import loguru
 import msgspec
 import trio
 
@@ -54,7 +55,12 @@
         except ValueError as error:
             self.line_error(f"<error>{error}</error>")
             return 2
-        trio.run(_run, own)
+        loguru.logger.configure(handlers=[{"sink": sys.stderr, "serialize": True}])
+        try:
+            trio.run(_run, own)
+        except Exception:
+            loguru.logger.exception("the instance ends by an error")
+            return 1
         return 0
 
     def _read_settings(self) -> settings.Settings:
--- a/standin/instance/control.py
+++ b/standin/instance/control.py
@@ -40,8 +40,8 @@
     tagged statements of its log, whichever instance ran them.
     """
 
-    executed: list[dict]
-    logged: list[dict]
+    executed: list[server.RanStatement]
+    logged: list[server.RanStatement]
 
 
 def build_stats(instance: server.Instance, now_s: float) -> Stats:
@@ -71,10 +71,7 @@
 
 def build_ran(instance: server.Instance) -> Ran:
     """Return the record of tagged statements."""
-    return Ran(
-        executed=[entry._asdict() for entry in instance.ran],
-        logged=[entry._asdict() for entry in instance.get_written_ids()],
-    )
+    return Ran(executed=list(instance.ran), logged=instance.get_written_ids())
 
 
 class Control:
--- a/standin/instance/server.py
+++ b/standin/instance/server.py
@@ -16,7 +16,7 @@
 RAN_PAGE_ENTRIES = 1000
 
 
-class RanStatement(typing.NamedTuple):
+class RanStatement(typing.TypedDict):
     """A tagged statement that ran here.
 
     Attributes
@@ -156,6 +156,10 @@
                 lsn = store_module.format_lsn(entry.lsn)
                 tags = [translation.read_statement(s.sql).tag for s in entry.statements]
                 found += [
-                    RanStatement(tag, lsn, entry.timeline, True) for tag in tags if tag
+                    RanStatement(
+                        id=tag, lsn=lsn, timeline=entry.timeline, is_write=True
+                    )
+                    for tag in tags
+                    if tag
                 ]
         return found
--- a/standin/instance/tests/builders.py
+++ b/standin/instance/tests/builders.py
@@ -1,6 +1,8 @@
 """Builds instances that run inside a test, and clients for them."""
 
 import contextlib
+import itertools
+import os
 import pathlib
 import socket
 import tempfile
@@ -20,6 +22,10 @@
 POLL_S = 0.005
 GIVE_UP_S = 15
 
+_FIRST_PORT = 20_000
+_PORT_SPAN = 12_000
+_PORTS = itertools.count(_FIRST_PORT + os.getpid() * 50 % _PORT_SPAN)
+
 
 class Running(typing.NamedTuple):
     """An instance that runs, and the scope that stops it."""
@@ -70,9 +76,12 @@
 
 
 def build_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port below those that the system gives to outgoing connections."""
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 def build_settings(folder: str, name: str, **changes: object) -> settings.Settings:
--- a/standin/instance/transactions.py
+++ b/standin/instance/transactions.py
@@ -98,9 +98,19 @@
             self._set_status(Status.FAILED)
 
     def finish_implicit(self) -> None:
-        """Commit what ran outside an explicit transaction."""
-        if self.status is Status.IDLE:
+        """Commit what ran outside an explicit transaction.
+
+        Raises
+        ------
+        errors.DatabaseError
+            If the commit fails; nothing has then been written.
+        """
+        if self.status is not Status.IDLE:
+            return
+        try:
             self._commit()
+        except sqlite3.Error as error:
+            raise errors.build_database_error(error) from error
 
     def close(self) -> None:
         """Roll back and close the connection to the data."""
@@ -306,7 +316,9 @@
     def _record(self, tag: str, is_write: bool) -> None:
         store = self._instance.store
         lsn = store_module.format_lsn(store.lsn)
-        ran = server.RanStatement(tag, lsn, store.timeline, is_write)
+        ran = server.RanStatement(
+            id=tag, lsn=lsn, timeline=store.timeline, is_write=is_write
+        )
         self._instance.ran.append(ran)
 
     def _register_functions(self) -> None:
--- a/standin/load/_traffic.py
+++ b/standin/load/_traffic.py
@@ -1,5 +1,6 @@
 """Sends an open-loop stream of requests and checks their answers."""
 
+import collections
 import itertools
 import random
 import typing
@@ -21,6 +22,10 @@
 POSITION_SHARE = 0.5
 """Share of requests that send the position of an earlier answer."""
 
+RECENT_SHARE = 0.5
+"""Share of reads that ask for a household which was written to lately."""
+RECENT_HOUSEHOLDS = 8
+
 _MS_PER_S = 1000
 
 
@@ -64,6 +69,13 @@
     tag: str
 
 
+class _Ending(typing.NamedTuple):
+    """The last outcome of a call, and whether the rate ever refused it."""
+
+    outcome: _client.Answer | _client.Problem
+    is_throttled: bool
+
+
 def build_parameters(
     names: typing.Sequence[_mix.Parameter], values: typing.Any
 ) -> list[str | None]:
@@ -101,6 +113,9 @@
         self._numbers = itertools.count(1)
         self._positions: dict[str, str] = {}
         self._open_requests = 0
+        self._recent: dict[str, collections.deque[int]] = collections.defaultdict(
+            lambda: collections.deque(maxlen=RECENT_HOUSEHOLDS)
+        )
 
     async def run(self) -> None:
         """Send requests for the duration of the plan and await their ends."""
@@ -124,7 +139,7 @@
         caller = self._choose(self._plan.organisations)
         work = self._choose(self._plan.mix.works)
         number = next(self._numbers)
-        index = self._random.randrange(self._plan.mix.households)
+        index = self._choose_household(caller, work)
         household = f"{self._plan.run}.{caller.organisation}.{index}"
         request_id = f"{self._plan.run}.{number}"
         is_desk = self._random.random() < DESK_SHARE
@@ -141,6 +156,16 @@
             tag=request_id,
         )
 
+    def _choose_household(self, caller: _mix.Organisation, work: _mix.Work) -> int:
+        recent = self._recent[caller.organisation]
+        is_write = work.access is _mix.Access.WRITE
+        if recent and not is_write and self._random.random() < RECENT_SHARE:
+            return self._random.choice(recent)
+        index = self._random.randrange(self._plan.mix.households)
+        if is_write:
+            recent.append(index)
+        return index
+
     def _choose(self, entries: typing.Sequence) -> typing.Any:
         weights = [entry.share for entry in entries]
         return self._random.choices(entries, weights)[0]
@@ -150,12 +175,12 @@
         tally.sent += 1
         is_within_rate = tally.bucket.take(due_s)
         try:
-            outcome, is_throttled = await self._send_until_done(call, due_s)
+            ending = await self._send_until_done(call, due_s)
         finally:
             self._open_requests -= 1
-        tally.throttled_within_rate += is_within_rate and is_throttled
-        if isinstance(outcome, _client.Problem):
-            tally.refused[outcome.code] += 1
+        tally.throttled_within_rate += is_within_rate and ending.is_throttled
+        if isinstance(ending.outcome, _client.Problem):
+            tally.refused[ending.outcome.code] += 1
             tally.refused_within_rate += is_within_rate
             return
         tally.answered += 1
@@ -163,10 +188,7 @@
         if not is_within_rate:
             tally.bucket.take_beyond()
 
-    async def _send_until_done(
-        self, call: Call, due_s: float
-    ) -> tuple[_client.Answer | _client.Problem, bool]:
-        """Return the last outcome, and whether the rate ever refused the call."""
+    async def _send_until_done(self, call: Call, due_s: float) -> _Ending:
         tally = self._tally.organisations[call.organisation]
         give_up_s = due_s + self._plan.give_up_s
         is_throttled = False
@@ -174,14 +196,14 @@
         while True:
             outcome = await self._attempt(call, host)
             if isinstance(outcome, _client.Answer):
-                return outcome, is_throttled
+                return _Ending(outcome, is_throttled)
             tally.refused_attempts[outcome.code] += 1
             is_throttled |= outcome.code == RATE_CODE
             wait_s = max(outcome.retry_after_ms / _MS_PER_S, LEAST_RETRY_S)
             if not may_retry(call.work, outcome):
-                return outcome, is_throttled
+                return _Ending(outcome, is_throttled)
             if trio.current_time() + wait_s > give_up_s:
-                return outcome, is_throttled
+                return _Ending(outcome, is_throttled)
             await trio.sleep(wait_s * self._attempt_random.uniform(1.0, 1.5))
             host = self._choose_other(host)
 
