Show merged labels in the status of backend servers

Cause: the drain command finds the servers that it drains by their labels, which the status lacked, so that every drain ended with exit code 1.

--- a/sedgeswitch/daemon/status.py
+++ b/sedgeswitch/daemon/status.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from sedgeswitch.configuration import selectors
 from sedgeswitch.daemon import adapters
 from sedgeswitch.groups.generated import ttypes
 
@@ -45,6 +46,7 @@
     group: str
     address: str
     availability_zone: str
+    labels: dict[str, str]
     role: str
     is_drained: bool
     in_use: int | None
@@ -105,7 +107,8 @@
 ) -> BackendStatus:
     group = control.groups.get_group(server.group)
     is_primary = group is not None and group.primary == server.instance
-    is_drained = adapters.is_drained(control.configuration.document, server)
+    document = control.configuration.document
+    is_drained = adapters.is_drained(document, server)
     in_use = None
     if is_drained:
         version = control.configuration.version
@@ -115,6 +118,7 @@
         server.group,
         f"{server.host}:{server.port}",
         server.availability_zone,
+        selectors.merge_labels(document, server.instance, server.labels),
         "primary" if is_primary else "replica",
         is_drained,
         in_use,
