--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -28,12 +28,16 @@
 from sedgeswitch.membership import member_sections
 from sedgeswitch.observability import metrics
 from sedgeswitch.observability import traces
+from sedgeswitch.pools import messages as pool_messages
 from sedgeswitch.pools import pool
+from sedgeswitch.pools import transactions as pool_transactions
 from sedgeswitch.statements import authorisation
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
+from sedgeswitch.statements import forwarding
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import service
+from sedgeswitch.statements import transactions
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 
@@ -114,7 +118,10 @@
         self.homes = self._build_homes()
         self.homes.register_handlers(serving)
         self._register_sections()
-        self.statements = self._build_service(tracer)
+        self.transactions = pool_transactions.TransactionTable(settings.host_id, rng)
+        self.forwarder = forwarding.Forwarder(settings.host_id, self.peers.call)
+        serving.register_handler(pool_messages.ForwardedRequest, self.forwarder.answer)
+        self._build_services(tracer)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -125,16 +132,19 @@
             nursery.start_soon(self.heart.run)
             nursery.start_soon(self.groups_section.run)
             nursery.start_soon(drawing.run, self.wallet, self._call_draw)
+            nursery.start_soon(self.transactions.run)
             nursery.start_soon(self._maintain)
 
     def register_routes(self, router: routes.Router) -> None:
         """Register the callers' endpoints."""
         router.register_route("POST", service.PATH, self.statements.handle)
+        self.transaction_service.register_routes(router)
         endpoint = announcements.AnnouncementEndpoint(self.directory)
         router.register_route("POST", announcements.PATH, endpoint.handle)
 
     async def leave(self) -> None:
-        """Give up the lease, after the last request has been answered."""
+        """Give up the lease, after the last request and transaction have ended."""
+        await self.transactions.wait_idle()
         with trio.move_on_after(heart.CALL_TIMEOUT_S):
             await self.heart.leave()
         await self.backends.close()
@@ -202,20 +212,25 @@
         self.heart.register_lease_listener(self.groups.set_lease)
         self.heart.register_lease_listener(self._follow_limits)
 
-    def _build_service(self, tracer: traces.Tracer) -> service.StatementService:
+    def _build_services(self, tracer: traces.Tracer) -> None:
         parts = context.Parts(
             self.groups, self.backends, self.homes.floors, self._metrics
         )
         authoriser = authorisation.Authoriser(
             self.configuration, self.backends, self._settings.freshness_bound_s
         )
-        return service.StatementService(
+        admission = FleetAdmission(self.wallet)
+        self.statements = service.StatementService(
             authoriser,
-            FleetAdmission(self.wallet),
+            admission,
             parts,
             tracer,
             self._settings.requests.default_deadline_ms,
         )
+        self.transaction_service = transactions.TransactionService(
+            authoriser, admission, parts, self.transactions, self.forwarder, tracer
+        )
+        self.transaction_service.register_owned_routes(self.forwarder.router)
 
     def _follow_limits(self, lease_until_s: float) -> None:  # noqa: ARG002
         if self._limits_version == self.configuration.version:
--- a/sedgeswitch/observability/traces.py
+++ b/sedgeswitch/observability/traces.py
@@ -83,6 +83,15 @@
 NO_SPAN = NoSpan()
 
 
+@contextlib.contextmanager
+def ending(span: Span | NoSpan) -> typing.Iterator[Span | NoSpan]:
+    """Close a span at the end of a block."""
+    try:
+        yield span
+    finally:
+        span.end()
+
+
 class Tracer:
     """Starts spans and writes the sampled ones as JSON lines.
 
--- /dev/null
+++ b/sedgeswitch/pools/messages.py
@@ -0,0 +1,7 @@
+"""Message codes of the pools slice."""
+
+from sedgeswitch.pools.generated import ttypes
+from sedgeswitch.transport import catalog
+
+ForwardedRequest = catalog.register_message(80, ttypes.ForwardedRequest)
+ForwardedResponse = catalog.register_message(81, ttypes.ForwardedResponse)
--- a/sedgeswitch/statements/refusals.py
+++ b/sedgeswitch/statements/refusals.py
@@ -35,6 +35,17 @@
     return verdicts.RefusedError(refusal)
 
 
+def build_undone(error: base.DriverError) -> verdicts.RefusedError:
+    """Return the refusal of a statement inside an open transaction.
+
+    Whatever it did, the server rolls it back when the connection is lost.
+    """
+    undone = base.DriverError(
+        error.sqlstate, error.detail, verdicts.Verdict.NOT_RUN, error.is_lost
+    )
+    return build_driver_refusal(undone)
+
+
 def build_lease_lost(verdict: verdicts.Verdict) -> verdicts.RefusedError:
     """Return the refusal of work whose lease or term ended while it ran."""
     refusal = verdicts.Refusal(
--- a/sedgeswitch/statements/requests.py
+++ b/sedgeswitch/statements/requests.py
@@ -6,6 +6,8 @@
 
 from sedgeswitch import verdicts
 from sedgeswitch.callers import http
+from sedgeswitch.groups import positions
+from sedgeswitch.sessions import tokens
 
 READ = "read"
 WRITE = "write"
@@ -68,8 +70,8 @@
         Time of the local clock at which the caller gives up.
     session : str
         Household that the caller acts for; empty for the organisation itself.
-    position_token : str
-        Positions that earlier answers gave the caller.
+    seen : dict of str to positions.Position
+        Positions that earlier answers gave the caller, by group.
     idempotency_key : str
         Set for a request that must not run twice.
     traceparent : str
@@ -83,7 +85,7 @@
     max_age_ms: int | None
     deadline_s: float
     session: str
-    position_token: str
+    seen: dict[str, positions.Position]
     idempotency_key: str
     traceparent: str
 
@@ -170,8 +172,8 @@
         parameters=encode_parameters(body.get("parameters", [])),
         max_age_ms=body.get("max_age_ms"),
         deadline_s=now_s + deadline_ms / 1000,
-        session=_get_header(request, SESSION_HEADER),
-        position_token=request.headers.get(POSITION_HEADER, ""),
+        session=get_session(request),
+        seen=decode_position_token(request),
         idempotency_key=idempotency_key,
         traceparent=request.headers.get("traceparent", ""),
     )
@@ -194,6 +196,25 @@
     return sql
 
 
+def decode_position_token(request: http.Request) -> dict[str, positions.Position]:
+    """Return the positions that a caller says it has seen.
+
+    Raises
+    ------
+    verdicts.RefusedError
+        400 if the header is no position token.
+    """
+    try:
+        return tokens.decode_token(request.headers.get(POSITION_HEADER, ""))
+    except ValueError as error:
+        raise build_bad_request(f"{POSITION_HEADER}: {error}") from error
+
+
+def get_session(request: http.Request) -> str:
+    """Return the household that a request names, empty for none."""
+    return _get_header(request, SESSION_HEADER)
+
+
 def encode_parameters(
     parameters: list[str | int | float | bool | None],
 ) -> tuple[str | None, ...]:
--- a/sedgeswitch/statements/service.py
+++ b/sedgeswitch/statements/service.py
@@ -87,7 +87,7 @@
             statement.group, statement.work, statement.access
         )
         work = self._authoriser.get_work(organisation, purpose)
-        seen = _decode_token(statement)
+        seen = statement.seen
         if organisation is not None:
             with span.start_child("entry.admission"):
                 await self._admission.admit(organisation, statement.deadline_s)
@@ -144,11 +144,3 @@
     with trio.move_on_at(deadline_s):
         return await function(*arguments)
     raise refusals.build_deadline_passed(verdicts.Verdict.MAY_HAVE_RUN)
-
-
-def _decode_token(statement: requests.Statement) -> dict[str, positions.Position]:
-    try:
-        return tokens.decode_token(statement.position_token)
-    except ValueError as error:
-        detail = f"{requests.POSITION_HEADER}: {error}"
-        raise requests.build_bad_request(detail) from error
--- /dev/null
+++ b/sedgeswitch/statements/transactions.py
@@ -0,0 +1,286 @@
+"""Transactions of callers: begun on one host, reached through any."""
+
+import typing
+
+import msgspec
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.callers import http
+from sedgeswitch.callers import routes
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import table
+from sedgeswitch.observability import traces
+from sedgeswitch.pools import transactions
+from sedgeswitch.sessions import tokens
+from sedgeswitch.statements import authorisation
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import context
+from sedgeswitch.statements import forwarding
+from sedgeswitch.statements import refusals
+from sedgeswitch.statements import requests
+from sedgeswitch.statements import service
+from sedgeswitch.statements import writes
+
+PATH = "/v1/transactions"
+STATEMENTS_PATH = PATH + "/{transaction}/statements"
+COMMIT_PATH = PATH + "/{transaction}/commit"
+ROLLBACK_PATH = PATH + "/{transaction}/rollback"
+DEFAULT_LIFETIME_MS = 10_000
+COMMIT_TIMEOUT_S = 5.0
+
+_Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+_Lifetime = typing.Annotated[int, msgspec.Meta(ge=100, le=30_000)]
+
+
+class _BeginBody(typing.TypedDict, total=False):
+    group: typing.Required[_Name]
+    work: typing.Required[_Name]
+    lifetime_ms: _Lifetime
+
+
+class _StatementBody(typing.TypedDict, total=False):
+    sql: typing.Required[typing.Annotated[str, msgspec.Meta(min_length=1)]]
+    parameters: list[str | int | float | bool | None]
+
+
+_BEGIN_FIELDS = frozenset(_BeginBody.__annotations__)
+_STATEMENT_FIELDS = frozenset(_StatementBody.__annotations__)
+
+
+class Begun(typing.NamedTuple):
+    """The answer to a begin."""
+
+    transaction: str
+    instance: str
+
+
+class Ended(typing.NamedTuple):
+    """The answer to a commit or rollback."""
+
+    transaction: str
+    ending: str
+
+
+class _Context(typing.NamedTuple):
+    """What a transaction keeps for its commit."""
+
+    permit: table.WritePermit
+    work: context.Work
+    session: str
+    seen: dict[str, positions.Position]
+
+
+class TransactionService:
+    """Serves the transactions that this host owns, and forwards the others.
+
+    Parameters
+    ----------
+    authoriser : authorisation.Authoriser
+    admission : service.Admission
+    parts : context.Parts
+    owned : transactions.TransactionTable
+    forwarder : forwarding.Forwarder
+    tracer : traces.Tracer
+    """
+
+    def __init__(
+        self,
+        authoriser: authorisation.Authoriser,
+        admission: service.Admission,
+        parts: context.Parts,
+        owned: transactions.TransactionTable,
+        forwarder: forwarding.Forwarder,
+        tracer: traces.Tracer,
+    ):
+        self._authoriser = authoriser
+        self._admission = admission
+        self._parts = parts
+        self._owned = owned
+        self._forwarder = forwarder
+        self._tracer = tracer
+        self._writer = writes.Writer(parts)
+
+    def register_routes(self, router: routes.Router) -> None:
+        """Register the endpoints for callers of this host."""
+        router.register_route("POST", PATH, self._begin)
+        router.register_route("POST", STATEMENTS_PATH, self._route(self._execute))
+        router.register_route("POST", COMMIT_PATH, self._route(self._commit))
+        router.register_route("POST", ROLLBACK_PATH, self._route(self._roll_back))
+
+    def register_owned_routes(self, router: routes.Router) -> None:
+        """Register the endpoints for requests that other hosts forward."""
+        router.register_route("POST", STATEMENTS_PATH, self._serve(self._execute))
+        router.register_route("POST", COMMIT_PATH, self._serve(self._commit))
+        router.register_route("POST", ROLLBACK_PATH, self._serve(self._roll_back))
+
+    def _route(self, endpoint: typing.Callable) -> routes.Endpoint:
+        """Return an endpoint that checks the key and finds the owner."""
+
+        async def handle(
+            request: http.Request, values: tuple[str, ...]
+        ) -> http.Response:
+            organisation = self._check_caller(request)
+            with self._start_span("entry.transaction", request) as span:
+                if self._forwarder.is_local(transactions.get_owner(values[0])):
+                    return await endpoint(request, values[0], organisation)
+                traceparent = span.traceparent
+                return await self._forwarder.forward(
+                    request, values[0], organisation, traceparent
+                )
+
+        return handle
+
+    def _serve(self, endpoint: typing.Callable) -> routes.Endpoint:
+        """Return an endpoint for a request whose key another host checked."""
+
+        async def handle(
+            request: http.Request, values: tuple[str, ...]
+        ) -> http.Response:
+            organisation = request.headers.get(forwarding.ORGANISATION_HEADER, "")
+            with self._start_span("owner.transaction", request):
+                return await endpoint(request, values[0], organisation)
+
+        return handle
+
+    def _start_span(
+        self, name: str, request: http.Request
+    ) -> typing.ContextManager[traces.Span | traces.NoSpan]:
+        traceparent = request.headers.get("traceparent", "")
+        return traces.ending(self._tracer.start_span(name, traceparent))
+
+    def _check_caller(self, request: http.Request) -> str:
+        authorization = request.headers.get("authorization")
+        now_s = trio.current_time()
+        return self._authoriser.check_caller(authorization, now_s) or ""
+
+    async def _begin(
+        self,
+        request: http.Request,
+        values: tuple[str, ...],  # noqa: ARG002
+    ) -> http.Response:
+        organisation = self._check_caller(request)
+        body = requests.decode_fields(request.body, _BEGIN_FIELDS, _BeginBody)
+        seen = requests.decode_position_token(request)
+        session = requests.get_session(request)
+        lifetime_s = body.get("lifetime_ms", DEFAULT_LIFETIME_MS) / 1000
+        expires_s = trio.current_time() + lifetime_s
+        purpose = authorisation.Purpose(body["group"], body["work"], requests.WRITE)
+        work = self._authoriser.get_work(organisation or None, purpose)
+        with self._start_span("entry.begin", request):
+            await self._admit(organisation, expires_s)
+            transaction = await self._open(work, session, seen, expires_s)
+        begun = Begun(transaction.transaction_id, transaction.context.permit.primary)
+        return http.build_json(begun)
+
+    async def _open(
+        self,
+        work: context.Work,
+        session: str,
+        seen: dict[str, positions.Position],
+        expires_s: float,
+    ) -> transactions.Transaction:
+        permit = await self._parts.groups.wait_serving(work.group, expires_s)
+        server = self._writer.get_primary(permit, work)
+        connections = self._parts.backends.get_pool(server, work.database)
+        pooled = await connections.acquire(work.organisation, expires_s)
+        kept = _Context(permit, work, session, seen)
+        try:
+            return await self._owned.begin(connections, pooled, kept, expires_s)
+        except base.DriverError as error:
+            raise refusals.build_undone(error) from error
+
+    async def _execute(
+        self, request: http.Request, transaction_id: str, organisation: str
+    ) -> http.Response:
+        body = requests.decode_fields(request.body, _STATEMENT_FIELDS, _StatementBody)
+        requests.check_sql(body["sql"])
+        transaction = self._owned.get(transaction_id, organisation)
+        await self._admit(organisation, transaction.expires_s)
+        # The wait for admission may have let another statement in.
+        transaction = self._owned.get(transaction_id, organisation)
+        parameters = requests.encode_parameters(body.get("parameters", []))
+        try:
+            with trio.move_on_at(transaction.expires_s) as scope:
+                rows = await self._owned.execute(transaction, body["sql"], parameters)
+        except base.DriverError as error:
+            raise refusals.build_undone(error) from error
+        if scope.cancelled_caught:
+            # Its connection is closed, so the server rolls the work back.
+            raise refusals.build_deadline_passed(verdicts.Verdict.NOT_RUN)
+        instance = transaction.context.permit.primary
+        return http.build_json(requests.Answer(*rows, instance, False))
+
+    async def _commit(
+        self,
+        request: http.Request,  # noqa: ARG002
+        transaction_id: str,
+        organisation: str,
+    ) -> http.Response:
+        ending = self._owned.get_ending(transaction_id, organisation)
+        if ending is not None:
+            return _answer_again(transaction_id, ending)
+        transaction = self._owned.get(transaction_id, organisation)
+        kept = transaction.context
+        if not self._parts.groups.is_permit_valid(kept.permit, trio.current_time()):
+            await self._owned.close(transaction)
+            raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+        deadline_s = trio.current_time() + COMMIT_TIMEOUT_S
+        position = await service.run_before(
+            deadline_s, self._commit_and_read, transaction
+        )
+        await self._writer.acknowledge(
+            kept.permit, kept.work, kept.session, position, deadline_s
+        )
+        seen = tokens.add_floor(kept.seen, kept.work.group, position)
+        ended = Ended(transaction_id, transactions.Ending.COMMITTED.value)
+        headers = (("Sedge-Position", tokens.encode_token(seen)),)
+        return http.build_json(ended, headers)
+
+    async def _commit_and_read(
+        self, transaction: transactions.Transaction
+    ) -> positions.Position:
+        """Commit, and return a position that covers the work."""
+        is_committed = False
+        try:
+            pooled = await self._owned.commit(transaction)
+            is_committed = True
+            return await backends.read_position(pooled)
+        except base.DriverError as error:
+            if is_committed:
+                raise refusals.build_not_replicated() from error
+            raise refusals.build_driver_refusal(error) from error
+        finally:
+            await self._owned.close(transaction)
+
+    async def _roll_back(
+        self,
+        request: http.Request,  # noqa: ARG002
+        transaction_id: str,
+        organisation: str,
+    ) -> http.Response:
+        transaction = self._owned.get(transaction_id, organisation)
+        await self._owned.close(transaction)
+        ended = Ended(transaction_id, transactions.Ending.ROLLED_BACK.value)
+        return http.build_json(ended)
+
+    async def _admit(self, organisation: str, deadline_s: float) -> None:
+        if organisation:
+            await self._admission.admit(organisation, deadline_s)
+
+
+def _answer_again(transaction_id: str, ending: transactions.Ending) -> http.Response:
+    """Answer a commit that was sent again."""
+    if ending is transactions.Ending.UNKNOWN:
+        raise verdicts.build_may_have_run(
+            502, "connection_lost", "the outcome of the commit is not known"
+        )
+    if ending is transactions.Ending.ROLLED_BACK:
+        raise verdicts.build_not_run(
+            410, "transaction_ended", "the transaction was rolled back"
+        )
+    # Committed, but whether enough replicas have it was not answered then.
+    raise verdicts.build_may_have_run(
+        409, "already_committed", f"{transaction_id} was committed by another request"
+    )
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -100,7 +100,7 @@
         work: context.Work,
         statement: requests.Statement,
     ) -> tuple[requests.Answer, positions.Position]:
-        server = self._get_primary(permit, work)
+        server = self.get_primary(permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
         pooled = await connections.acquire(work.organisation, statement.deadline_s)
         try:
@@ -116,9 +116,16 @@
         answer = requests.Answer(*written.rows, server.instance, False)
         return answer, written.position
 
-    def _get_primary(
+    def get_primary(
         self, permit: table.WritePermit, work: context.Work
     ) -> directory.BackendServer:
+        """Return the primary that a permit names.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            503, not run, if the work may not go there.
+        """
         for server in work.servers:
             if server.instance == permit.primary:
                 return server
