--- /dev/null
+++ b/sedgeswitch/agreement/tests/test_faults.py
@@ -0,0 +1,349 @@
+"""Tests of clusters under failures, in virtual time."""
+
+import contextlib
+import os
+import unittest
+
+import hypothesis
+import trio
+from hypothesis import strategies
+
+from sedgeswitch.agreement import errors
+from sedgeswitch.agreement import messages
+from sedgeswitch.agreement import sqlite_storage
+from sedgeswitch.agreement.tests import builders
+
+RUN_S = 12.0
+# More runs than the suite makes: SEDGESWITCH_EXAMPLES=200.
+EXAMPLES = int(os.environ.get("SEDGESWITCH_EXAMPLES", "10"))
+FIVE = ("c1", "c2", "c3", "c4", "c5")
+THREE = ("c1", "c2", "c3")
+
+
+async def _write(cluster, name, until_s):
+    """Propose one command after the other at any host that may lead."""
+    number = 0
+    while trio.current_time() < until_s:
+        await trio.sleep(cluster.rng.uniform(0.0, 0.05))
+        for node_id in list(cluster.hosts):
+            host = cluster.hosts.get(node_id)
+            if host is None or host.node.leader_id != node_id:
+                continue
+            number += 1
+            with contextlib.suppress(errors.AgreementError):
+                await cluster.propose(node_id, f"{name}-{number}".encode())
+
+
+async def _watch_leases(cluster, until_s):
+    while trio.current_time() < until_s:
+        cluster.get_leader()
+        await trio.sleep(0.007)
+
+
+async def _readmit(cluster, node_id):
+    """Admit a host that has lost its disk, however often it takes."""
+    while True:
+        await trio.sleep(0.3)
+        leader = cluster.get_leader()
+        if leader is None or node_id not in cluster.hosts:
+            continue
+        address = builders.build_address(node_id)
+        with contextlib.suppress(errors.AgreementError):
+            await cluster.hosts[leader].node.replace_voter(
+                node_id, node_id, address, 5.0
+            )
+            return
+
+
+class _Faults:
+    """Draws faults; at most a minority is down, at most one lacks its disk."""
+
+    def __init__(self, cluster, node_ids):
+        self.cluster = cluster
+        self.node_ids = node_ids
+        self.lost = None
+
+    async def run(self, until_s, nursery):
+        rng = self.cluster.rng
+        actions = (self.kill, self.kill, self.kill_leader, self.start, self.start)
+        actions += (self.isolate, self.cut, self.heal, self.heal, self.lose_disk)
+        while trio.current_time() < until_s:
+            await trio.sleep(rng.uniform(0.02, 1.2))
+            await rng.choice(actions)(nursery)
+
+    def _can_kill(self):
+        return len(self.cluster.hosts) > len(self.node_ids) // 2 + 1
+
+    async def kill(self, _nursery):
+        if self._can_kill():
+            await self.cluster.kill(self.cluster.rng.choice(sorted(self.cluster.hosts)))
+
+    async def kill_leader(self, _nursery):
+        leader = self.cluster.get_leader()
+        if leader is not None and self._can_kill():
+            await self.cluster.kill(leader)
+
+    async def start(self, _nursery):
+        down = [name for name in self.node_ids if name not in self.cluster.hosts]
+        if down:
+            await self.cluster.start(self.cluster.rng.choice(down))
+
+    async def isolate(self, _nursery):
+        rng = self.cluster.rng
+        both, inward = rng.random() < 0.5, rng.random() < 0.5
+        self.cluster.network.isolate(
+            rng.choice(self.node_ids), both or inward, both or not inward
+        )
+
+    async def cut(self, _nursery):
+        rng = self.cluster.rng
+        source, target = rng.sample(self.node_ids, 2)
+        self.cluster.network.loss = rng.choice((0.0, 0.05, 0.3))
+        self.cluster.network.cuts.add(
+            (builders.build_address(source), builders.build_address(target))
+        )
+
+    async def heal(self, _nursery):
+        self.cluster.network.heal()
+
+    async def lose_disk(self, nursery):
+        down = [name for name in self.node_ids if name not in self.cluster.hosts]
+        if self.lost is not None or not down:
+            return
+        self.lost = down[0]
+        self.cluster.lose_disk(self.lost)
+        await self.cluster.start(self.lost)
+        nursery.start_soon(self._readmit, self.lost)
+
+    async def _readmit(self, node_id):
+        await _readmit(self.cluster, node_id)
+        self.lost = None
+
+
+async def _run_faults(cluster, node_ids):
+    await cluster.bootstrap(*node_ids)
+    until_s = trio.current_time() + RUN_S
+    faults = _Faults(cluster, node_ids)
+    async with trio.open_nursery() as nursery:
+        for name in ("a", "b", "c"):
+            nursery.start_soon(_write, cluster, name, until_s)
+        nursery.start_soon(_watch_leases, cluster, until_s + 5.0)
+        await faults.run(until_s, nursery)
+        cluster.network.heal()
+        for node_id in node_ids:
+            if node_id not in cluster.hosts:
+                await cluster.start(node_id)
+    await cluster.wait_until_same(node_ids)
+    cluster.check_promises(node_ids)
+    assert len(cluster.accepted) > 30, len(cluster.accepted)
+
+
+class RandomFaultTest(unittest.TestCase):
+    """Hypothesis prints the seed of a failing run and seeds trio's scheduler."""
+
+    @hypothesis.settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=EXAMPLES,
+        phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+    )
+    @hypothesis.given(strategies.integers(0, 2**32), strategies.sampled_from([3, 5]))
+    def test_random_faults_keep_every_promise(self, seed, count):
+        async def body(cluster):
+            await _run_faults(cluster, FIVE[:count])
+
+        builders.run_cluster(body, seed, snapshot_every_entries=40, retained_entries=5)
+
+
+class PartitionTest(unittest.TestCase):
+    def test_isolated_leader_loses_its_lease_before_another_leads(self):
+        async def body(cluster):
+            old = await cluster.bootstrap(*THREE)
+            await cluster.fill(5)
+            cluster.network.isolate(old)
+            cut_s = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_watch_leases, cluster, cut_s + 60.0)
+                await trio.sleep(0.6)
+                host = cluster.hosts[old]
+                self.assertIsNone(host.node.get_leadership(trio.current_time()))
+                with self.assertRaises(errors.AgreementError):
+                    await cluster.propose(old, b"during-partition")
+                with self.assertRaises(errors.NotLeaderError):
+                    await host.node.confirm(1.0)
+                new = await cluster.wait_for_leader()
+                self.assertNotEqual(new, old)
+                await cluster.propose(new, b"after-partition")
+            with self.assertRaises(errors.NotLeaderError):
+                await cluster.propose(old, b"refused")
+            cluster.network.heal()
+            await cluster.wait_until_same(THREE)
+            cluster.check_promises(THREE)
+            # Pre-vote: the isolated host has not disturbed the others.
+            self.assertEqual(cluster.get_leader(), new)
+
+        builders.run_cluster(body)
+
+    def test_leader_that_hears_nobody_is_replaced(self):
+        async def body(cluster):
+            old = await cluster.bootstrap(*THREE)
+            cluster.network.isolate(old, inward=True, outward=False)
+            await cluster.wait_for_leader(other_than=old)
+
+        builders.run_cluster(body)
+
+    def test_follower_that_hears_nobody_does_not_disturb(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap(*THREE)
+            term = cluster.hosts[leader].node.get_status(0.0).term
+            follower = next(name for name in THREE if name != leader)
+            cluster.network.isolate(follower, inward=True, outward=False)
+            await trio.sleep(20.0)
+            self.assertEqual(cluster.get_leader(), leader)
+            self.assertEqual(cluster.hosts[leader].node.get_status(0.0).term, term)
+
+        builders.run_cluster(body)
+
+
+class LostDiskTest(unittest.TestCase):
+    async def _lose_disk_of_quorum_member(self, cluster, damage):
+        """Commit on two hosts, damage one of them, stop the other.
+
+        The host that lacks the entries and the damaged one are a majority, but
+        must not act as one.
+        """
+        leader = await cluster.bootstrap(*THREE)
+        behind, damaged = (name for name in THREE if name != leader)
+        cluster.network.isolate(behind)
+        await cluster.fill(20)
+        await cluster.kill(damaged)
+        damage(damaged)
+        await cluster.kill(leader)
+        await cluster.start(damaged)
+        cluster.network.heal()
+        await trio.sleep(30.0)
+        self.assertIsNone(cluster.get_leader())
+        await cluster.start(leader)
+        await _readmit(cluster, damaged)
+        await cluster.wait_until_same(THREE)
+        cluster.check_promises(THREE)
+        status = cluster.hosts[damaged].node.get_status(trio.current_time())
+        self.assertTrue(status.is_admitted)
+        return status
+
+    def test_empty_disk_does_not_vote_until_readmitted(self):
+        async def body(cluster):
+            await self._lose_disk_of_quorum_member(cluster, cluster.lose_disk)
+
+        builders.run_cluster(body)
+
+    def test_corrupt_disk_does_not_vote_until_readmitted(self):
+        async def body(cluster):
+            def corrupt(node_id):
+                path = cluster.get_folder(node_id) / sqlite_storage.FILE_NAME
+                content = path.read_bytes()
+                place = content.rindex(b"fill-19")
+                path.write_bytes(content[:place] + b"?" + content[place + 1 :])
+
+            status = await self._lose_disk_of_quorum_member(cluster, corrupt)
+            self.assertIn("checksum", status.damage)
+
+        builders.run_cluster(body)
+
+    def test_second_host_lost_right_after_repair_is_survived(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap(*THREE)
+            lost, other = (name for name in THREE if name != leader)
+            await cluster.fill(300)
+            await cluster.kill(lost)
+            await cluster.start("c4")
+            address = builders.build_address("c4")
+            await cluster.hosts[leader].node.replace_voter(lost, "c4", address, 20.0)
+            await cluster.kill(leader)
+            await cluster.wait_for_leader()
+            await cluster.fill(5, "after")
+            await cluster.wait_until_same((other, "c4"))
+            cluster.check_promises((other, "c4"))
+
+        builders.run_cluster(body)
+
+    def test_second_change_waits_for_the_first(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap(*THREE)
+            lost, other = (name for name in THREE if name != leader)
+            await cluster.start("c4")
+            replace = cluster.hosts[leader].node.replace_voter
+            # The new host cannot be caught up, so that the change hangs.
+            endpoint = cluster.network.endpoints[builders.build_address("c4")]
+            handler = endpoint.handlers.pop(messages.SnapshotRequest)
+            async with trio.open_nursery() as nursery:
+
+                async def first():
+                    with self.assertRaises(errors.OutcomeUnknownError):
+                        await replace(lost, "c4", builders.build_address("c4"), 8.0)
+
+                nursery.start_soon(first)
+                await trio.sleep(1.0)
+                with self.assertRaises(errors.ChangeInProgressError):
+                    await replace(other, "c5", builders.build_address("c5"), 1.0)
+            self.assertIn(lost, cluster.hosts[leader].node.get_status(0.0).voters)
+            endpoint.handlers[messages.SnapshotRequest] = handler
+            await replace(lost, "c4", builders.build_address("c4"), 8.0)
+            voters = cluster.hosts[leader].node.get_status(0.0).voters
+            self.assertEqual(set(voters), {leader, other, "c4"})
+
+        builders.run_cluster(body)
+
+    def test_leader_replaced_by_another_host_steps_down(self):
+        async def body(cluster):
+            old = await cluster.bootstrap(*THREE)
+            await cluster.start("c4")
+            address = builders.build_address("c4")
+            await cluster.hosts[old].node.replace_voter(old, "c4", address, 8.0)
+            await cluster.wait_for_leader(other_than=old)
+            await cluster.fill(3)
+
+        builders.run_cluster(body)
+
+
+class RestartTest(unittest.TestCase):
+    def test_restart_after_500_entries_loads_few_and_gives_the_last_state(self):
+        async def body(cluster):
+            await cluster.bootstrap(*THREE)
+            await cluster.fill(500)
+            await cluster.wait_until_same(THREE)
+            expected = list(cluster.hosts["c1"].recorder.bodies)
+            self.assertEqual(len(expected), 500)
+            for node_id in THREE:
+                await cluster.kill(node_id)
+                store = sqlite_storage.SqliteStorage(cluster.get_folder(node_id))
+                stored = store.open()
+                store.close()
+                self.assertEqual(stored.snapshot.index, 400)
+                self.assertLessEqual(len(stored.entries), 250)
+            for node_id in THREE:
+                await cluster.start(node_id)
+            await cluster.wait_until_same(THREE)
+            for node_id in THREE:
+                self.assertEqual(cluster.hosts[node_id].recorder.bodies, expected)
+
+        builders.run_cluster(body)
+
+    def test_slow_follower_gets_the_snapshot_in_pieces(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap(*THREE)
+            slow = next(name for name in THREE if name != leader)
+            await cluster.kill(slow)
+            await cluster.fill(60)
+            await cluster.start(slow)
+            await cluster.wait_until_same(THREE)
+            cluster.check_promises(THREE)
+
+        builders.run_cluster(
+            body, snapshot_every_entries=20, retained_entries=2, max_batch_bytes=64
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sedgeswitch/agreement/tests/test_parts.py
@@ -0,0 +1,125 @@
+"""Tests of voters, machines, settings and proposals."""
+
+import unittest
+
+import loguru
+import trio
+
+from sedgeswitch.agreement import errors
+from sedgeswitch.agreement import machines
+from sedgeswitch.agreement import messages
+from sedgeswitch.agreement import settings
+from sedgeswitch.agreement import voters
+from sedgeswitch.agreement.tests import builders
+from sedgeswitch.transport import frames
+from sedgeswitch.utils import checks
+
+MAX_HEARTBEAT_BYTES = 64
+
+
+def build_member(node_id):
+    return voters.Member(node_id, "127.0.0.1", 7000, "aa")
+
+
+def build_keys(*node_ids):
+    return {build_member(node_id).key for node_id in node_ids}
+
+
+class _FailingMachine:
+    def apply(self, _index, _body):
+        raise ValueError("no such lot")
+
+
+class VoterSetTest(unittest.TestCase):
+    def test_joint_quorum_needs_both_majorities(self):
+        before = tuple(build_member(name) for name in ("c1", "c2", "c3"))
+        after = tuple(build_member(name) for name in ("c1", "c2", "c4"))
+        joint = voters.VoterSet(after, old_voters=before)
+        self.assertTrue(joint.has_quorum(build_keys("c1", "c2")))
+        self.assertFalse(joint.has_quorum(build_keys("c1", "c4")))
+        self.assertFalse(joint.has_quorum(build_keys("c1", "c3")))
+        self.assertTrue(joint.has_quorum(build_keys("c1", "c3", "c4")))
+
+    def test_other_disk_of_a_voter_does_not_count(self):
+        trio_of = voters.VoterSet(tuple(build_member(f"c{n}") for n in (1, 2, 3)))
+        self.assertFalse(trio_of.has_quorum({"c1/aa", "c2/bb"}))
+
+
+class RegistryTest(unittest.TestCase):
+    def test_unknown_slice_is_a_typed_result(self):
+        command = machines.encode_command(machines.Command("unknown", b"x"))
+        result = machines.Registry().apply(1, command)
+        with self.assertRaises(errors.UnknownMachineError):
+            machines.read_result("unknown", result)
+
+    def test_failing_machine_is_a_typed_result(self):
+        registry = machines.Registry()
+        registry.register_machine("lots", _FailingMachine())
+        command = machines.encode_command(machines.Command("lots", b"x"))
+        loguru.logger.disable("sedgeswitch.agreement")
+        self.addCleanup(loguru.logger.enable, "sedgeswitch.agreement")
+        result = registry.apply(1, command)
+        with self.assertRaisesRegex(errors.MachineFailedError, "no such lot"):
+            machines.read_result("lots", result)
+
+    def test_state_of_a_missing_slice_survives_a_snapshot(self):
+        full, lacking = machines.Registry(), machines.Registry()
+        recorder = builders.Recorder({})
+        full.register_machine("lots", recorder)
+        recorder.apply(1, b"lot 7")
+        lacking.load_snapshot(full.save_snapshot())
+        again = machines.Registry()
+        restored = builders.Recorder({})
+        again.register_machine("lots", restored)
+        again.load_snapshot(lacking.save_snapshot())
+        self.assertEqual(restored.bodies, [b"lot 7"])
+
+
+class SettingsTest(unittest.TestCase):
+    def test_two_voters_are_refused(self):
+        pair = tuple(builders.build_voter(name) for name in ("c1", "c2"))
+        with self.assertRaisesRegex(checks.CheckError, "bootstrap_voters"):
+            settings.check_settings(settings.NodeSettings("c1", pair))
+
+
+class ProposalTest(unittest.TestCase):
+    def test_proposals_beyond_the_bound_are_not_run(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap("c1", "c2", "c3")
+            cluster.network.isolate(leader)
+            async with trio.open_nursery() as nursery:
+                for number in range(2):
+                    nursery.start_soon(self._propose_in_vain, cluster, leader, number)
+                await trio.sleep(0.01)
+                with self.assertRaises(errors.OverloadedError):
+                    await cluster.propose(leader, b"third", 0.1)
+            cluster.network.heal()
+            await cluster.wait_until_same(("c1", "c2", "c3"))
+            cluster.check_promises(("c1", "c2", "c3"))
+
+        builders.run_cluster(body, max_inflight_proposals=2)
+
+    async def _propose_in_vain(self, cluster, leader, number):
+        with self.assertRaises(errors.OutcomeUnknownError):
+            await cluster.propose(leader, b"%d" % number, 0.3)
+
+    def test_confirm_applies_what_was_committed_before(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap("c1", "c2", "c3")
+            await cluster.fill(3)
+            host = cluster.hosts[leader]
+            await host.node.confirm(1.0)
+            self.assertEqual(len(host.recorder.bodies), 3)
+
+        builders.run_cluster(body)
+
+
+class MessageTest(unittest.TestCase):
+    def test_heartbeats_are_small(self):
+        request = messages.HeartbeatRequest(9, "control-1", "0123456789abcdef", 10**6)
+        frame = frames.Frame(frames.KIND_REQUEST, 10**6, request)
+        self.assertLess(len(frames.encode_frame(frame)), MAX_HEARTBEAT_BYTES)
+
+
+if __name__ == "__main__":
+    unittest.main()
