--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -1,7 +1,8 @@
 """Measures the replicated log: three processes on loopback, full sync.
 
-Prints proposals per second and commit latency at several concurrencies, then the
-time from killing the leader until another host leads with a confirmed lease::
+Prints how long it takes to read logs of several lengths, proposals per second and
+commit latency at several concurrencies, then the time from killing the leader
+until another host leads with a confirmed lease::
 
     PYTHONPATH=. .venv/bin/python benchmarks/agreement.py --seconds 3 --kills 10
 """
@@ -24,12 +25,15 @@
 from sedgeswitch.agreement import node
 from sedgeswitch.agreement import settings
 from sedgeswitch.agreement import sqlite_storage
+from sedgeswitch.agreement import storage
+from sedgeswitch.agreement import voters
 from sedgeswitch.transport import server
 
 HOST = "127.0.0.1"
 NODE_IDS = ("c1", "c2", "c3")
 CONCURRENCIES = (1, 16, 128)
 BODY_BYTES = 200
+HISTORIES = (600, 6000, 60000)
 POLL_S = 0.005
 
 
@@ -94,7 +98,7 @@
 
 async def run_worker(node_id, ports, folder):
     """Run one host; reads concurrency and duration from its input."""
-    voters = tuple(
+    bootstrap_voters = tuple(
         settings.VoterAddress(name, HOST, port)
         for name, port in zip(NODE_IDS, ports, strict=True)
     )
@@ -102,7 +106,7 @@
     registry = machines.Registry()
     registry.register_machine("null", NullMachine())
     started = node.Node(
-        settings.NodeSettings(node_id, voters),
+        settings.NodeSettings(node_id, bootstrap_voters),
         sqlite_storage.SqliteStorage(pathlib.Path(folder) / node_id),
         network.TransportNetwork(serving),
         registry,
@@ -179,6 +183,31 @@
     return durations_s
 
 
+def measure_open(entry_count):
+    """Print how long it takes to read a log with a history of some length."""
+    voter_set = voters.VoterSet((voters.Member("c1", HOST, 1, "aa"),))
+    every = settings.NodeSettings("c1").snapshot_every_entries
+    kind = storage.EntryKind.COMMAND
+    with tempfile.TemporaryDirectory() as folder:
+        store = sqlite_storage.SqliteStorage(pathlib.Path(folder))
+        store.reset("aa")
+        for last in range(every, entry_count + 1, every):
+            entries = tuple(
+                storage.Entry(index, 1, kind, bytes(BODY_BYTES))
+                for index in range(last - every + 1, last + 1)
+            )
+            snapshot = storage.Snapshot(last, 1, voter_set, bytes(BODY_BYTES))
+            save = storage.SaveSnapshot(snapshot, last - every + 1)
+            store.write([storage.Append(entries), save])
+        store.close()
+        started_s = time.perf_counter()
+        count = len(store.open().entries)
+        duration_ms = (time.perf_counter() - started_s) * 1000
+        store.close()
+    result = {"history": entry_count, "loaded": count, "open_ms": round(duration_ms, 1)}
+    print(json.dumps(result))
+
+
 async def run_fleet(duration_s, kills):
     """Measure and print."""
     with tempfile.TemporaryDirectory() as folder:
@@ -214,6 +243,8 @@
     if options.node:
         trio.run(run_worker, options.node, options.ports, options.folder)
     else:
+        for entry_count in HISTORIES:
+            measure_open(entry_count)
         trio.run(run_fleet, options.seconds, options.kills)
 
 
--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -188,7 +188,7 @@
                 task_status.started()
         finally:
             if self._state is not None:
-                self._state.become_follower(None)
+                self._state.stop()
             self._storage.close()
 
     async def propose(self, slice_name: str, body: bytes, timeout_s: float) -> bytes:
--- a/sedgeswitch/agreement/settings.py
+++ b/sedgeswitch/agreement/settings.py
@@ -30,7 +30,8 @@
     heartbeat_interval_s : float
     election_timeout_min_s, election_timeout_max_s : float
         An election starts when no leader was heard for a random time between
-        these; voters refuse candidates for the shorter one.
+        these; voters refuse candidates for the shorter one, on which the
+        leader's lease rests: it must be the same on all hosts.
     drift_margin_s : float
         What the leader's lease is shorter than the shorter election timeout.
     snapshot_every_entries : int
--- a/sedgeswitch/agreement/snapshots.py
+++ b/sedgeswitch/agreement/snapshots.py
@@ -13,6 +13,11 @@
 from sedgeswitch.agreement import voters
 
 
+def hash_body(body: bytes) -> bytes:
+    """Return the checksum that is sent with a snapshot."""
+    return xxhash.xxh3_64_digest(body)
+
+
 def take_snapshot(state: state_module.State, registry: machines.Registry) -> None:
     """Replace the applied entries by a snapshot, but for the last few."""
     log = state.log
@@ -48,7 +53,7 @@
         If the peer does not answer.
     """
     snapshot = state.log.snapshot
-    checksum = xxhash.xxh3_64_digest(snapshot.body)
+    checksum = hash_body(snapshot.body)
     voter_set = voters.encode_voter_set(snapshot.voter_set)
     total_bytes = len(snapshot.body)
     offset_bytes = 0
@@ -146,7 +151,7 @@
     def _finish(self, request: messages.SnapshotRequest) -> int:
         body = bytes(self._incoming.body)
         self._incoming = None
-        if xxhash.xxh3_64_digest(body) != request.checksum:
+        if hash_body(body) != request.checksum:
             return 0
         voter_set = voters.decode_voter_set(request.voter_set)
         snapshot = storage.Snapshot(request.index, request.index_term, voter_set, body)
--- a/sedgeswitch/agreement/state.py
+++ b/sedgeswitch/agreement/state.py
@@ -82,6 +82,7 @@
         self.proposals = proposals.Proposals()
         self._appended: list[tuple[int, int]] = []
         self._durable_index = 0
+        self._is_stopped = False
         self.role_moved = _signals.Signal()
         self.log_grown = _signals.Signal()
         self.commit_moved = _signals.Signal()
@@ -107,16 +108,22 @@
         return self.role is Role.LEADER and self.term == term
 
     def check_incarnation(self, incarnation: str) -> None:
-        """Refuse a request that was meant for another disk.
+        """Refuse a request that was meant for another disk, or comes too late.
 
         Raises
         ------
         failures.CallError
         """
+        verdict = verdicts.Verdict.NOT_RUN
+        if self._is_stopped:
+            raise failures.CallError("stopped", f"{self.key} has stopped", verdict)
         if incarnation != self.incarnation:
-            detail = f"this is {self.key}"
-            verdict = verdicts.Verdict.NOT_RUN
-            raise failures.CallError(WRONG_INCARNATION, detail, verdict)
+            raise failures.CallError(WRONG_INCARNATION, f"this is {self.key}", verdict)
+
+    def stop(self) -> None:
+        """Answer nobody from now on; the disk is about to be closed."""
+        self._is_stopped = True
+        self.become_follower(None)
 
     def check_leading(self) -> None:
         """Refuse if this host does not lead.
--- a/sedgeswitch/agreement/tests/builders.py
+++ b/sedgeswitch/agreement/tests/builders.py
@@ -43,6 +43,7 @@
         self.cuts = set()
         self.loss = 0.0
         self.delay_s = 0.004
+        self.extra_s = {}
         self.endpoints = {}
 
     def isolate(self, node_id, inward=True, outward=True):
@@ -57,7 +58,8 @@
         self.loss = 0.0
 
     async def carry(self, source, target):
-        await trio.sleep(self.rng.uniform(0.0, self.delay_s))
+        delay_s = self.rng.uniform(0.0, self.delay_s) + self.extra_s.get(target, 0.0)
+        await trio.sleep(delay_s)
         if (source, target) in self.cuts or self.rng.random() < self.loss:
             await trio.sleep_forever()
 
--- a/sedgeswitch/agreement/tests/test_faults.py
+++ b/sedgeswitch/agreement/tests/test_faults.py
@@ -1,6 +1,7 @@
 """Tests of clusters under failures, in virtual time."""
 
 import contextlib
+import itertools
 import os
 import unittest
 
@@ -11,6 +12,8 @@
 from sedgeswitch.agreement import errors
 from sedgeswitch.agreement import messages
 from sedgeswitch.agreement import sqlite_storage
+from sedgeswitch.agreement import storage
+from sedgeswitch.agreement import voters
 from sedgeswitch.agreement.tests import builders
 
 RUN_S = 12.0
@@ -56,7 +59,7 @@
 
 
 class _Faults:
-    """Draws faults; at most a minority is down, at most one lacks its disk."""
+    """Draws faults; at most a minority is down or lacks its disk."""
 
     def __init__(self, cluster, node_ids):
         self.cluster = cluster
@@ -72,7 +75,8 @@
             await rng.choice(actions)(nursery)
 
     def _can_kill(self):
-        return len(self.cluster.hosts) > len(self.node_ids) // 2 + 1
+        lost = {self.lost} & self.cluster.hosts.keys()
+        return len(self.cluster.hosts) - len(lost) > len(self.node_ids) // 2 + 1
 
     async def kill(self, _nursery):
         if self._can_kill():
@@ -133,9 +137,9 @@
         for node_id in node_ids:
             if node_id not in cluster.hosts:
                 await cluster.start(node_id)
+    await cluster.fill(5, "healed")
     await cluster.wait_until_same(node_ids)
     cluster.check_promises(node_ids)
-    assert len(cluster.accepted) > 30, len(cluster.accepted)
 
 
 class RandomFaultTest(unittest.TestCase):
@@ -193,6 +197,17 @@
 
         builders.run_cluster(body)
 
+    def test_follower_that_does_not_hear_the_leader_is_not_elected(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap(*THREE)
+            follower = next(name for name in THREE if name != leader)
+            source = builders.build_address(leader)
+            cluster.network.cuts.add((source, builders.build_address(follower)))
+            await _watch_leases(cluster, trio.current_time() + 20.0)
+            self.assertEqual(cluster.get_leader(), leader)
+
+        builders.run_cluster(body)
+
     def test_follower_that_hears_nobody_does_not_disturb(self):
         async def body(cluster):
             leader = await cluster.bootstrap(*THREE)
@@ -268,6 +283,36 @@
 
         builders.run_cluster(body)
 
+    def test_replacement_ends_once_the_new_host_holds_it(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap(*THREE)
+            lost = next(name for name in THREE if name != leader)
+            await cluster.start("c4")
+            address = builders.build_address("c4")
+            cluster.network.extra_s[address] = 0.1
+            await cluster.hosts[leader].node.replace_voter(lost, "c4", address, 20.0)
+            status = cluster.hosts["c4"].node.get_status(trio.current_time())
+            self.assertIn("c4", status.voters)
+            self.assertFalse(status.is_changing_voters)
+            log = cluster.hosts["c4"].node._state.log
+            sets = [
+                voters.decode_voter_set(log.get_entry(index).body)
+                for index in range(log.first_index, log.last_index + 1)
+                if log.get_entry(index).kind is storage.EntryKind.VOTER_SET
+            ]
+            self.assertEqual(len(sets), 3)
+            for before, after in itertools.pairwise(sets):
+                self._check_quorums_meet(before, after)
+
+        builders.run_cluster(body)
+
+    def _check_quorums_meet(self, before, after):
+        keys = {member.key for member in before.members + after.members}
+        for count in range(len(keys) + 1):
+            for chosen in map(set, itertools.combinations(sorted(keys), count)):
+                is_split = before.has_quorum(chosen) and after.has_quorum(keys - chosen)
+                self.assertFalse(is_split, f"{chosen} against {keys - chosen}")
+
     def test_second_change_waits_for_the_first(self):
         async def body(cluster):
             leader = await cluster.bootstrap(*THREE)
@@ -290,8 +335,8 @@
             self.assertIn(lost, cluster.hosts[leader].node.get_status(0.0).voters)
             endpoint.handlers[messages.SnapshotRequest] = handler
             await replace(lost, "c4", builders.build_address("c4"), 8.0)
-            voters = cluster.hosts[leader].node.get_status(0.0).voters
-            self.assertEqual(set(voters), {leader, other, "c4"})
+            names = cluster.hosts[leader].node.get_status(0.0).voters
+            self.assertEqual(set(names), {leader, other, "c4"})
 
         builders.run_cluster(body)
 
