--- a/sedgeswitch/admission/grantor.py
+++ b/sedgeswitch/admission/grantor.py
@@ -153,7 +153,8 @@
             granted=granted,
             keep=fleet_bucket.get_keep(key),
             share_per_s=fleet_bucket.get_share_per_s(key),
-            is_short=granted < pending,
+            # A host at its cap gets more with its next draw; it isn't short.
+            is_short=granted < pending and fleet_bucket.level < 1,
             bucket=fleet_bucket.level,
             held=float(fleet_bucket.get_reserved()),
             rate_per_s=fleet_bucket.limit.rate_per_s,
