Keep a quarter of a second of demand in stock, estimated over as long

Cause: stock left from a burst at one host was missing at the next one. Ruled out: a larger reserve (0.5), which changed bursts no more than the stock.

--- a/sedgeswitch/admission/settings.py
+++ b/sedgeswitch/admission/settings.py
@@ -56,13 +56,13 @@
     draw_timeout_s: float = 0.15
     lifetime_s: float = 2.0
     drift: float = 0.001
-    stock_s: float = 0.5
+    stock_s: float = 0.25
     host_share_max: float = 0.5
     reserve_share: float = 0.25
     wait_max_s: float = 0.1
     leader_wait_s: float = 0.1
     host_memory_s: float = 60.0
-    demand_window_s: float = 0.5
+    demand_window_s: float = 0.25
 
 
 def check_limit(limit: Limit) -> Limit:
