Let a request wait up to 0.2 s for a token, whatever the round trip

Cause: at an empty bucket the next token comes after 1/rate, which is longer than two round trips for a small organisation.

--- a/sedgeswitch/admission/settings.py
+++ b/sedgeswitch/admission/settings.py
@@ -41,7 +41,7 @@
         Largest share of a burst that one host may hold.
     reserve_share : float
         Share of the tokens that is not handed out as stock.
-    wait_max_s : float
+    wait_s : float
         Longest wait of a request for a draw.
     leader_wait_s : float
         Longest wait of a request while draws go unanswered.
@@ -59,7 +59,7 @@
     stock_s: float = 0.25
     host_share_max: float = 0.5
     reserve_share: float = 0.25
-    wait_max_s: float = 0.1
+    wait_s: float = 0.2
     leader_wait_s: float = 0.1
     host_memory_s: float = 60.0
     demand_window_s: float = 0.25
--- a/sedgeswitch/admission/wallet.py
+++ b/sedgeswitch/admission/wallet.py
@@ -13,8 +13,6 @@
 from sedgeswitch.utils import checks
 
 _SHORT_MEMORY_S = 0.5
-_FIRST_ROUND_TRIP_S = 0.03
-_ROUND_TRIP_WEIGHT = 0.2
 
 
 class Admitted(typing.NamedTuple):
@@ -175,7 +173,6 @@
         self._sent: _Sent | None = None
         self._last_sent_s = -math.inf
         self._unanswered_since_s: float | None = None
-        self._round_trip_s = _FIRST_ROUND_TRIP_S
         self._urgent_interval_s = self._settings.urgent_interval_s
         self._is_woken = trio.Event()
 
@@ -325,7 +322,6 @@
             return
         self._sent = None
         self._unanswered_since_s = None
-        self._learn_round_trip(now_s - sent.sent_s)
         if reply.status == messages.DrawStatus.REPORT_WANTED:
             self._term = reply.term
             self._is_report_due = True
@@ -389,13 +385,12 @@
         since_s = self._unanswered_since_s
         if since_s is not None and now_s - since_s > self._settings.draw_timeout_s:
             return self._settings.leader_wait_s
-        wait_s = 2 * self._round_trip_s + self._urgent_interval_s
-        return min(wait_s, self._settings.wait_max_s)
+        return self._settings.wait_s
 
     def _get_room(self, account: _Account, now_s: float) -> int:
         if now_s >= account.short_until_s:
             return account.limit.burst
-        return 1 + int(account.share_per_s * self._get_wait_s(now_s))
+        return math.ceil(1 + account.share_per_s * self._get_wait_s(now_s))
 
     def _build_denied(self, account: _Account) -> Denied:
         share_per_s = max(account.share_per_s, 1e-6)
@@ -452,7 +447,3 @@
             for organisation, memory in self._memories.items()
             if memory.sent_s > oldest_s
         ]
-
-    def _learn_round_trip(self, round_trip_s: float) -> None:
-        change_s = round_trip_s - self._round_trip_s
-        self._round_trip_s += _ROUND_TRIP_WEIGHT * change_s
