Send the next heartbeat at once when the table of groups moved

Cause: an entry host said that it obeys a fence only with its next heartbeat, up to 0.5 s later, while the leader waited for it; the same after Promoted. Change: EntrySection.wait_urgent, for the heartbeat loop.

--- a/sedgeswitch/groups/sections.py
+++ b/sedgeswitch/groups/sections.py
@@ -75,6 +75,7 @@
         self._last_used_s: dict[str, float] = {}
         self._sent_used: list[str] | None = None
         self._observed: dict[str, _Observed] = {}
+        self._urgent = trio.Event()
         self._sent_s = 0.0
         self._round_trip_s = float("inf")
 
@@ -92,9 +93,20 @@
         """Say that a caller of this host uses a group."""
         self._last_used_s[group] = now_s
 
+    async def wait_urgent(self) -> None:
+        """Return when the next report should not wait for its turn.
+
+        Notes
+        -----
+        That is so when the table has moved: the leader waits for this host to
+        say that it obeys.
+        """
+        await self._urgent.wait()
+
     def build_report(self, now_s: float) -> bytes:
         """Return the section of the next heartbeat, sent at `now_s`."""
         self._sent_s = now_s
+        self._urgent = trio.Event()
         report = ttypes.Report(
             acknowledged_version=self._table.get_version(),
             sent_ms=int(now_s * _MS_PER_S),
@@ -111,7 +123,8 @@
         """Take in the leader's answer; call before the lease is extended."""
         answer = catalog.decode_struct(ttypes.Answer, body)
         self._round_trip_s = min(self._round_trip_s, now_s - self._sent_s)
-        self._table.apply_changes(answer.version, answer.changed)
+        if self._table.apply_changes(answer.version, answer.changed):
+            self._urgent.set()
         if not answer.knows_used_groups:
             self._sent_used = None
         if answer.watched_groups is not None:
