Choose the next primary as soon as the answers suffice

Cause: a frozen old primary cost the whole read timeout of 0.5 s. Ruled out: a shorter timeout, which a slow instance would miss. Change: stop reading once n - ack_instances + 1 answers settle the choice and every earlier candidate has answered.

--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -245,30 +245,65 @@
             await trio.sleep(self._settings.check_interval_s)
 
     async def _decide(self) -> choice.Decision:
-        states = await self._read_states()
-        return choice.decide(
-            self._get_state(),
-            states,
-            self._settings.ack_instances,
-            self._get_rank,
-            self._target,
-        )
+        """Read the instances until a choice is certain or all have had their time.
 
-    async def _read_states(self) -> dict[str, instances.InstanceState]:
-        """Read the state of each agreed instance; those that answer in time."""
+        A frozen instance would cost the whole `read_timeout_s` otherwise.
+        """
         states: dict[str, instances.InstanceState] = {}
+        decision = choice.Decision(choice.Step.WAIT)
+        announced = self._control.directory.get_instances(self._group)
+        async with trio.open_nursery() as nursery:
+            results = self._start_reads(nursery, announced)
+            for _ in announced:
+                name, state = await results.receive()
+                if state is None:
+                    continue
+                states[name] = state
+                decision = self._decide_on(states)
+                if self._is_certain(decision, states):
+                    break
+            nursery.cancel_scope.cancel()
+        return decision
+
+    def _is_certain(
+        self,
+        decision: choice.Decision,
+        states: typing.Mapping[str, instances.InstanceState],
+    ) -> bool:
+        """Return whether the instances that are still silent cannot matter."""
+        if decision.step is choice.Step.ADOPT:
+            return True
+        if decision.step is not choice.Step.PROMOTE or self._target is not None:
+            return False
+        # An earlier candidate may have become the primary already.
+        return states.keys() >= set(self._get_state().candidates)
+
+    def _start_reads(
+        self, nursery: trio.Nursery, announced: typing.Sequence[instances.Instance]
+    ) -> trio.MemoryReceiveChannel:
+        """Read each instance; the channel gives its name and state or None."""
+        sender, receiver = trio.open_memory_channel(len(announced))
 
         async def read(instance: instances.Instance) -> None:
             state = await instances.read_state(
                 self._control.driver, instance.target, self._settings.read_timeout_s
             )
-            if state is not None:
-                states[instance.instance] = state
+            sender.send_nowait((instance.instance, state))
 
-        async with trio.open_nursery() as nursery:
-            for instance in self._control.directory.get_instances(self._group):
-                nursery.start_soon(read, instance)
-        return states
+        for instance in announced:
+            nursery.start_soon(read, instance)
+        return receiver
+
+    def _decide_on(
+        self, states: typing.Mapping[str, instances.InstanceState]
+    ) -> choice.Decision:
+        return choice.decide(
+            self._get_state(),
+            states,
+            self._settings.ack_instances,
+            self._get_rank,
+            self._target,
+        )
 
     def _get_rank(self, instance: str) -> tuple:
         """Rank an instance, lowest first.
