Ask again soon after a refused probe

Cause: three refused probes at 0.5 s each made 1.2 s of a killed primary's gap. A refused connection is strong evidence; silence is not. Ruled out: one refusal as enough, since a kept connection may break alone.

--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -199,10 +199,17 @@
                 while True:
                     started_s = trio.current_time()
                     connection = await self._probe(instance, record, connection)
-                    await trio.sleep_until(started_s + self._settings.probe_interval_s)
+                    await trio.sleep_until(started_s + self._get_interval_s(record))
             finally:
                 await _close(connection)
 
+    def _get_interval_s(self, record: _InstanceRecord) -> float:
+        # A refusal is strong evidence, so ask again soon; once the instance is
+        # suspect there is no hurry.
+        if 0 < record.refused < self._settings.refused_limit:
+            return self._settings.refused_interval_s
+        return self._settings.probe_interval_s
+
     async def _probe(
         self,
         instance: instances.Instance,
