Send the next heartbeat at once when a primary becomes suspect

Cause: a suspicion waited up to 0.5 s for its turn in the heartbeat. Ruled out: a shorter heartbeat, which every host would pay for all the time. Change: the watcher tells its section, which wakes wait_urgent.

--- a/sedgeswitch/groups/sections.py
+++ b/sedgeswitch/groups/sections.py
@@ -98,8 +98,8 @@
 
         Notes
         -----
-        That is so when the table has moved: the leader waits for this host to
-        say that it obeys.
+        That is so when the table has moved, since the leader waits for this
+        host to say that it obeys, and when a watched primary becomes suspect.
         """
         await self._urgent.wait()
 
@@ -164,7 +164,12 @@
 
     def _start_watcher(self, nursery: trio.Nursery, group: str) -> None:
         self._watchers[group] = watcher.Watcher(
-            group, self._table, self._directory, self._driver, self._settings
+            group,
+            self._table,
+            self._directory,
+            self._driver,
+            self._settings,
+            on_suspect=lambda: self._urgent.set(),
         )
         self._scopes[group] = trio.CancelScope()
         nursery.start_soon(
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -98,6 +98,8 @@
     driver : object
         Backend driver, with ``connect(target, timeout_s)``.
     settings : groups.settings.GroupSettings
+    on_suspect : callable
+        Called without arguments when the primary becomes suspect.
 
     Notes
     -----
@@ -113,6 +115,7 @@
         directory: instances.Directory,
         driver: typing.Any,
         settings: groups_settings.GroupSettings,
+        on_suspect: typing.Callable[[], None],
     ):
         self._group = group
         self._table = table
@@ -121,7 +124,8 @@
         self._settings = settings
         self._records: dict[str, _InstanceRecord] = {}
         self._history = observation.SampleHistory()
-        self._suspected = trio.Event()
+        self._on_suspect = on_suspect
+        self._is_suspected = False
 
     async def run(self) -> None:
         """Probe until cancelled; follows instances that come and go."""
@@ -137,7 +141,19 @@
                     scopes[name] = trio.CancelScope()
                     self._records[name] = _InstanceRecord()
                     nursery.start_soon(self._watch, by_id[name], scopes[name])
-                await trio.sleep(self._settings.probe_interval_s)
+                self._check_primary(trio.current_time())
+                await trio.sleep(self._settings.check_interval_s)
+
+    def _check_primary(self, now_s: float) -> None:
+        group = self._table.get_group(self._group)
+        record = None if group is None else self._records.get(group.primary)
+        if record is None:
+            return
+        condition = record.get_condition(self._settings, now_s)
+        was_suspected = self._is_suspected
+        self._is_suspected = condition == ttypes.Condition.SUSPECT
+        if self._is_suspected and not was_suspected:
+            self._on_suspect()
 
     def build_health(self, now_s: float) -> ttypes.GroupHealth:
         """Return what the probes have shown, for the next heartbeat."""
