--- a/sedgeswitch/groups/settings.py
+++ b/sedgeswitch/groups/settings.py
@@ -21,6 +21,8 @@
         Time from one probe of an instance to the next.
     probe_timeout_s : float
         Longest wait for the answer to a probe.
+    refused_interval_s : float
+        Time from a refused probe to the next, until the instance is suspect.
     refused_limit : int
         Refused connections in a row that make an instance suspect.
     silence_limit_s : float
@@ -44,6 +46,9 @@
         Orders to one candidate before another is considered.
     catch_up_s : float
         Longest wait for a replica to reach the position of a live primary.
+    removal_delay_s : float
+        Time without announcement after which an instance that has been replaced
+        leaves its group.
     propose_timeout_s : float
         Longest wait for one agreement.
     """
@@ -53,6 +58,7 @@
     watcher_count: int = 3
     probe_interval_s: float = 0.5
     probe_timeout_s: float = 5.0
+    refused_interval_s: float = 0.1
     refused_limit: int = 3
     silence_limit_s: float = 1.5
     max_silence_limit_s: float = 4.0
@@ -64,6 +70,7 @@
     promote_timeout_s: float = 2.0
     promote_attempts: int = 2
     catch_up_s: float = 2.0
+    removal_delay_s: float = 30.0
     propose_timeout_s: float = 1.0
 
 
