Wire the fair queue, stated ages and urgent heartbeats

Cause: pools queued in order of arrival; max_age_ms was not looked at; a read without a floor could reach an instance on an abandoned timeline. Change: fair queue before each pool; ages from the watchers' observations checked before and after the run; a replica must report the group's timeline.

--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -28,6 +28,7 @@
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import assignment
+from sedgeswitch.groups import control as groups_control
 from sedgeswitch.groups import failover
 from sedgeswitch.groups import leases as groups_leases
 from sedgeswitch.groups import machine as groups_machine
@@ -161,7 +162,7 @@
         self.groups_section = groups_sections.ControlSection(
             self.groups, self._get_live_hosts, given
         )
-        control = failover.Control(
+        given_control = groups_control.Control(
             machine=self.groups,
             propose=self.node.propose,
             get_leadership=self.node.get_leadership,
@@ -176,7 +177,7 @@
             get_rank=self._get_rank,
             record_report=self._record_failover,
         )
-        self.supervisor = supervisor.Supervisor(control, self.groups_section)
+        self.supervisor = supervisor.Supervisor(given_control, self.groups_section)
 
     def _register_sections(self) -> None:
         register = self.registrar.register_section
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -8,6 +8,7 @@
 from sedgeswitch import settings as daemon_settings
 from sedgeswitch import verdicts
 from sedgeswitch.admission import drawing
+from sedgeswitch.admission import fair_queue
 from sedgeswitch.admission import messages as admission_messages
 from sedgeswitch.admission import wallet
 from sedgeswitch.callers import routes
@@ -16,7 +17,6 @@
 from sedgeswitch.daemon import announcements
 from sedgeswitch.daemon import control
 from sedgeswitch.daemon import homes
-from sedgeswitch.daemon import slots
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import sections as groups_sections
@@ -43,6 +43,8 @@
 
 DRAW_TIMEOUT_S = 0.5
 MAINTENANCE_INTERVAL_S = 0.25
+# Shortest time between two heartbeats that do not wait for their turn.
+URGENT_PAUSE_S = 0.02
 POLICY = "least_expected_delay"
 
 
@@ -133,6 +135,7 @@
             nursery.start_soon(self.groups_section.run)
             nursery.start_soon(drawing.run, self.wallet, self._call_draw)
             nursery.start_soon(self.transactions.run)
+            nursery.start_soon(self._beat_urgently)
             nursery.start_soon(self._maintain)
 
     def register_routes(self, router: routes.Router) -> None:
@@ -171,9 +174,13 @@
             pool.PoolSettings(given.connect_timeout_s, given.idle_timeout_s),
         )
         return backends.Backends(
-            self.directory, driver, slots.build_slots, options, rng
+            self.directory, driver, self._build_slots, options, rng
         )
 
+    def _build_slots(self, capacity: int) -> fair_queue.FairQueue:
+        overload = self.configuration.document.overload
+        return fair_queue.FairQueue(capacity, overload.max_queue_length)
+
     def _build_groups(self, driver: base.Driver) -> groups_sections.EntrySection:
         servers = adapters.GroupDirectory(
             lambda: self.directory.servers,
@@ -214,7 +221,11 @@
 
     def _build_services(self, tracer: traces.Tracer) -> None:
         parts = context.Parts(
-            self.groups, self.backends, self.homes.floors, self._metrics
+            self.groups,
+            self.groups_section,
+            self.backends,
+            self.homes.floors,
+            self._metrics,
         )
         authoriser = authorisation.Authoriser(
             self.configuration, self.backends, self._settings.freshness_bound_s
@@ -258,6 +269,12 @@
             if adapters.is_drained(self.configuration.document, item)
         }
 
+    async def _beat_urgently(self) -> None:
+        while True:
+            await self.groups_section.wait_urgent()
+            self.heart.wake()
+            await trio.sleep(URGENT_PAUSE_S)
+
     async def _maintain(self) -> None:
         while True:
             left_alone = {
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -6,6 +6,7 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.admission import fair_queue
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import positions
 
@@ -16,16 +17,6 @@
 NEWEST_WEIGHT = 0.2
 
 
-class SlotQueue(typing.Protocol):
-    """Hands out the slots of an instance, fairly between organisations."""
-
-    async def acquire(self, organisation: str, deadline_s: float) -> None:
-        """Wait for a slot, or raise `verdicts.RefusedError` (not run)."""
-
-    def release(self, organisation: str, used_s: float) -> None:
-        """Give a slot back after using it for a time, in seconds."""
-
-
 class PoolSettings(typing.NamedTuple):
     """How a pool opens and keeps connections.
 
@@ -60,7 +51,7 @@
         self.organisation = ""
         self.position: positions.Position | None = None
         self.is_dirty = False
-        self.acquired_s = now_s
+        self.ticket: fair_queue.Ticket | None = None
         self.used_s = now_s
 
     @property
@@ -113,7 +104,7 @@
     ----------
     driver : base.Driver
     target : base.Target
-    slots : SlotQueue
+    slots : fair_queue.FairQueue
         Grants as many slots as the pool may open connections.
     capacity : int
     settings : PoolSettings
@@ -123,7 +114,7 @@
         self,
         driver: base.Driver,
         target: base.Target,
-        slots: SlotQueue,
+        slots: fair_queue.FairQueue,
         capacity: int,
         settings: PoolSettings,
     ):
@@ -132,9 +123,6 @@
         self._slots = slots
         self._settings = settings
         self._idle: list[PooledConnection] = []
-        self._in_use = 0
-        self._waiting = 0
-        self._service_s = 0.005
         self._connect_s = 0.01
         self.capacity = capacity
 
@@ -143,10 +131,10 @@
         """How busy the pool is now."""
         return PoolLoad(
             self.capacity,
-            self._in_use,
-            self._waiting,
+            self._slots.running,
+            self._slots.waiting,
             len(self._idle),
-            self._service_s,
+            self._slots.service_s,
             self._connect_s,
         )
 
@@ -164,28 +152,20 @@
         verdicts.RefusedError
             Not run, if there is none in time.
         """
-        self._waiting += 1
-        try:
-            await self._slots.acquire(organisation, deadline_s)
-        finally:
-            self._waiting -= 1
-        self._in_use += 1
+        now_s = trio.current_time()
+        ticket = await self._slots.acquire(organisation, deadline_s, now_s)
         try:
             pooled = await self._prepare(organisation, deadline_s)
         except BaseException:
-            self._in_use -= 1
-            self._slots.release(organisation, 0.0)
+            self._slots.release(ticket, trio.current_time())
             raise
         pooled.organisation = organisation
-        pooled.acquired_s = trio.current_time()
+        pooled.ticket = ticket
         return pooled
 
     async def release(self, pooled: PooledConnection, now_s: float) -> None:
         """Take a connection back; one in doubt is closed instead of kept."""
-        used_s = now_s - pooled.acquired_s
-        self._service_s += NEWEST_WEIGHT * (used_s - self._service_s)
         pooled.used_s = now_s
-        self._in_use -= 1
         try:
             if pooled.is_usable:
                 self._idle.append(pooled)
@@ -193,7 +173,7 @@
                 with trio.CancelScope(shield=True):
                     await pooled.close()
         finally:
-            self._slots.release(pooled.organisation, used_s)
+            self._slots.release(pooled.ticket, trio.current_time())
 
     async def close_idle(self, now_s: float) -> None:
         """Close the connections that have not been used for long."""
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -7,6 +7,7 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.admission import fair_queue
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import positions
@@ -18,7 +19,7 @@
 SAME_ZONE_DISTANCE_S = 0.0005
 OTHER_ZONE_DISTANCE_S = 0.02
 
-SlotQueueFactory = collections.abc.Callable[[int], pool.SlotQueue]
+BuildSlots = collections.abc.Callable[[int], fair_queue.FairQueue]
 
 
 class BackendOptions(typing.NamedTuple):
@@ -57,7 +58,7 @@
         self,
         servers: directory.EntryDirectory,
         driver: base.Driver,
-        build_slots: SlotQueueFactory,
+        build_slots: BuildSlots,
         options: BackendOptions,
         rng: random.Random,
     ):
--- a/sedgeswitch/statements/context.py
+++ b/sedgeswitch/statements/context.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from sedgeswitch.groups import sections
 from sedgeswitch.groups import table
 from sedgeswitch.observability import metrics
 from sedgeswitch.sessions import floors
@@ -42,12 +43,15 @@
     Attributes
     ----------
     groups : table.GroupTable
+    observations : sections.EntrySection
+        What is known of the instances' positions and ages.
     backends : backends.Backends
     floors : floors.FloorStore
     metrics : metrics.Metrics
     """
 
     groups: table.GroupTable
+    observations: sections.EntrySection
     backends: backends.Backends
     floors: floors.FloorStore
     metrics: metrics.Metrics
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -8,6 +8,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
 from sedgeswitch.sessions import floors
+from sedgeswitch.sessions import tokens
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
 from sedgeswitch.statements import refusals
@@ -46,31 +47,59 @@
         verdicts.RefusedError
             If no instance answers in time.
         """
-        for server in self._order_replicas(work, floor):
-            answer = await self._try_replica(work, statement, floor, server)
-            if answer is not None:
-                self._parts.metrics.count("reads.replica")
-                return answer
+        self._parts.observations.note_use(work.group, trio.current_time())
+        required = self._get_required(work, floor)
+        if required is not None:
+            for server in self._order_replicas(work, statement):
+                answer = await self._try_replica(work, statement, required, server)
+                if answer is not None:
+                    self._parts.metrics.count("reads.replica")
+                    return answer
         self._parts.metrics.count("reads.primary")
         return await self._run_on_primary(work, statement)
 
-    def _order_replicas(
+    def _get_required(
         self, work: context.Work, floor: floors.Floor
+    ) -> positions.Position | None:
+        """Return what a replica must have reached; None if none will do."""
+        group = self._parts.groups.get_group(work.group)
+        if group is None or not floor.is_known or not work.replicas_may_serve:
+            return None
+        # A replica on an older timeline may hold writes that were given up.
+        current = positions.Position(group.timeline, 0)
+        return tokens.merge_floor(floor.position, current)
+
+    def _order_replicas(
+        self, work: context.Work, statement: requests.Statement
     ) -> list[directory.BackendServer]:
-        if not floor.is_known or not work.replicas_may_serve:
-            return []
         group = self._parts.groups.get_group(work.group)
-        if group is None:
-            return []
+        eligible = [
+            server
+            for server in work.servers
+            if self._is_young_enough(server, statement)
+        ]
         return self._parts.backends.order_replicas(
-            work.servers, group.primary, work.database
+            eligible, group.primary, work.database
         )
 
+    def _is_young_enough(
+        self, server: directory.BackendServer, statement: requests.Statement
+    ) -> bool:
+        """Return whether an instance's data are certainly within the stated age."""
+        if statement.max_age_ms is None:
+            return True
+        now_s = trio.current_time()
+        views = self._parts.observations.get_replicas(statement.group, now_s)
+        for view in views:
+            if view.instance == server.instance and view.age_s is not None:
+                return view.is_usable and view.age_s * 1000 <= statement.max_age_ms
+        return False
+
     async def _try_replica(
         self,
         work: context.Work,
         statement: requests.Statement,
-        floor: floors.Floor,
+        required: positions.Position,
         server: directory.BackendServer,
     ) -> requests.Answer | None:
         """Return the answer of a replica, None if another should be tried."""
@@ -80,7 +109,7 @@
         except verdicts.RefusedError:
             return None
         try:
-            if not await _has_reached(pooled, floor.position):
+            if not await _has_reached(pooled, required):
                 return None
             rows = await pooled.execute(statement.sql, statement.parameters)
         except base.DriverError as error:
@@ -89,6 +118,9 @@
             raise refusals.build_driver_refusal(error) from error
         finally:
             await connections.release(pooled, trio.current_time())
+        # The data have aged while the statement waited and ran.
+        if not self._is_young_enough(server, statement):
+            return None
         return requests.Answer(*rows, server.instance, True)
 
     async def _run_on_primary(
@@ -139,10 +171,8 @@
 
 
 async def _has_reached(
-    pooled: pool.PooledConnection, required: positions.Position | None
+    pooled: pool.PooledConnection, required: positions.Position
 ) -> bool:
-    if required is None:
-        return True
     if pooled.position and positions.has_reached(pooled.position, required):
         return True
     return positions.has_reached(await backends.read_position(pooled), required)
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -59,6 +59,7 @@
         verdicts.RefusedError
             With a verdict that says whether the write may have run.
         """
+        self._parts.observations.note_use(work.group, trio.current_time())
         while True:
             permit = await self._parts.groups.wait_serving(
                 work.group, statement.deadline_s
