Give up work of an ended term at once, and poll each replica for itself

Cause: with a frozen instance a write waited for its whole deadline, and after the failover each write waited 0.5 s for the frozen replica's poll. Ruled out: the promotion itself (4 s, mostly detection). Change: what runs under a term that has ended is cancelled as may_have_run (and run again under its key); one polling task per replica; an overloaded refusal is final and never held back for a retry; a drained primary serves no fallback reads; a replica may take 40% of the time.

--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -38,6 +38,7 @@
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import service
 from sedgeswitch.statements import transactions
+from sedgeswitch.statements import writes
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 
@@ -130,6 +131,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.peers.run)
             await nursery.start(self.homes.floors.run)
+            await nursery.start(self.writer.run_polls)
             nursery.start_soon(self.control_peers.run)
             nursery.start_soon(self.heart.run)
             nursery.start_soon(self.groups_section.run)
@@ -231,15 +233,23 @@
             self.configuration, self.backends, self._settings.freshness_bound_s
         )
         admission = FleetAdmission(self.wallet)
+        self.writer = writes.Writer(parts)
         self.statements = service.StatementService(
             authoriser,
             admission,
             parts,
+            self.writer,
             tracer,
             self._settings.requests.default_deadline_ms,
         )
         self.transaction_service = transactions.TransactionService(
-            authoriser, admission, parts, self.transactions, self.forwarder, tracer
+            authoriser,
+            admission,
+            parts,
+            self.writer,
+            self.transactions,
+            self.forwarder,
+            tracer,
         )
         self.transaction_service.register_owned_routes(self.forwarder.router)
 
--- a/sedgeswitch/groups/table.py
+++ b/sedgeswitch/groups/table.py
@@ -47,6 +47,11 @@
         self._groups: dict[str, ttypes.Group] = {}
         self._lease_until_s = float("-inf")
         self._changed = trio.Event()
+        self._listeners: list[typing.Callable[[], None]] = []
+
+    def register_listener(self, listener: typing.Callable[[], None]) -> None:
+        """Register a function that is called after each change of the table."""
+        self._listeners.append(listener)
 
     def get_version(self) -> int:
         """Return the version of the table, which only goes up."""
@@ -86,6 +91,8 @@
                 self._groups[group.group] = group
         self._version = version
         self._wake_waiters()
+        for listener in self._listeners:
+            listener()
         return True
 
     def check_write(self, group: str, now_s: float) -> WritePermit | None:
@@ -97,6 +104,15 @@
             return None
         return WritePermit(group, state.term, state.primary, state.timeline)
 
+    def is_term_over(self, permit: WritePermit) -> bool:
+        """Return whether the group no longer serves under a permit's term.
+
+        Unlike a permit that lapsed with the lease, such a one never comes back.
+        """
+        state = self._groups[permit.group]
+        is_serving = state.phase == ttypes.GroupPhase.SERVING
+        return not is_serving or state.term != permit.term
+
     def is_permit_valid(self, permit: WritePermit, now_s: float) -> bool:
         """Return whether work under the permit may still be acknowledged."""
         return self.check_write(permit.group, now_s) == permit
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -13,6 +13,7 @@
 RESET_SQL = "DISCARD ALL"
 RESET_TIMEOUT_S = 2.0
 RETRY_AFTER_MS = 500
+INSTANCE_UNREACHABLE = "instance_unreachable"
 # Weight of the newest sample in a moving average.
 NEWEST_WEIGHT = 0.2
 
@@ -231,7 +232,7 @@
         except base.DriverError as error:
             raise verdicts.build_not_run(
                 503,
-                "instance_unreachable",
+                INSTANCE_UNREACHABLE,
                 f"no connection to {self._target.host}:{self._target.port}: {error}",
                 RETRY_AFTER_MS,
             ) from error
--- a/sedgeswitch/statements/acknowledgement.py
+++ b/sedgeswitch/statements/acknowledgement.py
@@ -6,56 +6,84 @@
 
 from sedgeswitch.groups import positions
 
-FIRST_POLL_DELAY_S = 0.002
+FIRST_POLL_DELAY_S = 0.003
 LAST_POLL_DELAY_S = 0.05
 
+ListReplicas = collections.abc.Callable[[], collections.abc.Collection[str]]
+ReadPosition = collections.abc.Callable[
+    [str], collections.abc.Awaitable[positions.Position | None]
+]
+
 
 class AckWaiter:
     """Waits until enough replicas of a group have reached a position.
 
-    One task polls the replicas while any write waits, whatever their number.
+    One task for each replica polls while any write waits, whatever their
+    number, so that a replica that does not answer delays nobody.
 
     Parameters
     ----------
-    poll_replicas : callable
-        Returns the positions that the replicas have reached now.
+    nursery : trio.Nursery
+        Runs the polling tasks.
+    list_replicas : callable
+        Returns the agreed replicas, by instance id.
+    read_position : callable
+        Returns the position of a replica, None if it does not tell.
     """
 
     def __init__(
         self,
-        poll_replicas: collections.abc.Callable[
-            [], collections.abc.Awaitable[list[positions.Position]]
-        ],
+        nursery: trio.Nursery,
+        list_replicas: ListReplicas,
+        read_position: ReadPosition,
     ):
-        self._poll_replicas = poll_replicas
+        self._nursery = nursery
+        self._list_replicas = list_replicas
+        self._read_position = read_position
         self._waiting = 0
+        self._polling: set[str] = set()
+        self._reached: dict[str, positions.Position] = {}
         self._polled = trio.Event()
-        self._reached: list[positions.Position] = []
-        self._is_polling = False
 
     async def wait(self, position: positions.Position, replicas: int) -> None:
-        """Wait until `replicas` replicas hold everything up to a position.
-
-        The first waiter polls for all; others look at what it has seen.
-        """
-        poll_delay_s = FIRST_POLL_DELAY_S
-        while not self._is_reached(position, replicas):
-            if self._is_polling:
+        """Wait until `replicas` replicas hold everything up to a position."""
+        self._waiting += 1
+        try:
+            while not self._is_reached(position, replicas):
+                self._start_polls()
                 await self._polled.wait()
-                continue
-            self._is_polling = True
-            try:
-                self._reached = await self._poll_replicas()
-                if not self._is_reached(position, replicas):
-                    await trio.sleep(poll_delay_s)
-                    poll_delay_s = min(poll_delay_s * 2, LAST_POLL_DELAY_S)
-            finally:
-                self._is_polling = False
-                self._polled.set()
-                self._polled = trio.Event()
+        finally:
+            self._waiting -= 1
 
     def _is_reached(self, position: positions.Position, replicas: int) -> bool:
         reached = [
-            item for item in self._reached if positions.has_reached(item, position)
+            instance
+            for instance in self._list_replicas()
+            if instance in self._reached
+            and positions.has_reached(self._reached[instance], position)
         ]
         return len(reached) >= replicas
+
+    def _start_polls(self) -> None:
+        for instance in self._list_replicas():
+            if instance not in self._polling:
+                self._polling.add(instance)
+                self._nursery.start_soon(self._poll, instance)
+
+    async def _poll(self, instance: str) -> None:
+        delay_s = FIRST_POLL_DELAY_S
+        try:
+            while self._waiting:
+                position = await self._read_position(instance)
+                if position is not None and position != self._reached.get(instance):
+                    self._reached[instance] = position
+                    delay_s = FIRST_POLL_DELAY_S
+                self._wake()
+                await trio.sleep(delay_s)
+                delay_s = min(delay_s * 2, LAST_POLL_DELAY_S)
+        finally:
+            self._polling.discard(instance)
+
+    def _wake(self) -> None:
+        self._polled.set()
+        self._polled = trio.Event()
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -5,18 +5,24 @@
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import positions
+from sedgeswitch.groups import sections
+from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
 from sedgeswitch.sessions import floors
 from sedgeswitch.sessions import tokens
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
+from sedgeswitch.statements import interruption
+from sedgeswitch.statements import primaries
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import requests
 
 _BEGIN_READ_ONLY = "BEGIN READ ONLY"
 _COMMIT = "COMMIT"
 RETRY_DELAY_S = 0.05
+# Share of the time left that one replica may take.
+REPLICA_TIME_SHARE = 0.4
 
 
 class Reader:
@@ -29,6 +35,7 @@
 
     def __init__(self, parts: context.Parts):
         self._parts = parts
+        self._interrupter = interruption.Interrupter(parts.groups)
 
     async def run(
         self, work: context.Work, statement: requests.Statement, floor: floors.Floor
@@ -73,27 +80,20 @@
         self, work: context.Work, statement: requests.Statement
     ) -> list[directory.BackendServer]:
         group = self._parts.groups.get_group(work.group)
+        views = self._get_views(work.group)
         eligible = [
             server
             for server in work.servers
-            if self._is_young_enough(server, statement)
+            if _is_fresh(views.get(server.instance), statement.max_age_ms)
         ]
         return self._parts.backends.order_replicas(
             eligible, group.primary, work.database
         )
 
-    def _is_young_enough(
-        self, server: directory.BackendServer, statement: requests.Statement
-    ) -> bool:
-        """Return whether an instance's data are certainly within the stated age."""
-        if statement.max_age_ms is None:
-            return True
+    def _get_views(self, group: str) -> dict[str, sections.ReplicaView]:
         now_s = trio.current_time()
-        views = self._parts.observations.get_replicas(statement.group, now_s)
-        for view in views:
-            if view.instance == server.instance and view.age_s is not None:
-                return view.is_usable and view.age_s * 1000 <= statement.max_age_ms
-        return False
+        views = self._parts.observations.get_replicas(group, now_s)
+        return {view.instance: view for view in views}
 
     async def _try_replica(
         self,
@@ -104,14 +104,18 @@
     ) -> requests.Answer | None:
         """Return the answer of a replica, None if another should be tried."""
         connections = self._parts.backends.get_pool(server, work.database)
+        # A replica that has just frozen must leave time for another.
+        now_s = trio.current_time()
+        until_s = now_s + (statement.deadline_s - now_s) * REPLICA_TIME_SHARE
+        rows = None
         try:
-            pooled = await connections.acquire(work.organisation, statement.deadline_s)
+            pooled = await connections.acquire(work.organisation, until_s)
         except verdicts.RefusedError:
             return None
         try:
-            if not await _has_reached(pooled, required):
-                return None
-            rows = await pooled.execute(statement.sql, statement.parameters)
+            with trio.move_on_at(until_s):
+                if await _has_reached(pooled, required):
+                    rows = await pooled.execute(statement.sql, statement.parameters)
         except base.DriverError as error:
             if error.is_lost:
                 return None
@@ -119,7 +123,8 @@
         finally:
             await connections.release(pooled, trio.current_time())
         # The data have aged while the statement waited and ran.
-        if not self._is_young_enough(server, statement):
+        view = self._get_views(work.group).get(server.instance)
+        if rows is None or not _is_fresh(view, statement.max_age_ms):
             return None
         return requests.Answer(*rows, server.instance, True)
 
@@ -130,46 +135,64 @@
             permit = await self._parts.groups.wait_serving(
                 work.group, statement.deadline_s
             )
-            server = self._parts.backends.get_server(permit.primary)
-            if server is None:
-                raise verdicts.build_not_run(
-                    503,
-                    "primary_unknown",
-                    "the primary has not announced itself",
-                    refusals.RETRY_AFTER_MS,
-                )
-            rows = await self._execute_read_only(work, statement, server)
-            if rows is None:
-                await trio.sleep(RETRY_DELAY_S)
-                continue
-            # An answer of a primary that has been replaced may be stale.
-            if self._parts.groups.is_permit_valid(permit, trio.current_time()):
-                return requests.Answer(*rows, server.instance, False)
-
-    async def _execute_read_only(
+            try:
+                server = primaries.get_primary(permit, work)
+                rows = await self._read_under(permit, work, statement, server)
+                # An answer of a primary that has been replaced may be stale.
+                now_s = trio.current_time()
+                if rows and self._parts.groups.is_permit_valid(permit, now_s):
+                    return requests.Answer(*rows, server.instance, False)
+            except verdicts.RefusedError as error:
+                if not primaries.may_retry(error.refusal, is_repeatable=True):
+                    raise
+            await trio.sleep(RETRY_DELAY_S)
+
+    async def _read_under(
         self,
+        permit: table.WritePermit,
         work: context.Work,
         statement: requests.Statement,
         server: directory.BackendServer,
     ) -> base.Rows | None:
-        """Return the rows, None if the instance was lost and a retry may help."""
+        """Return the rows, None if the permit's term has ended meanwhile."""
         connections = self._parts.backends.get_pool(server, work.database)
         pooled = await connections.acquire(work.organisation, statement.deadline_s)
         try:
-            # A write that is sent as a read must fail here as on a replica.
-            await pooled.execute(_BEGIN_READ_ONLY)
-            rows = await pooled.execute(statement.sql, statement.parameters)
-            await pooled.execute(_COMMIT)
-            return rows
-        except base.DriverError as error:
-            if error.is_lost:
-                return None
-            await _roll_back(pooled)
-            raise refusals.build_driver_refusal(error) from error
+            with self._interrupter.interruptible(permit):
+                return await _execute_read_only(pooled, statement)
+            return None
         finally:
             await connections.release(pooled, trio.current_time())
 
 
+async def _execute_read_only(
+    pooled: pool.PooledConnection, statement: requests.Statement
+) -> base.Rows:
+    """Run a read so that a write that is sent as one fails as on a replica."""
+    try:
+        await pooled.execute(_BEGIN_READ_ONLY)
+        rows = await pooled.execute(statement.sql, statement.parameters)
+        await pooled.execute(_COMMIT)
+        return rows
+    except base.DriverError as error:
+        if not error.is_lost:
+            await _roll_back(pooled)
+        raise refusals.build_driver_refusal(error) from error
+
+
+def _is_fresh(view: sections.ReplicaView | None, max_age_ms: int | None) -> bool:
+    """Return whether a replica may serve a read of a stated age.
+
+    Without a stated age only a replica that is known not to answer is left out:
+    its position is checked on the connection that runs the read.
+    """
+    if max_age_ms is None:
+        return view is None or view.is_usable
+    if view is None or not view.is_usable or view.age_s is None:
+        return False
+    return view.age_s * 1000 <= max_age_ms
+
+
 async def _has_reached(
     pooled: pool.PooledConnection, required: positions.Position
 ) -> bool:
--- a/sedgeswitch/statements/refusals.py
+++ b/sedgeswitch/statements/refusals.py
@@ -4,9 +4,15 @@
 
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
+from sedgeswitch.pools import pool
 
 RETRY_AFTER_MS = 500
 
+CONNECTION_LOST = "connection_lost"
+INSTANCE_UNREACHABLE = pool.INSTANCE_UNREACHABLE
+NOT_REPLICATED = "not_replicated"
+PRIMARY_CHANGED = "primary_changed"
+
 _CONFLICT_CLASSES = ("23", "40")
 
 
@@ -26,7 +32,7 @@
     """Return the refusal that tells a caller of a driver's error."""
     if error.is_lost or not error.sqlstate:
         refusal = verdicts.Refusal(
-            error.verdict, 502, "connection_lost", error.detail, RETRY_AFTER_MS
+            error.verdict, 502, CONNECTION_LOST, error.detail, RETRY_AFTER_MS
         )
         return verdicts.RefusedError(refusal)
     status = 409 if error.sqlstate[:2] in _CONFLICT_CLASSES else 422
@@ -51,7 +57,7 @@
     refusal = verdicts.Refusal(
         verdict,
         503,
-        "primary_changed",
+        PRIMARY_CHANGED,
         "the primary was replaced, or this host lost its lease, meanwhile",
         RETRY_AFTER_MS,
     )
@@ -62,7 +68,7 @@
     """Return the refusal of a write that too few replicas held in time."""
     return verdicts.build_may_have_run(
         504,
-        "not_replicated",
+        NOT_REPLICATED,
         "the write was not on enough instances before the deadline",
         RETRY_AFTER_MS,
     )
--- a/sedgeswitch/statements/service.py
+++ b/sedgeswitch/statements/service.py
@@ -36,6 +36,7 @@
     authoriser : authorisation.Authoriser
     admission : Admission
     parts : context.Parts
+    writer : writes.Writer
     tracer : traces.Tracer
     default_deadline_ms : int
     """
@@ -45,6 +46,7 @@
         authoriser: authorisation.Authoriser,
         admission: Admission,
         parts: context.Parts,
+        writer: writes.Writer,
         tracer: traces.Tracer,
         default_deadline_ms: int,
     ):
@@ -54,7 +56,7 @@
         self._tracer = tracer
         self._default_deadline_ms = default_deadline_ms
         self._reader = reads.Reader(parts)
-        self._writer = writes.Writer(parts)
+        self._writer = writer
 
     async def handle(
         self,
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -18,6 +18,7 @@
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
 from sedgeswitch.statements import forwarding
+from sedgeswitch.statements import primaries
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import requests
 from sedgeswitch.statements import service
@@ -80,6 +81,7 @@
     authoriser : authorisation.Authoriser
     admission : service.Admission
     parts : context.Parts
+    writer : writes.Writer
     owned : transactions.TransactionTable
     forwarder : forwarding.Forwarder
     tracer : traces.Tracer
@@ -90,6 +92,7 @@
         authoriser: authorisation.Authoriser,
         admission: service.Admission,
         parts: context.Parts,
+        writer: writes.Writer,
         owned: transactions.TransactionTable,
         forwarder: forwarding.Forwarder,
         tracer: traces.Tracer,
@@ -100,7 +103,7 @@
         self._owned = owned
         self._forwarder = forwarder
         self._tracer = tracer
-        self._writer = writes.Writer(parts)
+        self._writer = writer
 
     def register_routes(self, router: routes.Router) -> None:
         """Register the endpoints for callers of this host."""
@@ -182,7 +185,7 @@
         expires_s: float,
     ) -> transactions.Transaction:
         permit = await self._parts.groups.wait_serving(work.group, expires_s)
-        server = self._writer.get_primary(permit, work)
+        server = primaries.get_primary(permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
         pooled = await connections.acquire(work.organisation, expires_s)
         kept = _Context(permit, work, session, seen)
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -9,12 +9,13 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import table
 from sedgeswitch.idempotency import ledger
-from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
 from sedgeswitch.sessions import floors
 from sedgeswitch.statements import acknowledgement
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
+from sedgeswitch.statements import interruption
+from sedgeswitch.statements import primaries
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import requests
 
@@ -47,7 +48,18 @@
 
     def __init__(self, parts: context.Parts):
         self._parts = parts
+        self._interrupter = interruption.Interrupter(parts.groups)
         self._waiters: dict[str, acknowledgement.AckWaiter] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run_polls(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Poll replicas for the writes that wait, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
 
     async def run(
         self, work: context.Work, statement: requests.Statement
@@ -101,51 +113,32 @@
         work: context.Work,
         statement: requests.Statement,
     ) -> tuple[requests.Answer, positions.Position]:
-        server = self.get_primary(permit, work)
+        server = primaries.get_primary(permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
         pooled = await connections.acquire(work.organisation, statement.deadline_s)
         try:
             # The wait for a connection may have outlasted the lease.
             if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
                 raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
-            written = await _write(pooled, work, statement)
+            with self._interrupter.interruptible(permit) as scope:
+                written = await _write(pooled, work, statement)
         finally:
             await connections.release(pooled, trio.current_time())
+        if scope.cancelled_caught:
+            raise refusals.build_lease_lost(verdicts.Verdict.MAY_HAVE_RUN)
         await self.acknowledge(
             permit, work, statement.session, written.position, statement.deadline_s
         )
         answer = requests.Answer(*written.rows, server.instance, False)
         return answer, written.position
 
-    def get_primary(
-        self, permit: table.WritePermit, work: context.Work
-    ) -> directory.BackendServer:
-        """Return the primary that a permit names.
-
-        Raises
-        ------
-        verdicts.RefusedError
-            503, not run, if the work may not go there.
-        """
-        for server in work.servers:
-            if server.instance == permit.primary:
-                return server
-        raise verdicts.build_not_run(
-            503,
-            "primary_not_eligible",
-            "no selector leads to the primary, or it is drained or unknown",
-            refusals.RETRY_AFTER_MS,
-        )
-
     def _may_retry(
         self, refusal: verdicts.Refusal, statement: requests.Statement
     ) -> bool:
-        is_in_time = trio.current_time() + RETRY_DELAY_S < statement.deadline_s
-        if not is_in_time or not refusal.retry_after_ms:
+        if trio.current_time() + RETRY_DELAY_S >= statement.deadline_s:
             return False
         # The ledger makes a repeated run of an identified request harmless.
-        is_not_run = refusal.verdict is verdicts.Verdict.NOT_RUN
-        return is_not_run or bool(statement.idempotency_key)
+        return primaries.may_retry(refusal, bool(statement.idempotency_key))
 
     async def _make_safe(
         self,
@@ -168,36 +161,27 @@
         return is_recorded
 
     def _get_waiter(self, work: context.Work) -> acknowledgement.AckWaiter:
-        if work.group not in self._waiters:
-
-            async def poll_replicas() -> list[positions.Position]:
-                return await self._poll_replicas(work.group, work.database)
-
-            self._waiters[work.group] = acknowledgement.AckWaiter(poll_replicas)
-        return self._waiters[work.group]
-
-    async def _poll_replicas(
-        self, group: str, database: str
-    ) -> list[positions.Position]:
-        state = self._parts.groups.get_group(group)
-        if state is None:
-            return []
-        reached: list[positions.Position] = []
-
-        async def poll(server: directory.BackendServer) -> None:
+        group, database = work.group, work.database
+
+        def list_replicas() -> list[str]:
+            # Only agreed instances count: a promotion reads no others.
+            state = self._parts.groups.get_group(group)
+            if state is None:
+                return []
+            return [item for item in state.instances if item != state.primary]
+
+        async def read_position(instance: str) -> positions.Position | None:
+            server = self._parts.backends.get_server(instance)
+            if server is None:
+                return None
             connections = self._parts.backends.get_pool(server, database)
-            position = await backends.try_read_position(connections, POLL_TIMEOUT_S)
-            if position is not None:
-                reached.append(position)
+            return await backends.try_read_position(connections, POLL_TIMEOUT_S)
 
-        # Only agreed instances count: a promotion reads no others.
-        with trio.move_on_after(POLL_TIMEOUT_S):
-            async with trio.open_nursery() as nursery:
-                for server in self._parts.backends.get_servers(group):
-                    is_agreed = server.instance in state.instances
-                    if is_agreed and server.instance != state.primary:
-                        nursery.start_soon(poll, server)
-        return reached
+        if group not in self._waiters:
+            self._waiters[group] = acknowledgement.AckWaiter(
+                self._nursery, list_replicas, read_position
+            )
+        return self._waiters[group]
 
 
 async def _write(
@@ -215,7 +199,7 @@
         return Written(rows, await backends.read_position(pooled))
     except base.DriverError as error:
         raise verdicts.build_may_have_run(
-            502, "connection_lost", error.detail, refusals.RETRY_AFTER_MS
+            502, refusals.CONNECTION_LOST, error.detail, refusals.RETRY_AFTER_MS
         ) from error
 
 
