List only organisations that are due, pace draws of saturated ones

Cause: urgent draws listed every organisation, 50 times a second beside a loud organisation; a new leader waited for the draw timeout of a lost draw. Change: a draw lists organisations that wait or are due; one with as many waiters as it may have draws at the regular interval; a report goes out at once; a request waits up to 1 s while draws go unanswered.

--- /dev/null
+++ b/examples/admission_embedded.py
@@ -0,0 +1,81 @@
+"""Limit two organisations over three hosts in one program, without the daemon.
+
+    python -m examples.admission_embedded
+
+A program on many hosts sends the draws to its leader by its own means; here the
+"network" is a sleep.  Call `Grantor.draw` only on a leader that a quorum confirms.
+"""
+
+import collections
+
+import trio
+
+from sedgeswitch.admission import drawing
+from sedgeswitch.admission import fair_queue
+from sedgeswitch.admission import grantor
+from sedgeswitch.admission import settings
+from sedgeswitch.admission import wallet
+
+HOST_IDS = ("entry-1", "entry-2", "entry-3")
+LIMITS = {"ward-4": settings.Limit(50.0, 10), "ward-7": settings.Limit(20.0, 5)}
+ONE_WAY_S = 0.01
+SERVICE_S = 0.005
+RUN_S = 2.0
+PATIENCE_S = 0.5
+
+
+async def send_requests(organisation, rate_per_s, host, queue, counts):
+    """Send requests to one host at a steady rate."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(int(rate_per_s * RUN_S)):
+            nursery.start_soon(serve, organisation, host, queue, counts)
+            await trio.sleep(1 / rate_per_s)
+
+
+async def serve(organisation, host, queue, counts):
+    """Admit, queue and run one request."""
+    now_s = trio.current_time()
+    deadline_s = now_s + PATIENCE_S
+    outcome = host.take(organisation, now_s, deadline_s)
+    if isinstance(outcome, wallet.Pending):
+        outcome = await host.wait(outcome)
+    if isinstance(outcome, wallet.Denied):
+        counts[organisation, "denied"] += 1
+        return
+    async with queue.slot(organisation, deadline_s):
+        await trio.sleep(SERVICE_S)
+    counts[organisation, "served"] += 1
+
+
+async def main():
+    """Run the hosts and the leader for a while and print what was served."""
+    now_s = trio.current_time()
+    leader = grantor.Grantor(lambda: HOST_IDS)
+    leader.set_limits(LIMITS, now_s)
+    leader.start_leadership(now_s, term=1)
+
+    async def call_leader(request):
+        await trio.sleep(ONE_WAY_S)
+        reply = leader.draw(request, trio.current_time())
+        await trio.sleep(ONE_WAY_S)
+        return reply
+
+    hosts = [wallet.Wallet(name, "run-1", now_s) for name in HOST_IDS]
+    counts = collections.Counter()
+    queue = fair_queue.FairQueue(slots=3, capacity=50)
+    async with trio.open_nursery() as background:
+        for host in hosts:
+            host.set_limits(LIMITS)
+            background.start_soon(drawing.run, host, call_leader)
+        async with trio.open_nursery() as nursery:
+            for host in hosts:
+                for organisation, rate_per_s in (("ward-4", 60.0), ("ward-7", 4.0)):
+                    arguments = (organisation, rate_per_s, host, queue, counts)
+                    nursery.start_soon(send_requests, *arguments)
+        background.cancel_scope.cancel()
+    for (organisation, outcome), count in sorted(counts.items()):
+        print(f"{organisation} {outcome}: {count}")
+
+
+if __name__ == "__main__":
+    trio.run(main)
--- a/sedgeswitch/admission/grantor.py
+++ b/sedgeswitch/admission/grantor.py
@@ -169,10 +169,14 @@
             index=self._index,
             status=status,
             lifetime_s=self._settings.lifetime_s,
-            urgent_interval_s=self._settings.urgent_interval_s,
+            urgent_interval_s=self._get_urgent_interval_s(),
             grants=[],
         )
 
+    def _get_urgent_interval_s(self) -> float:
+        shared_s = len(self._get_host_ids()) / self._settings.draws_max_per_s
+        return max(self._settings.urgent_interval_s, shared_s)
+
     def _add_buckets(self, now_s: float) -> None:
         unknown = len(self._get_host_ids()) if self._recovery is not None else 0
         for organisation, limit in self._limits.items():
--- a/sedgeswitch/admission/settings.py
+++ b/sedgeswitch/admission/settings.py
@@ -29,6 +29,9 @@
         Shortest time between two regular draws of a host.
     urgent_interval_s : float
         Shortest time between two draws of a host while a request waits.
+    draws_max_per_s : float
+        Draws per second of all hosts together that the leader answers; a larger
+        fleet draws less often while requests wait.
     draw_timeout_s : float
         Time after which an unanswered draw is replaced by a new one.
     lifetime_s : float
@@ -53,6 +56,7 @@
 
     draw_interval_s: float = 0.1
     urgent_interval_s: float = 0.02
+    draws_max_per_s: float = 4000.0
     draw_timeout_s: float = 0.15
     lifetime_s: float = 2.0
     drift: float = 0.001
@@ -60,7 +64,7 @@
     host_share_max: float = 0.5
     reserve_share: float = 0.25
     wait_s: float = 0.2
-    leader_wait_s: float = 0.1
+    leader_wait_s: float = 1.0
     host_memory_s: float = 60.0
     demand_window_s: float = 0.25
 
--- /dev/null
+++ b/sedgeswitch/admission/tests/test_drawing.py
@@ -0,0 +1,87 @@
+import unittest
+
+import trio
+import trio.testing
+
+from sedgeswitch import verdicts
+from sedgeswitch.admission import drawing
+from sedgeswitch.admission import grantor
+from sedgeswitch.admission import settings
+from sedgeswitch.admission import wallet
+from sedgeswitch.transport import failures
+
+ONE_WAY_S = 0.01
+LIMITS = {"ward-4": settings.Limit(10.0, 5)}
+
+
+def run(main):
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class DrawingTest(unittest.TestCase):
+    def build_fleet(self):
+        start_s = trio.current_time() - 60.0
+        made = wallet.Wallet("entry-1", "run-1", start_s)
+        made.set_limits(LIMITS)
+        leader = grantor.Grantor(lambda: ["entry-1"])
+        leader.set_limits(LIMITS, trio.current_time())
+        leader.start_leadership(trio.current_time(), 1)
+        return made, leader
+
+    def test_waiting_request_is_admitted_within_two_round_trips(self):
+        async def main():
+            made, leader = self.build_fleet()
+
+            async def call(request):
+                await trio.sleep(ONE_WAY_S)
+                reply = leader.draw(request, trio.current_time())
+                await trio.sleep(ONE_WAY_S)
+                return reply
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(drawing.run, made, call)
+                await trio.sleep(1.0)
+                start_s = trio.current_time()
+                pending = made.take("ward-4", start_s)
+                outcome = await made.wait(pending)
+                self.assertIsInstance(outcome, wallet.Admitted)
+                self.assertLess(trio.current_time() - start_s, 4 * ONE_WAY_S)
+                nursery.cancel_scope.cancel()
+
+        run(main)
+
+    def test_without_leader_is_denied_at_the_deadline(self):
+        async def main():
+            made, _ = self.build_fleet()
+
+            async def call(_request):
+                detail = "no leader"
+                raise failures.CallError("gone", detail, verdicts.Verdict.NOT_RUN)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(drawing.run, made, call)
+                await trio.sleep(1.0)
+                start_s = trio.current_time()
+                pending = made.take("ward-4", start_s, start_s + 0.3)
+                outcome = await made.wait(pending)
+                self.assertGreater(outcome.retry_after_ms, 0)
+                self.assertAlmostEqual(trio.current_time(), start_s + 0.3)
+                nursery.cancel_scope.cancel()
+
+        run(main)
+
+    def test_cancelled_waiter_takes_no_token(self):
+        async def main():
+            made, leader = self.build_fleet()
+            now_s = trio.current_time()
+            pending = made.take("ward-4", now_s)
+            with trio.move_on_after(0.01):
+                await made.wait(pending)
+            self.assertIsInstance(pending.outcome, wallet.Denied)
+            for _ in range(2):
+                request = made.build_draw(trio.current_time())
+                reply = leader.draw(request, trio.current_time())
+                made.receive_grants(reply, now_s, trio.current_time())
+            self.assertEqual(request.holdings, [])
+
+        run(main)
--- a/sedgeswitch/admission/tests/test_fleet_rate.py
+++ b/sedgeswitch/admission/tests/test_fleet_rate.py
@@ -115,7 +115,10 @@
             ]
             limit = settings.Limit(rng.choice([4.0, 20.0]), rng.choice([2, 20, 100]))
             share = rng.choice([0.2, 0.5])
-            given = settings.Settings(host_share_max=share)
+            held_s = rng.choice([0.25, 2.0])
+            given = settings.Settings(
+                host_share_max=share, stock_s=held_s, demand_window_s=held_s
+            )
             fleet = builders.Fleet(limit, clocks, given)
             for _ in range(150):
                 draw_random_step(fleet, rng)()
--- a/sedgeswitch/admission/wallet.py
+++ b/sedgeswitch/admission/wallet.py
@@ -101,6 +101,7 @@
         self.share_per_s = limit.rate_per_s
         self.short_until_s = -math.inf
         self.is_settled = True
+        self.listed_s = -math.inf
         self.demand = demand.DemandEstimate(window_s)
         self.waiters: collections.deque[Pending] = collections.deque()
 
@@ -259,7 +260,7 @@
 
     def get_next_draw_s(self, now_s: float) -> float:
         """Return when the next draw should be sent; infinity if none is wanted."""
-        need = self._get_need()
+        need = self._get_need(now_s)
         if need is DrawNeed.NONE:
             return math.inf
         interval_s = self._settings.draw_interval_s
@@ -272,6 +273,7 @@
     def request_report(self) -> None:
         """Draw as soon as possible, so that a new leader learns what is in hand."""
         self._is_report_due = True
+        self._sent = None
         self._is_woken.set()
 
     async def wait_until_woken(self) -> None:
@@ -286,8 +288,9 @@
         accounts = {}
         for organisation, account in self._accounts.items():
             account.expire(now_s)
-            self._return_surplus(account, now_s)
-            if self._is_listed(account):
+            if self._is_due(account, now_s):
+                self._return_surplus(account, now_s)
+                account.listed_s = now_s
                 holdings.append(self._build_holding(organisation, account, now_s))
                 accounts[organisation] = account.spent_total
         self._sent = _Sent(self._sequence, now_s, accounts)
@@ -403,14 +406,27 @@
             pending = account.waiters.pop()
             pending.resolve(self._build_denied(account))
 
-    def _get_need(self) -> DrawNeed:
+    def _get_need(self, now_s: float) -> DrawNeed:
         accounts = self._accounts.values()
-        if self._is_report_due or any(account.waiters for account in accounts):
+        if self._is_report_due or any(self._is_urgent(it, now_s) for it in accounts):
             return DrawNeed.URGENT
         if any(self._is_listed(account) for account in accounts):
             return DrawNeed.REGULAR
         return DrawNeed.NONE
 
+    def _is_urgent(self, account: _Account, now_s: float) -> bool:
+        # An organisation far above its rate gains nothing from frequent draws.
+        waiting = len(account.waiters)
+        return 0 < waiting < self._get_room(account, now_s)
+
+    def _is_due(self, account: _Account, now_s: float) -> bool:
+        """Tell whether a draw now should list an organisation."""
+        if self._is_report_due or account.waiters:
+            return self._is_listed(account)
+        # Half an interval early, so that regular draws stay in step.
+        regular_s = account.listed_s + self._settings.draw_interval_s / 2
+        return now_s >= regular_s and self._is_listed(account)
+
     def _is_listed(self, account: _Account) -> bool:
         return bool(account.in_hand or account.waiters or not account.is_settled)
 
