--- a/sedgeswitch/groups/assignment.py
+++ b/sedgeswitch/groups/assignment.py
@@ -55,3 +55,59 @@
 def _get_weight(group: str, host: EntryHost) -> tuple[int, str]:
     key = f"{group}\0{host.host_id}".encode()
     return xxhash.xxh64_intdigest(key), host.host_id
+
+
+class Assignments:
+    """The watchers of all groups, kept up as hosts and groups come and go.
+
+    Parameters
+    ----------
+    count : int
+        How many watchers each group has.
+
+    Notes
+    -----
+    `assign_watchers` gives the same watchers whether it is asked about all hosts
+    or about the former watchers and the hosts that have come since. So a host
+    that comes costs one comparison a group, and one that leaves costs a full
+    choice for its own groups only.
+    """
+
+    def __init__(self, count: int):
+        self._count = count
+        self._hosts: frozenset[EntryHost] = frozenset()
+        self._watchers: dict[str, list[EntryHost]] = {}
+        self._groups_by_host: dict[str, list[str]] = {}
+
+    def get_watchers(self, group: str) -> list[str]:
+        """Return the ids of the hosts that watch a group."""
+        return [host.host_id for host in self._watchers.get(group, [])]
+
+    def get_groups(self, host_id: str) -> list[str]:
+        """Return the groups that a host watches."""
+        return self._groups_by_host.get(host_id, [])
+
+    def update(
+        self, groups: typing.Collection[str], hosts: typing.Iterable[EntryHost]
+    ) -> None:
+        """Follow the groups and the live hosts of now."""
+        hosts = frozenset(hosts)
+        if hosts == self._hosts and len(groups) == len(self._watchers):
+            return
+        came = hosts - self._hosts
+        self._watchers = {group: self._choose(group, came, hosts) for group in groups}
+        self._hosts = hosts
+        self._groups_by_host = {}
+        for group, watchers in self._watchers.items():
+            for host in watchers:
+                self._groups_by_host.setdefault(host.host_id, []).append(group)
+
+    def _choose(
+        self, group: str, came: frozenset[EntryHost], hosts: frozenset[EntryHost]
+    ) -> list[EntryHost]:
+        former = self._watchers.get(group)
+        is_kept = former is not None and hosts.issuperset(former)
+        candidates = came.union(former) if is_kept else hosts
+        by_id = {host.host_id: host for host in candidates}
+        chosen = assign_watchers(group, candidates, self._count)
+        return [by_id[host_id] for host_id in chosen]
--- a/sedgeswitch/groups/sections.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -1,14 +1,10 @@
-"""The groups' part of the heartbeat, on entry hosts and on the leader."""
+"""The groups' part of the heartbeat on an entry host."""
 
 import typing
 
 import trio
 
-from sedgeswitch.groups import assignment
-from sedgeswitch.groups import health
 from sedgeswitch.groups import instances
-from sedgeswitch.groups import machine as groups_machine
-from sedgeswitch.groups import observation
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import table as groups_table
@@ -18,7 +14,6 @@
 
 _MS_PER_S = 1000
 _USE_KEPT_S = 60.0
-_ASSIGN_INTERVAL_S = 0.5
 
 
 class ReplicaView(typing.NamedTuple):
@@ -196,192 +191,6 @@
             await item.run()
 
 
-class _HostState:
-    """What the leader keeps for one entry host."""
-
-    def __init__(self):
-        self.acknowledged_version = 0
-        self.used_groups: list[str] | None = None
-        self.sent_watched: list[str] | None = None
-        self.next_observation_s = float("-inf")
-        self.delays = observation.DelayTracker()
-
-
-class _CachedObservation(typing.NamedTuple):
-    built_s: float
-    group: ttypes.Group
-    items: list[ttypes.Observation]
-
-    def is_current(
-        self,
-        group: ttypes.Group,
-        settings: groups_settings.GroupSettings,
-        now_s: float,
-    ) -> bool:
-        """Return whether the observations still fit the agreed state."""
-        until_s = self.built_s + settings.observation_interval_s
-        return self.group is group and now_s < until_s
-
-
-class ControlSection:
-    """Leader side: spreads the table, assignments and observations.
-
-    Parameters
-    ----------
-    machine : groups.machine.GroupsMachine
-    get_live_hosts : callable
-        ``get_live_hosts(now_s)`` returns the entry hosts that hold a lease, as
-        `groups.assignment.EntryHost`.
-    settings : groups.settings.GroupSettings
-
-    Attributes
-    ----------
-    board : groups.health.HealthBoard
-    """
-
-    def __init__(
-        self,
-        machine: groups_machine.GroupsMachine,
-        get_live_hosts: typing.Callable,
-        settings: groups_settings.GroupSettings,
-    ):
-        self.board = health.HealthBoard(settings)
-        self._machine = machine
-        self._get_live_hosts = get_live_hosts
-        self._settings = settings
-        self._hosts: dict[str, _HostState] = {}
-        self._watchers: dict[str, list[str]] = {}
-        self._watched: dict[str, list[str]] = {}
-        self._assigned_for: tuple = ()
-        self._observed: dict[str, _CachedObservation] = {}
-        self._next_assign_s = float("-inf")
-
-    def start_leadership(self, now_s: float) -> None:  # noqa: ARG002
-        """Forget what an earlier leadership knew."""
-        self.board.clear()
-        self._hosts.clear()
-        self._observed.clear()
-        self._assigned_for = ()
-        self._next_assign_s = float("-inf")
-
-    def get_version(self) -> int:
-        """Return the version of the agreed table."""
-        return self._machine.get_version()
-
-    def get_acknowledged_version(self, host_id: str) -> int:
-        """Return the table version that an entry host last said it obeys."""
-        host = self._hosts.get(host_id)
-        return 0 if host is None else host.acknowledged_version
-
-    def get_suspicion(
-        self, group: ttypes.Group, now_s: float
-    ) -> health.Suspicion | None:
-        """Return why a group's primary should be replaced, if it should."""
-        watchers = self._watchers.get(group.group, [])
-        return self.board.get_suspicion(group, watchers, now_s)
-
-    def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:
-        """Take in an entry host's section and return the answer to it."""
-        report = catalog.decode_struct(ttypes.Report, body)
-        host = self._hosts.setdefault(host_id, _HostState())
-        host.acknowledged_version = report.acknowledged_version
-        if report.used_groups is not None:
-            host.used_groups = report.used_groups
-        self._receive_health(host_id, host, report, now_s)
-        self._assign(now_s)
-        answer = ttypes.Answer(
-            version=self._machine.get_version(),
-            changed=self._machine.get_changed(report.acknowledged_version),
-            knows_used_groups=host.used_groups is not None,
-            watched_groups=self._take_watched(host_id, host),
-            observations=self._take_observations(host, now_s),
-        )
-        return catalog.encode_struct(answer)
-
-    def _receive_health(
-        self, host_id: str, host: _HostState, report: ttypes.Report, now_s: float
-    ) -> None:
-        delay_s = host.delays.get_delay_s(
-            report.sent_ms / _MS_PER_S, report.round_trip_ms / _MS_PER_S, now_s
-        )
-        for item in report.health:
-            self.board.receive(host_id, item, delay_s, now_s)
-
-    def _assign(self, now_s: float) -> None:
-        """Assign watchers anew if the live hosts or the groups have changed."""
-        if now_s < self._next_assign_s:
-            return
-        self._next_assign_s = now_s + _ASSIGN_INTERVAL_S
-        hosts = sorted(self._get_live_hosts(now_s))
-        groups = [group.group for group in self._machine.get_groups()]
-        basis = (hosts, groups)
-        if basis == self._assigned_for:
-            return
-        self._assigned_for = basis
-        self._watched = {}
-        for group in groups:
-            watchers = assignment.assign_watchers(
-                group, hosts, self._settings.watcher_count
-            )
-            self._watchers[group] = watchers
-            for host_id in watchers:
-                self._watched.setdefault(host_id, []).append(group)
-
-    def _take_watched(self, host_id: str, host: _HostState) -> list[str] | None:
-        watched = self._watched.get(host_id, [])
-        if watched == host.sent_watched:
-            return None
-        host.sent_watched = watched
-        return watched
-
-    def _take_observations(
-        self, host: _HostState, now_s: float
-    ) -> list[ttypes.GroupObservation] | None:
-        if not host.used_groups or now_s < host.next_observation_s:
-            return None
-        host.next_observation_s = now_s + self._settings.observation_interval_s
-        groups = [self._machine.get_group(name) for name in host.used_groups]
-        return [self._observe(group, now_s) for group in groups if group is not None]
-
-    def _observe(self, group: ttypes.Group, now_s: float) -> ttypes.GroupObservation:
-        """Return a group's observations, built once for all hosts that use it."""
-        cached = self._observed.get(group.group)
-        if cached is None or not cached.is_current(group, self._settings, now_s):
-            cached = _CachedObservation(now_s, group, self._build_items(group, now_s))
-            self._observed[group.group] = cached
-        elapsed_ms = _get_elapsed_ms(now_s - cached.built_s)
-        return ttypes.GroupObservation(group.group, cached.items, elapsed_ms)
-
-    def _build_items(
-        self, group: ttypes.Group, now_s: float
-    ) -> list[ttypes.Observation]:
-        return [
-            self._observe_instance(group, place, name, now_s)
-            for place, name in enumerate(group.instances)
-        ]
-
-    def _observe_instance(
-        self, group: ttypes.Group, place: int, name: str, now_s: float
-    ) -> ttypes.Observation:
-        view = self.board.get_view(group.group, name, now_s)
-        if view is None:
-            return ttypes.Observation(place, False)
-        has_role = view.in_recovery == (name != group.primary)
-        is_current = view.position.timeline == group.timeline
-        age_ms = None if view.age_s is None else int(view.age_s * _MS_PER_S) + 1
-        return ttypes.Observation(
-            instance=place,
-            is_usable=view.is_reachable and has_role and is_current,
-            timeline=view.position.timeline,
-            lsn=view.position.lsn,
-            age_ms=age_ms,
-        )
-
-
-def _get_elapsed_ms(elapsed_s: float) -> int:
-    return int(elapsed_s * _MS_PER_S) + 1
-
-
 def _build_replica(
     group: ttypes.Group,
     instance: str,
--- a/sedgeswitch/groups/settings.py
+++ b/sedgeswitch/groups/settings.py
@@ -35,7 +35,10 @@
     report_age_s : float
         Age at which a watcher's report stops counting.
     observation_interval_s : float
-        Least time between two sets of observations for one entry host.
+        Least time between two observations of a group for one entry host.
+    observed_groups : int
+        Groups whose observations one answer holds at most; the groups that a
+        host uses take turns.
     check_interval_s : float
         Time between two looks at groups in trouble.
     read_timeout_s : float
@@ -65,6 +68,7 @@
     stall_limit_s: float = 3.0
     report_age_s: float = 2.0
     observation_interval_s: float = 1.0
+    observed_groups: int = 5
     check_interval_s: float = 0.05
     read_timeout_s: float = 0.5
     promote_timeout_s: float = 2.0
@@ -95,6 +99,7 @@
     )
     checks.check_range("groups.watcher_count", settings.watcher_count, 1)
     checks.check_range("groups.refused_limit", settings.refused_limit, 1)
+    checks.check_range("groups.observed_groups", settings.observed_groups, 1)
     checks.check_range("groups.promote_attempts", settings.promote_attempts, 1)
     checks.check_range(
         "groups.max_silence_limit_s",
--- a/sedgeswitch/groups/supervisor.py
+++ b/sedgeswitch/groups/supervisor.py
@@ -8,11 +8,11 @@
 from sedgeswitch import verdicts
 from sedgeswitch.agreement import errors
 from sedgeswitch.groups import control as groups_control
+from sedgeswitch.groups import control_section
 from sedgeswitch.groups import failover
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import machine as groups_machine
 from sedgeswitch.groups import retirement
-from sedgeswitch.groups import sections
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups.generated import ttypes
 
@@ -28,7 +28,7 @@
     Parameters
     ----------
     control : groups.control.Control
-    section : groups.sections.ControlSection
+    section : groups.control_section.ControlSection
         Receives the reports of the watchers.
 
     Notes
@@ -38,7 +38,7 @@
     """
 
     def __init__(
-        self, control: groups_control.Control, section: sections.ControlSection
+        self, control: groups_control.Control, section: control_section.ControlSection
     ):
         self._control = control
         self._section = section
--- a/sedgeswitch/groups/tests/builders.py
+++ b/sedgeswitch/groups/tests/builders.py
@@ -10,11 +10,12 @@
 from sedgeswitch.agreement import errors
 from sedgeswitch.groups import assignment
 from sedgeswitch.groups import control as groups_control
+from sedgeswitch.groups import control_section
+from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import leases
 from sedgeswitch.groups import machine
 from sedgeswitch.groups import positions
-from sedgeswitch.groups import sections
 from sedgeswitch.groups import settings
 from sedgeswitch.groups import supervisor
 from sedgeswitch.groups import table
@@ -285,7 +286,7 @@
         self.zone = zone
         self._world = world
         self._until_s = {}
-        self.section = sections.ControlSection(
+        self.section = control_section.ControlSection(
             world.machine, self._get_live_hosts, world.settings
         )
         self.control = groups_control.Control(
@@ -355,7 +356,7 @@
         self._woken = trio.Event()
         self._driver = FakeDriver(world, name)
         self.table = table.GroupTable()
-        self.section = sections.EntrySection(
+        self.section = entry_section.EntrySection(
             self.table, world, self._driver, world.settings
         )
 
--- a/sedgeswitch/groups/tests/test_rules.py
+++ b/sedgeswitch/groups/tests/test_rules.py
@@ -9,12 +9,15 @@
 from sedgeswitch import verdicts
 from sedgeswitch.groups import assignment
 from sedgeswitch.groups import choice
+from sedgeswitch.groups import control_section
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import machine
 from sedgeswitch.groups import observation
 from sedgeswitch.groups import positions
+from sedgeswitch.groups import settings
 from sedgeswitch.groups import table
 from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.transport import catalog
 from sedgeswitch.utils import checks
 
 NAMES = ["a", "b", "c"]
@@ -207,6 +210,28 @@
         self.assertLess(delay_s, 0.53)
 
 
+class ControlSectionTest(unittest.TestCase):
+    def test_used_groups_take_turns_in_small_answers(self):
+        built = machine.GroupsMachine()
+        names = [f"g{place:02d}" for place in range(30)]
+        for name in names:
+            command = ttypes.RegisterGroup(name, "a", 1, NAMES)
+            built.apply(1, machine.encode_command(command))
+        section = control_section.ControlSection(
+            built, lambda _now_s: [], settings.GroupSettings()
+        )
+        told = []
+        for place in range(12):
+            used = names if place == 0 else None
+            report = ttypes.Report(built.get_version(), 0, 1, [], used)
+            body = catalog.encode_struct(report)
+            answer = section.answer_report("entry-0", body, place * 0.5)
+            self.assertLess(len(answer), 200)
+            observations = catalog.decode_struct(ttypes.Answer, answer).observations
+            told += [item.group for item in observations]
+        self.assertEqual(sorted(names + names), sorted(told))
+
+
 class PositionTest(unittest.TestCase):
     def test_lsn_text_is_kept(self):
         for text in ("0/0", "0/16B3740", "FFFFFFFF/FFFFFFFF"):
@@ -241,3 +266,19 @@
         left = [host for host in hosts if host.host_id != before[0]]
         after = assignment.assign_watchers("g", left)
         self.assertEqual(2, len(set(before) & set(after)))
+
+    def test_assignments_kept_up_equal_a_full_choice(self):
+        for seed in range(20):
+            rng = random.Random(seed)
+            zone_count = rng.randint(1, 5)
+            hosts = [
+                assignment.EntryHost(f"entry-{place}", f"zone-{place % zone_count}")
+                for place in range(14)
+            ]
+            kept_up = assignment.Assignments(3)
+            for _ in range(20):
+                live = rng.sample(hosts, rng.randint(0, 14))
+                kept_up.update(NAMES, live)
+                for group in NAMES:
+                    expected = assignment.assign_watchers(group, live)
+                    self.assertEqual(expected, kept_up.get_watchers(group), seed)
