Keep long durations within their fields

Cause: the silence of an instance that is gone for 25 days did not fit the 32 bits of its field, and would have ended the heartbeat. Change: one conversion to milliseconds, bounded; a field that nobody read is gone.

--- a/sedgeswitch/groups/control_section.py
+++ b/sedgeswitch/groups/control_section.py
@@ -7,10 +7,10 @@
 from sedgeswitch.groups import machine as groups_machine
 from sedgeswitch.groups import observation
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import units
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.transport import catalog
 
-_MS_PER_S = 1000
 _ASSIGN_INTERVAL_S = 0.5
 
 
@@ -125,7 +125,9 @@
         self, host_id: str, host: _HostState, report: ttypes.Report, now_s: float
     ) -> None:
         delay_s = host.delays.get_delay_s(
-            report.sent_ms / _MS_PER_S, report.round_trip_ms / _MS_PER_S, now_s
+            report.sent_ms / units.MS_PER_S,
+            report.round_trip_ms / units.MS_PER_S,
+            now_s,
         )
         for item in report.health:
             self.board.receive(host_id, item, delay_s, now_s)
@@ -163,7 +165,7 @@
         if cached is None or not cached.is_current(group, self._settings, now_s):
             cached = _CachedObservation(now_s, group, self._build_items(group, now_s))
             self._observed[group.group] = cached
-        elapsed_ms = _get_elapsed_ms(now_s - cached.built_s)
+        elapsed_ms = units.get_ms(now_s - cached.built_s)
         return ttypes.GroupObservation(group.group, cached.items, elapsed_ms)
 
     def _build_items(
@@ -182,7 +184,7 @@
             return ttypes.Observation(place, False)
         has_role = view.in_recovery == (name != group.primary)
         is_current = view.position.timeline == group.timeline
-        age_ms = None if view.age_s is None else int(view.age_s * _MS_PER_S) + 1
+        age_ms = None if view.age_s is None else units.get_ms(view.age_s)
         return ttypes.Observation(
             instance=place,
             is_usable=view.is_reachable and has_role and is_current,
@@ -190,7 +192,3 @@
             lsn=view.position.lsn,
             age_ms=age_ms,
         )
-
-
-def _get_elapsed_ms(elapsed_s: float) -> int:
-    return int(elapsed_s * _MS_PER_S) + 1
--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -8,11 +8,11 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import table as groups_table
+from sedgeswitch.groups import units
 from sedgeswitch.groups import watcher
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.transport import catalog
 
-_MS_PER_S = 1000
 _USE_KEPT_S = 60.0
 
 
@@ -106,7 +106,7 @@
         self._urgent = trio.Event()
         report = ttypes.Report(
             acknowledged_version=self._table.get_version(),
-            sent_ms=int(now_s * _MS_PER_S),
+            sent_ms=int(now_s * units.MS_PER_S),
             round_trip_ms=self._get_round_trip_ms(),
             health=[item.build_health(now_s) for item in self._watchers.values()],
         )
@@ -150,13 +150,13 @@
         for item in observations:
             names = self._table.get_group(item.group).instances
             by_instance = {names[place.instance]: place for place in item.instances}
-            elapsed_s = item.elapsed_ms / _MS_PER_S
+            elapsed_s = item.elapsed_ms / units.MS_PER_S
             observed = _Observed(self._sent_s, elapsed_s, by_instance)
             self._observed[item.group] = observed
 
     def _get_round_trip_ms(self) -> int:
         # Before the first answer nothing is known, so claim a long round trip.
-        return int(min(self._round_trip_s, _USE_KEPT_S) * _MS_PER_S) + 1
+        return int(min(self._round_trip_s, _USE_KEPT_S) * units.MS_PER_S) + 1
 
     def _get_used(self, now_s: float) -> list[str]:
         oldest_s = now_s - _USE_KEPT_S
@@ -205,7 +205,7 @@
     age_s = None
     if item.age_ms is not None:
         waited_s = now_s - observed.sent_s + observed.elapsed_s
-        age_s = item.age_ms / _MS_PER_S + waited_s
+        age_s = item.age_ms / units.MS_PER_S + waited_s
     return ReplicaView(
         instance=instance,
         is_usable=item.is_usable and is_current,
--- a/sedgeswitch/groups/health.py
+++ b/sedgeswitch/groups/health.py
@@ -4,9 +4,9 @@
 
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import units
 from sedgeswitch.groups.generated import ttypes
 
-_MS_PER_S = 1000.0
 UNREACHABLE_REASON = "primary_unreachable"
 STALLED_REASON = "replication_stalled"
 
@@ -162,7 +162,7 @@
 
 
 def _get_silence_s(report: _Report, instance: str) -> float:
-    return _find_instance(report.health, instance).silence_ms / _MS_PER_S
+    return _find_instance(report.health, instance).silence_ms / units.MS_PER_S
 
 
 def _build_view(
@@ -171,6 +171,6 @@
     age_s = None
     if item.age_ms is not None:
         waited_s = now_s - report.received_s
-        age_s = item.age_ms / _MS_PER_S + report.delay_s + waited_s
+        age_s = item.age_ms / units.MS_PER_S + report.delay_s + waited_s
     position = positions.Position(item.timeline, item.lsn)
     return InstanceView(item.in_recovery, position, age_s, is_reachable=False)
--- a/sedgeswitch/groups/messages.thrift
+++ b/sedgeswitch/groups/messages.thrift
@@ -114,7 +114,6 @@
   7: optional i64 timeline,
   8: optional i64 lsn,
   9: optional i32 age_ms,
-  10: optional i32 sample_age_ms,
 }
 
 struct GroupHealth {
--- a/sedgeswitch/groups/tests/test_rules.py
+++ b/sedgeswitch/groups/tests/test_rules.py
@@ -16,6 +16,7 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings
 from sedgeswitch.groups import table
+from sedgeswitch.groups import units
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.transport import catalog
 from sedgeswitch.utils import checks
@@ -210,6 +211,13 @@
         self.assertLess(delay_s, 0.53)
 
 
+class UnitsTest(unittest.TestCase):
+    def test_silence_of_months_still_fits_its_field(self):
+        item = ttypes.InstanceHealth("a", 4, 9, units.get_ms(90 * 86400.0))
+        catalog.encode_struct(item)
+        self.assertEqual(2, units.get_ms(0.0012))
+
+
 class ControlSectionTest(unittest.TestCase):
     def test_used_groups_take_turns_in_small_answers(self):
         built = machine.GroupsMachine()
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -9,13 +9,13 @@
 from sedgeswitch.groups import observation
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import units
 from sedgeswitch.groups.generated import ttypes
 
 _SLOW_S = 0.25
 _SILENCE_FACTOR = 3.0
 _LATENCIES_KEPT = 10
 _CLOSE_TIMEOUT_S = 0.1
-_MS_PER_S = 1000
 
 # The server answers, but is not serving: it starts, stops or recovers.
 _NOT_SERVING_SQLSTATES = frozenset({"57P01", "57P02", "57P03"})
@@ -26,7 +26,6 @@
 
     def __init__(self):
         self.state: instances.InstanceState | None = None
-        self.sample_sent_s = float("-inf")
         self.moved_s = float("-inf")
         self.silent_since_s: float | None = None
         self.refused = 0
@@ -45,7 +44,6 @@
         if self.state is None or self.state.position != state.position:
             self.moved_s = now_s
         self.state = state
-        self.sample_sent_s = sent_s
         self._note_live(sent_s, now_s)
         self.is_busy = False
 
@@ -170,11 +168,11 @@
             instance=name,
             condition=record.get_condition(self._settings, now_s),
             consecutive_failures=record.refused,
-            silence_ms=_get_ms(record.get_silence_s(now_s)),
+            silence_ms=units.get_ms(record.get_silence_s(now_s)),
         )
         latency_s = record.get_latency_s()
         if latency_s is not None:
-            report.latency_ms = _get_ms(latency_s)
+            report.latency_ms = units.get_ms(latency_s)
         if record.state is not None:
             self._add_state(report, record, now_s)
         return report
@@ -185,10 +183,9 @@
         report.in_recovery = record.state.in_recovery
         report.timeline = record.state.position.timeline
         report.lsn = record.state.position.lsn
-        report.sample_age_ms = _get_ms(now_s - record.sample_sent_s)
         age_s = self._history.get_age_s(record.state.position, now_s)
         if age_s is not None:
-            report.age_ms = _get_ms(age_s)
+            report.age_ms = units.get_ms(age_s)
 
     def _is_stalled(self, now_s: float) -> bool:
         """Return whether replication has stopped while the primary moved."""
@@ -295,8 +292,3 @@
         return
     with trio.CancelScope(shield=True), trio.move_on_after(_CLOSE_TIMEOUT_S):
         await connection.close()
-
-
-def _get_ms(duration_s: float) -> int:
-    """Return whole milliseconds, rounded up."""
-    return -int(-duration_s * _MS_PER_S // 1)
