--- /dev/null
+++ b/sedgeswitch/groups/entry_section.py
@@ -0,0 +1,214 @@
+"""The groups' part of the heartbeat on an entry host."""
+
+import typing
+
+import trio
+
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import table as groups_table
+from sedgeswitch.groups import units
+from sedgeswitch.groups import watcher
+from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.transport import catalog
+
+_USE_KEPT_S = 60.0
+
+
+class ReplicaView(typing.NamedTuple):
+    """What an entry host knows of an instance, for the choice of a replica.
+
+    Attributes
+    ----------
+    instance : str
+    is_usable : bool
+        Whether reads may go there: it answers and follows the agreed timeline.
+    position : positions.Position or None
+        A position that it has reached; None if it never answered.
+    age_s : float or None
+        Greatest age of its data now; None if it is not known.
+    """
+
+    instance: str
+    is_usable: bool
+    position: positions.Position | None
+    age_s: float | None
+
+
+class _Observed(typing.NamedTuple):
+    sent_s: float
+    elapsed_s: float
+    by_instance: dict[str, ttypes.Observation]
+
+
+class EntrySection:
+    """Entry side: carries the table, the watchers' reports and observations.
+
+    Parameters
+    ----------
+    table : groups.table.GroupTable
+    directory : groups.instances.Directory
+    driver : object
+        Backend driver, with ``connect(target, timeout_s)``.
+    settings : groups.settings.GroupSettings
+    """
+
+    def __init__(
+        self,
+        table: groups_table.GroupTable,
+        directory: instances.Directory,
+        driver: typing.Any,
+        settings: groups_settings.GroupSettings,
+    ):
+        self._table = table
+        self._directory = directory
+        self._driver = driver
+        self._settings = settings
+        self._watchers: dict[str, watcher.Watcher] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._wanted: set[str] = set()
+        self._wanted_changed = trio.Event()
+        self._last_used_s: dict[str, float] = {}
+        self._sent_used: list[str] | None = None
+        self._observed: dict[str, _Observed] = {}
+        self._urgent = trio.Event()
+        self._sent_s = 0.0
+        self._round_trip_s = float("inf")
+
+    async def run(self) -> None:
+        """Run the watchers that the leader assigns, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                changed = self._wanted_changed
+                self._stop_unwanted()
+                for group in sorted(self._wanted - self._watchers.keys()):
+                    self._start_watcher(nursery, group)
+                await changed.wait()
+
+    def note_use(self, group: str, now_s: float) -> None:
+        """Say that a caller of this host uses a group."""
+        self._last_used_s[group] = now_s
+
+    async def wait_urgent(self) -> None:
+        """Return when the next report should not wait for its turn.
+
+        Notes
+        -----
+        That is so when the table has moved, since the leader waits for this
+        host to say that it obeys, and when a watched primary becomes suspect.
+        """
+        await self._urgent.wait()
+
+    def build_report(self, now_s: float) -> bytes:
+        """Return the section of the next heartbeat, sent at `now_s`."""
+        self._sent_s = now_s
+        self._urgent = trio.Event()
+        report = ttypes.Report(
+            acknowledged_version=self._table.get_version(),
+            sent_ms=int(now_s * units.MS_PER_S),
+            round_trip_ms=self._get_round_trip_ms(),
+            health=[item.build_health(now_s) for item in self._watchers.values()],
+        )
+        used = self._get_used(now_s)
+        if used != self._sent_used:
+            report.used_groups = used
+            self._sent_used = used
+        return catalog.encode_struct(report)
+
+    def receive_answer(self, body: bytes, now_s: float) -> None:
+        """Take in the leader's answer; call before the lease is extended."""
+        answer = catalog.decode_struct(ttypes.Answer, body)
+        self._round_trip_s = min(self._round_trip_s, now_s - self._sent_s)
+        if self._table.apply_changes(answer.version, answer.changed):
+            self._urgent.set()
+        if not answer.knows_used_groups:
+            self._sent_used = None
+        if answer.watched_groups is not None:
+            self._wanted = set(answer.watched_groups)
+            self._wanted_changed.set()
+            self._wanted_changed = trio.Event()
+        if answer.version == self._table.get_version():
+            self._receive_observations(answer.observations or ())
+
+    def get_replicas(self, group: str, now_s: float) -> list[ReplicaView]:
+        """Return what is known of each agreed instance of a group."""
+        state = self._table.get_group(group)
+        observed = self._observed.get(group)
+        if state is None or observed is None:
+            return []
+        return [
+            _build_replica(state, name, item, observed, now_s)
+            for name, item in observed.by_instance.items()
+            if name in state.instances
+        ]
+
+    def _receive_observations(
+        self, observations: typing.Iterable[ttypes.GroupObservation]
+    ) -> None:
+        """Keep observations by name; their places hold for this table only."""
+        for item in observations:
+            names = self._table.get_group(item.group).instances
+            by_instance = {names[place.instance]: place for place in item.instances}
+            elapsed_s = item.elapsed_ms / units.MS_PER_S
+            observed = _Observed(self._sent_s, elapsed_s, by_instance)
+            self._observed[item.group] = observed
+
+    def _get_round_trip_ms(self) -> int:
+        # Before the first answer nothing is known, so claim a long round trip.
+        return int(min(self._round_trip_s, _USE_KEPT_S) * units.MS_PER_S) + 1
+
+    def _get_used(self, now_s: float) -> list[str]:
+        oldest_s = now_s - _USE_KEPT_S
+        for group, used_s in list(self._last_used_s.items()):
+            if used_s < oldest_s:
+                del self._last_used_s[group]
+        return sorted(self._last_used_s)
+
+    def _stop_unwanted(self) -> None:
+        for group in sorted(self._watchers.keys() - self._wanted):
+            del self._watchers[group]
+            self._scopes.pop(group).cancel()
+
+    def _start_watcher(self, nursery: trio.Nursery, group: str) -> None:
+        self._watchers[group] = watcher.Watcher(
+            group,
+            self._table,
+            self._directory,
+            self._driver,
+            self._settings,
+            on_suspect=lambda: self._urgent.set(),
+        )
+        self._scopes[group] = trio.CancelScope()
+        nursery.start_soon(
+            self._run_watcher, self._watchers[group], self._scopes[group]
+        )
+
+    async def _run_watcher(
+        self, item: watcher.Watcher, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            await item.run()
+
+
+def _build_replica(
+    group: ttypes.Group,
+    instance: str,
+    item: ttypes.Observation,
+    observed: _Observed,
+    now_s: float,
+) -> ReplicaView:
+    position = None
+    if item.lsn is not None:
+        position = positions.Position(item.timeline, item.lsn)
+    is_current = position is not None and position.timeline >= group.timeline
+    age_s = None
+    if item.age_ms is not None:
+        waited_s = now_s - observed.sent_s + observed.elapsed_s
+        age_s = item.age_ms / units.MS_PER_S + waited_s
+    return ReplicaView(
+        instance=instance,
+        is_usable=item.is_usable and is_current,
+        position=position,
+        age_s=age_s,
+    )
