--- /dev/null
+++ b/examples/fleet_plan.py
@@ -0,0 +1,234 @@
+"""Plans the processes of an example fleet for the shell scripts that start them.
+
+    python examples/fleet_plan.py processes daura-lots run/daura-lots
+    python examples/fleet_plan.py organisations daura-lots run/daura-lots
+
+``processes`` writes the settings of each daemon under the folder, and prints a
+line ``NAME MODULE ARGUMENT...`` for each process.  ``organisations`` writes
+``organisations.json`` for the load tool from the keys in ``keys/``.
+"""
+
+import argparse
+import json
+import pathlib
+import typing
+
+import msgspec
+
+from sedgeswitch import settings as daemon_settings
+from sedgeswitch.configuration import documents
+from sedgeswitch.configuration import indexes
+from standin.load import _mix
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent
+PEER_PORT_OFFSET = 20
+CONTROL_PORT_OFFSET = 40
+
+
+class Instance(typing.TypedDict):
+    """A stand-in instance, as ``instances.json`` lists it."""
+
+    instance: str
+    group: str
+    host: str
+    port: int
+    availability_zone: str
+    region: str
+    role: str
+    labels: dict[str, str]
+
+
+class Instances(typing.TypedDict):
+    """The content of ``instances.json``."""
+
+    slots: int
+    max_connections: int
+    connect_delay_ms: float
+    instances: list[Instance]
+
+
+class Plan(typing.NamedTuple):
+    """Which fleet to plan, and where.
+
+    Attributes
+    ----------
+    deployment : pathlib.Path
+        Folder of the example.
+    folder : pathlib.Path
+        Where the fleet keeps its files.
+    port_offset : int
+        Added to each port of the example.
+    changes : dict
+        Settings that differ from those of the example.
+    instance_changes : list of str
+        Arguments that each stand-in instance gets besides.
+    """
+
+    deployment: pathlib.Path
+    folder: pathlib.Path
+    port_offset: int = 0
+    changes: dict[str, typing.Any] = {}
+    instance_changes: list[str] = []
+
+
+def load_instances(plan: Plan) -> Instances:
+    """Return the instances of a deployment, with their ports moved."""
+    body = (plan.deployment / "instances.json").read_bytes()
+    found = msgspec.json.decode(body, type=Instances)
+    for item in found["instances"]:
+        item["port"] += plan.port_offset
+    return found
+
+
+def save_settings(plan: Plan) -> list[daemon_settings.Settings]:
+    """Write the settings of each daemon under the folder and return them."""
+    folder = plan.folder / "settings"
+    folder.mkdir(parents=True, exist_ok=True)
+    found = []
+    for path in sorted(plan.deployment.glob("settings/*.json")):
+        document = json.loads(path.read_text())
+        _move_ports(document, plan.port_offset)
+        document["data_folder"] = str(plan.folder / path.stem)
+        document.update(plan.changes)
+        target = folder / path.name
+        target.write_text(json.dumps(document, indent=2) + "\n")
+        found.append(daemon_settings.load_settings(target))
+    return found
+
+
+def _move_ports(document: dict[str, typing.Any], offset: int) -> None:
+    addresses = [document["callers"], document["peers"], *document["control_hosts"]]
+    for address in addresses:
+        address["port"] += offset
+    for host in document["control_hosts"]:
+        host["http_port"] += offset
+
+
+def build_processes(plan: Plan) -> list[str]:
+    """Return a line ``NAME MODULE ARGUMENT...`` for each process."""
+    hosts = save_settings(plan)
+    lines = [_build_daemon(plan, host) for host in hosts]
+    announce_to = ",".join(f"{host.callers.host}:{host.callers.port}" for host in hosts)
+    found = load_instances(plan)
+    for item in found["instances"]:
+        arguments = [
+            *_build_instance(plan, found, item),
+            f"--announce-to={announce_to}",
+            *plan.instance_changes,
+        ]
+        lines.append(f"{item['instance']} standin.instance {' '.join(arguments)}")
+    return lines
+
+
+def _build_daemon(plan: Plan, host: daemon_settings.Settings) -> str:
+    path = plan.folder / "settings" / f"{host.host_id}.json"
+    return f"{host.host_id} sedgeswitch.daemon run --settings={path}"
+
+
+def _build_instance(plan: Plan, found: Instances, item: Instance) -> list[str]:
+    peers = [
+        f"{other['host']}:{other['port'] + PEER_PORT_OFFSET}"
+        for other in found["instances"]
+        if other["group"] == item["group"] and other is not item
+    ]
+    labels = ",".join(f"{name}={value}" for name, value in item["labels"].items())
+    arguments = [
+        f"--instance={item['instance']}",
+        f"--group={item['group']}",
+        f"--data-folder={plan.folder / item['instance']}",
+        f"--host={item['host']}",
+        f"--port={item['port']}",
+        f"--peer-port={item['port'] + PEER_PORT_OFFSET}",
+        f"--control-port={item['port'] + CONTROL_PORT_OFFSET}",
+        f"--peers={','.join(peers)}",
+        f"--availability-zone={item['availability_zone']}",
+        f"--labels={labels}",
+        f"--slots={found['slots']}",
+        f"--max-connections={found['max_connections']}",
+        f"--connect-delay-ms={found['connect_delay_ms']}",
+    ]
+    if item["role"] == "primary":
+        arguments.append("--primary")
+    return arguments
+
+
+def save_organisations(plan: Plan, busy: str = "", busy_factor: float = 1.0) -> None:
+    """Write what the load tool needs to know of the organisations.
+
+    Parameters
+    ----------
+    plan : Plan
+    busy : str
+        An organisation that sends `busy_factor` times its part.
+    busy_factor : float
+    """
+    document = documents.decode_document(
+        (plan.deployment / "configuration.json").read_bytes()
+    )
+    mix = _mix.load_mix(plan.deployment / "mix.json")
+    index = indexes.Index(document)
+    found = []
+    for name, limits in sorted(document.organisations.items()):
+        works, groups = _find_work(index, mix, name)
+        if not works:
+            continue
+        key = json.loads((plan.folder / "keys" / f"{name}.json").read_text())["key"]
+        share = limits.rate_per_s * (busy_factor if name == busy else 1)
+        found.append(
+            _mix.Organisation(
+                name, key, groups, limits.rate_per_s, limits.burst, share, works
+            )
+        )
+    path = plan.folder / "keys" / "organisations.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=2))
+
+
+def _find_work(
+    index: indexes.Index, mix: _mix.Mix, organisation: str
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the works an organisation may do, and the groups for all of them."""
+    may_do = {
+        (work.name, group): all(
+            index.get_selectors(organisation, work.name, other.access.value, group)
+            for other in mix.works
+            if other.name == work.name
+        )
+        for work in mix.works
+        for group in index.document.groups
+    }
+    works = sorted({name for (name, _), is_allowed in may_do.items() if is_allowed})
+    groups = [
+        group
+        for group in sorted(index.document.groups)
+        if all(may_do[name, group] for name in works)
+    ]
+    return tuple(works), tuple(groups)
+
+
+def main() -> None:
+    """Run one step."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("step", choices=("processes", "organisations"))
+    parser.add_argument("deployment")
+    parser.add_argument("folder", type=pathlib.Path)
+    parser.add_argument("--port-offset", type=int, default=0)
+    parser.add_argument("--settings", type=json.loads, default={})
+    parser.add_argument("--instance-options", default="")
+    parser.add_argument("--busy", default="")
+    parser.add_argument("--busy-factor", type=float, default=1.0)
+    given = parser.parse_args()
+    plan = Plan(
+        EXAMPLES / given.deployment,
+        given.folder,
+        given.port_offset,
+        given.settings,
+        given.instance_options.split(),
+    )
+    if given.step == "processes":
+        print("\n".join(build_processes(plan)))
+    else:
+        save_organisations(plan, given.busy, given.busy_factor)
+
+
+if __name__ == "__main__":
+    main()
--- a/standin/load/_mix.py
+++ b/standin/load/_mix.py
@@ -123,6 +123,8 @@
         What it may send.
     share : float
         Weight among the organisations.
+    works : tuple of str
+        Names of the works that it sends; empty for all.
     """
 
     organisation: str
@@ -131,6 +133,11 @@
     rate_per_s: float
     burst: float
     share: float = 1.0
+    works: tuple[str, ...] = ()
+
+    def get_works(self, mix: Mix) -> list[Work]:
+        """Return the works of a mix that the organisation sends."""
+        return [work for work in mix.works if not self.works or work.name in self.works]
 
 
 def load_mix(path: pathlib.Path) -> Mix:
--- a/standin/load/_traffic.py
+++ b/standin/load/_traffic.py
@@ -137,7 +137,7 @@
 
     def _build_call(self) -> Call:
         caller = self._choose(self._plan.organisations)
-        work = self._choose(self._plan.mix.works)
+        work = self._choose(caller.get_works(self._plan.mix))
         number = next(self._numbers)
         index = self._choose_household(caller, work)
         household = f"{self._plan.run}.{caller.organisation}.{index}"
