Count messages and bytes between processes by type

Cause: the slopes of bytes and messages per host can't be measured; /proc counts no socket traffic per process. Ruled out: statsd gauges, which only entry hosts flush. Change: one counter per message type and direction in transport.frames, shown at GET /v1/traffic.

--- a/sedgeswitch/daemon/daemon.py
+++ b/sedgeswitch/daemon/daemon.py
@@ -17,8 +17,10 @@
 from sedgeswitch.observability import metrics
 from sedgeswitch.observability import traces
 from sedgeswitch.transport import server
+from sedgeswitch.transport import traffic
 
 HEALTH_PATH = "/v1/health"
+TRAFFIC_PATH = "/v1/traffic"
 DRIVER = "postgres"
 TRACE_FILE = "traces.jsonl"
 # Time for the balancer to see that this host is leaving, before it drains.
@@ -43,6 +45,7 @@
         self._serving = server.Server()
         self._router = routes.Router()
         self._router.register_route("GET", HEALTH_PATH, self._answer_health)
+        self._router.register_route("GET", TRAFFIC_PATH, _answer_traffic)
         self._metrics = _build_metrics(settings)
         driver = base.build_driver(DRIVER)
         self._control: control.ControlHost | None = None
@@ -109,6 +112,15 @@
         return http.build_json({"status": "ready"})
 
 
+async def _answer_traffic(
+    request: http.Request,  # noqa: ARG001
+    values: tuple[str, ...],  # noqa: ARG001
+) -> http.Response:
+    """Answer how much this process has exchanged with the others, by message."""
+    counted = traffic.PROCESS_TRAFFIC
+    return http.build_json({"sent": counted.sent, "received": counted.received})
+
+
 def _build_limits(given: daemon_settings.Requests) -> http.Limits:
     return http.Limits(
         max_body_bytes=given.max_body_bytes,
--- a/sedgeswitch/transport/frames.py
+++ b/sedgeswitch/transport/frames.py
@@ -6,6 +6,7 @@
 import trio
 
 from sedgeswitch.transport import catalog
+from sedgeswitch.transport import traffic
 
 # Body length in bytes, message code, request id, kind.
 _HEADER = struct.Struct("!IHQB")
@@ -38,8 +39,11 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Return the bytes of a frame."""
-    code = catalog.get_code(type(frame.message))
+    message_type = type(frame.message)
+    code = catalog.get_code(message_type)
     body = catalog.encode_struct(frame.message)
+    size_bytes = _HEADER.size + len(body)
+    traffic.PROCESS_TRAFFIC.record_sent(message_type.__name__, size_bytes)
     return _HEADER.pack(len(body), code, frame.request_id, frame.kind) + body
 
 
@@ -75,7 +79,9 @@
             raise catalog.MessageError("stream ended inside a frame")
         body = bytes(self._buffer[_HEADER.size : end])
         del self._buffer[:end]
-        return Frame(kind, request_id, catalog.decode_message(code, body))
+        message = catalog.decode_message(code, body)
+        traffic.PROCESS_TRAFFIC.record_received(type(message).__name__, end)
+        return Frame(kind, request_id, message)
 
     async def _fill(self, size: int) -> bool:
         while len(self._buffer) < size:
