--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,189 @@
+"""A fleet of real daemons on loopback, for benchmarks."""
+
+import http.client
+import json
+import pathlib
+import typing
+
+from benchmarks import processes
+from sedgeswitch import settings as daemon_settings
+from sedgeswitch.utils import records
+
+HOST = "127.0.0.1"
+CALL_TIMEOUT_S = 5.0
+START_TIMEOUT_S = 120.0
+ZONES = tuple(f"zone-{number}" for number in range(1, 8))
+
+
+class Fleet:
+    """Control hosts and entry hosts as processes of their own.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings, logs and data.
+    first_port : int
+    control_count : int
+    changes : mapping of str to object, optional
+        Settings of the entry hosts that differ from the defaults.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        first_port: int,
+        control_count: int,
+        changes: typing.Mapping[str, typing.Any] | None = None,
+    ):
+        self._folder = folder
+        self._next_port = first_port
+        self._changes = changes or {}
+        self.version = 0
+        self.control: list[processes.Process] = []
+        self.entry: list[processes.Process] = []
+        self.control_hosts = tuple(
+            daemon_settings.ControlHost(
+                f"c{number}", HOST, self._take_port(), self._take_port()
+            )
+            for number in range(1, control_count + 1)
+        )
+        self.callers_ports: dict[str, int] = {}
+
+    def start_control(self) -> None:
+        """Start the control hosts and wait for a leader."""
+        for host in self.control_hosts:
+            plain = self._build_settings(host.host_id, ("control",), ZONES[0])
+            plain["callers"]["port"] = host.http_port
+            plain["peers"]["port"] = host.port
+            self.control.append(self._start(plain))
+        processes.wait_until(self._has_leader, START_TIMEOUT_S, "a leader")
+
+    def start_entry(self, count: int) -> None:
+        """Start entry hosts until there are `count`, and wait for their leases."""
+        for number in range(len(self.entry) + 1, count + 1):
+            zone = ZONES[number % len(ZONES)]
+            plain = self._build_settings(f"e{number}", ("entry",), zone)
+            plain |= self._changes
+            plain["callers"]["port"] = self._take_port()
+            plain["peers"]["port"] = self._take_port()
+            self.callers_ports[plain["host_id"]] = plain["callers"]["port"]
+            self.entry.append(self._start(plain))
+        processes.wait_until(
+            lambda: self._count_leases() >= count, START_TIMEOUT_S, "leases"
+        )
+
+    def stop(self) -> None:
+        """End every process."""
+        processes.stop_all(self.entry)
+        processes.stop_all(self.control)
+
+    def find_leader(self) -> daemon_settings.ControlHost:
+        """Return the control host that leads."""
+        for host in self.control_hosts:
+            status, _ = exchange(host.http_port, "GET", "/v1/configuration")
+            if status == 200:
+                return host
+        raise OSError("no control host leads")
+
+    def get_process(self, host_id: str) -> processes.Process:
+        """Return the process of a host."""
+        known = {process.name: process for process in self.control + self.entry}
+        return known[host_id]
+
+    def change(self, operations: list[dict], request_id: str) -> int:
+        """Put a change into force at the leader and return its version."""
+        leader = self.find_leader()
+        body = {
+            "base_version": self.version,
+            "request_id": request_id,
+            "author": "benchmark",
+            "operations": operations,
+        }
+        path = "/v1/configuration/changes"
+        status, answer = exchange(leader.http_port, "POST", path, body)
+        if status != 200:
+            raise OSError(f"change refused: {answer}")
+        self.version = answer["version"]
+        return self.version
+
+    def is_in_force(self) -> bool:
+        """Return whether the newest version is in force everywhere."""
+        leader = self.find_leader()
+        path = "/v1/configuration/in-force"
+        status, answer = exchange(leader.http_port, "GET", path)
+        return status == 200 and answer["everywhere"]
+
+    def read_traffic(self, host_id: str) -> dict:
+        """Return the traffic counts of a host."""
+        ports = {host.host_id: host.http_port for host in self.control_hosts}
+        port = ports.get(host_id) or self.callers_ports[host_id]
+        return exchange(port, "GET", "/v1/traffic")[1]
+
+    def _take_port(self) -> int:
+        self._next_port += 1
+        return self._next_port - 1
+
+    def _build_settings(self, host_id: str, roles: tuple, zone: str) -> dict:
+        settings = daemon_settings.Settings(
+            host_id=host_id,
+            roles=roles,
+            availability_zone=zone,
+            region="region-1",
+            data_folder=str(self._folder / host_id),
+            callers=daemon_settings.Listen(HOST, 1),
+            peers=daemon_settings.Listen(HOST, 1),
+            control_hosts=self.control_hosts,
+        )
+        return records.to_plain(settings)
+
+    def _start(self, plain: dict) -> processes.Process:
+        name = plain["host_id"]
+        path = self._folder / f"{name}.json"
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(json.dumps(plain))
+        arguments = ["run", "--settings", str(path)]
+        return processes.Process(
+            name, "sedgeswitch.daemon", arguments, self._folder / "logs"
+        )
+
+    def _has_leader(self) -> bool:
+        try:
+            self.find_leader()
+        except OSError:
+            return False
+        return True
+
+    def _count_leases(self) -> int:
+        try:
+            leader = self.find_leader()
+            _, answer = exchange(leader.http_port, "GET", "/v1/status/entry")
+        except OSError:
+            return 0
+        return len(answer["rows"])
+
+
+def exchange(
+    port: int,
+    method: str,
+    path: str,
+    body: typing.Any = None,
+    headers: typing.Mapping[str, str] | None = None,
+) -> tuple[int, typing.Any]:
+    """Return the status and decoded body of one HTTP request.
+
+    Raises
+    ------
+    OSError
+        If there was no answer.
+    """
+    connection = http.client.HTTPConnection(HOST, port, timeout=CALL_TIMEOUT_S)
+    try:
+        text = None if body is None else json.dumps(body)
+        connection.request(method, path, text, dict(headers or {}))
+        response = connection.getresponse()
+        received = response.read()
+    except http.client.HTTPException as error:
+        raise OSError(str(error)) from error
+    finally:
+        connection.close()
+    return response.status, json.loads(received) if received else None
