Share out an instance's connections among the entry hosts

Cause: each host opened a fixed number, whatever the instance takes from the fleet. Weighed: a fixed split by settings (wrong as hosts come and go), a connection proxy host (a hop more). Change: the leader gives each host one part in a divisor, larger only when all other parts leave room; without a lease a host has none. An open transaction's time no longer counts as service time.

--- a/sedgeswitch/admission/fair_queue.py
+++ b/sedgeswitch/admission/fair_queue.py
@@ -174,10 +174,28 @@
             raise ticket.refusal
         return ticket
 
-    def release(self, ticket: Ticket, now_s: float) -> None:
-        """Free the slot of a request that has ended."""
+    def set_slots(self, slots: int, now_s: float) -> None:
+        """Change how many requests run at once; 0 lets none start.
+
+        Requests that run beyond a smaller number end in their own time.
+        """
+        self._slots = int(checks.check_range("slots", slots, 0))
+        self._dispatch(now_s)
+
+    def release(self, ticket: Ticket, now_s: float, is_observed: bool = True) -> None:
+        """Free the slot of a request that has ended.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        now_s : float
+        is_observed : bool, optional
+            Whether its time tells how long others will take; a caller's open
+            transaction does not.
+        """
         service_s = max(0.0, now_s - ticket.started_s)
-        self._service_s += _SERVICE_WEIGHT * (service_s - self._service_s)
+        if is_observed:
+            self._service_s += _SERVICE_WEIGHT * (service_s - self._service_s)
         self._free(ticket, service_s, now_s)
 
     def _free(self, ticket: Ticket, service_s: float, now_s: float) -> None:
@@ -197,7 +215,7 @@
         flows = self._lengths.flows + (own == 0)
         # Fair sharing lets each organisation be served own + 1 times at most.
         ahead = min(self.waiting, (own + 1) * flows - 1)
-        return (ahead + 1) * self._service_s / self._slots
+        return (ahead + 1) * self._service_s / max(self._slots, 1)
 
     def _enter(self, organisation: str, deadline_s: float, now_s: float) -> Ticket:
         if now_s >= deadline_s:
@@ -287,7 +305,7 @@
             self._remove(ticket)
 
     def _build_refusal(self, detail: str) -> verdicts.RefusedError:
-        wait_s = (self.waiting + 1) * self._service_s / self._slots
+        wait_s = (self.waiting + 1) * self._service_s / max(self._slots, 1)
         retry_after_ms = max(1, math.ceil(1000 * wait_s))
         return verdicts.build_not_run(_STATUS, _CODE, detail, retry_after_ms)
 
--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -29,10 +29,10 @@
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import assignment
 from sedgeswitch.groups import control as groups_control
+from sedgeswitch.groups import control_section as groups_sections
 from sedgeswitch.groups import failover
 from sedgeswitch.groups import leases as groups_leases
 from sedgeswitch.groups import machine as groups_machine
-from sedgeswitch.groups import sections as groups_sections
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import supervisor
 from sedgeswitch.membership import directory
@@ -41,6 +41,7 @@
 from sedgeswitch.membership import messages as membership_messages
 from sedgeswitch.membership import registrar
 from sedgeswitch.observability import metrics
+from sedgeswitch.pools import shares
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 
@@ -49,6 +50,7 @@
 DIRECTORY = "directory"
 DRAINING = "draining"
 MEMBERS = "members"
+SHARES = "shares"
 LOG_FOLDER = "agreement"
 REPLACE_TIMEOUT_S = 30.0
 
@@ -185,6 +187,7 @@
         register(GROUPS, self.groups_section)
         register(DIRECTORY, self.directory)
         register(DRAINING, self.draining)
+        register(SHARES, shares.ControlShares(self._get_holder_ids))
         register(MEMBERS, member_sections.ControlSection(self.members))
         self.registrar.register_leadership_listener(self._start_grants)
 
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -19,7 +19,7 @@
 from sedgeswitch.daemon import homes
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
-from sedgeswitch.groups import sections as groups_sections
+from sedgeswitch.groups import entry_section as groups_sections
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
@@ -43,7 +43,7 @@
 from sedgeswitch.transport import server
 
 DRAW_TIMEOUT_S = 0.5
-MAINTENANCE_INTERVAL_S = 0.25
+MAINTENANCE_INTERVAL_S = 0.1
 # Shortest time between two heartbeats that do not wait for their turn.
 URGENT_PAUSE_S = 0.02
 POLICY = "least_expected_delay"
@@ -218,6 +218,8 @@
         members = member_sections.EntrySection()
         members.register_listener(self.homes.set_members)
         self.heart.register_section(control.MEMBERS, members)
+        self.heart.register_section(control.SHARES, self.backends.share)
+        self.heart.register_lapse_listener(self.backends.share.drop)
         self.heart.register_lease_listener(self.groups.set_lease)
         self.heart.register_lease_listener(self._follow_limits)
 
@@ -292,6 +294,9 @@
                 for item in self.directory.servers.values()
                 if self._is_left_alone(item)
             }
+            if not self.heart.is_lease_valid(trio.current_time()):
+                self.backends.share.drop()
+            await self.backends.follow_share()
             await self.backends.close_idle(left_alone, trio.current_time())
             self._metrics.flush()
             await trio.sleep(MAINTENANCE_INTERVAL_S)
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -102,6 +102,7 @@
         self._interval_s = interval_s
         self._sections: dict[str, sections.EntrySection] = {}
         self._lease_listeners: list[collections.abc.Callable[[float], None]] = []
+        self._lapse_listeners: list[collections.abc.Callable[[], None]] = []
         self._versions: dict[str, int] = {}
         self._wake = trio.Event()
         self.lease_until_s = float("-inf")
@@ -117,6 +118,12 @@
         """Register a function that learns until when the lease lasts."""
         self._lease_listeners.append(listener)
 
+    def register_lapse_listener(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Register a function that is called when a lease is renewed too late."""
+        self._lapse_listeners.append(listener)
+
     def is_lease_valid(self, now_s: float) -> bool:
         """Return whether the host's lease still holds."""
         return now_s < self.lease_until_s
@@ -157,11 +164,17 @@
         for name, body in answer.sections.items():
             self._sections[name].receive_answer(body, now_s)
         if not self.is_leaving:
+            if self.lease_until_s < now_s:
+                self._note_lapse()
             self._set_lease(sent_s + answer.lease_ms / 1000)
         is_changed = answer.versions != self._versions
         self._versions = answer.versions
         return is_changed
 
+    def _note_lapse(self) -> None:
+        for listener in self._lapse_listeners:
+            listener()
+
     def _set_lease(self, until_s: float) -> None:
         self.lease_until_s = until_s
         for listener in self._lease_listeners:
--- a/sedgeswitch/pools/messages.thrift
+++ b/sedgeswitch/pools/messages.thrift
@@ -16,3 +16,13 @@
   3: required map<string, string> headers,
   4: required binary body,
 }
+
+// A host's share of every instance's connections is one part in `divisor`; 0
+// is no connection at all.
+struct ShareReport {
+  1: required i32 divisor,
+}
+
+struct ShareAnswer {
+  1: required i32 divisor,
+}
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -125,13 +125,27 @@
         self._settings = settings
         self._idle: list[PooledConnection] = []
         self._connect_s = 0.01
-        self.capacity = capacity
+        self._capacity = capacity
+        self._slots.set_slots(capacity, trio.current_time())
+        self._open = 0
+
+    @property
+    def open_count(self) -> int:
+        """How many connections are open or being opened."""
+        return self._open
+
+    async def set_capacity(self, capacity: int) -> None:
+        """Change how many connections may be open; idle ones beyond are closed."""
+        self._capacity = capacity
+        self._slots.set_slots(capacity, trio.current_time())
+        while self._idle and self._open > capacity:
+            await self._close(self._idle.pop(0))
 
     @property
     def load(self) -> PoolLoad:
         """How busy the pool is now."""
         return PoolLoad(
-            self.capacity,
+            self._capacity,
             self._slots.running,
             self._slots.waiting,
             len(self._idle),
@@ -164,17 +178,26 @@
         pooled.ticket = ticket
         return pooled
 
-    async def release(self, pooled: PooledConnection, now_s: float) -> None:
-        """Take a connection back; one in doubt is closed instead of kept."""
+    async def release(
+        self, pooled: PooledConnection, now_s: float, is_observed: bool = True
+    ) -> None:
+        """Take a connection back; one in doubt is closed instead of kept.
+
+        Parameters
+        ----------
+        pooled : PooledConnection
+        now_s : float
+        is_observed : bool, optional
+            See `fair_queue.FairQueue.release`.
+        """
         pooled.used_s = now_s
         try:
-            if pooled.is_usable:
+            if pooled.is_usable and self._open <= self._capacity:
                 self._idle.append(pooled)
             else:
-                with trio.CancelScope(shield=True):
-                    await pooled.close()
+                await self._close(pooled)
         finally:
-            self._slots.release(pooled.ticket, trio.current_time())
+            self._slots.release(pooled.ticket, trio.current_time(), is_observed)
 
     async def close_idle(self, now_s: float) -> None:
         """Close the connections that have not been used for long."""
@@ -182,19 +205,19 @@
         expired = [pooled for pooled in self._idle if pooled.used_s < oldest_s]
         self._idle = [pooled for pooled in self._idle if pooled.used_s >= oldest_s]
         for pooled in expired:
-            await pooled.close()
+            await self._close(pooled)
 
     async def close(self) -> None:
         """Close every idle connection."""
         idle, self._idle = self._idle, []
         for pooled in idle:
-            await pooled.close()
+            await self._close(pooled)
 
     async def _prepare(self, organisation: str, deadline_s: float) -> PooledConnection:
         while self._idle:
             pooled = self._pop_idle(organisation)
             if not pooled.is_usable:
-                await pooled.close()
+                await self._close(pooled)
                 continue
             is_foreign = pooled.organisation != organisation
             if not (is_foreign or pooled.is_dirty) or await self._reset(pooled):
@@ -219,14 +242,20 @@
             loguru.logger.debug("reset failed: {}", error)
         finally:
             if not is_reset:
-                with trio.CancelScope(shield=True):
-                    await pooled.close()
+                await self._close(pooled)
         pooled.is_dirty = False
         return is_reset
 
+    async def _close(self, pooled: PooledConnection) -> None:
+        self._open -= 1
+        with trio.CancelScope(shield=True):
+            await pooled.close()
+
     async def _connect(self, deadline_s: float) -> PooledConnection:
         started_s = trio.current_time()
         timeout_s = min(self._settings.connect_timeout_s, deadline_s - started_s)
+        connection = None
+        self._open += 1
         try:
             connection = await self._driver.connect(self._target, max(timeout_s, 0.0))
         except base.DriverError as error:
@@ -236,6 +265,9 @@
                 f"no connection to {self._target.host}:{self._target.port}: {error}",
                 RETRY_AFTER_MS,
             ) from error
+        finally:
+            if connection is None:
+                self._open -= 1
         now_s = trio.current_time()
         self._connect_s += NEWEST_WEIGHT * (now_s - started_s - self._connect_s)
         return PooledConnection(connection, now_s)
--- /dev/null
+++ b/sedgeswitch/pools/shares.py
@@ -0,0 +1,126 @@
+"""Shares of an instance's connections, never more than all of them together.
+
+Each entry host may open one part in `divisor` of the connections that an
+instance takes. The leader gives a larger part only when the parts of all other
+hosts, counted by the larger of what they were told and what they report to hold,
+leave room for it.
+"""
+
+import collections.abc
+
+from sedgeswitch.pools import messages
+from sedgeswitch.transport import catalog
+
+# For watchers, the control leader and people who look after the database.
+RESERVED_CONNECTIONS = 5
+_TOLERANCE = 1e-9
+
+
+def get_capacity(max_connections: int, divisor: int) -> int:
+    """Return how many connections to an instance a share allows.
+
+    Parameters
+    ----------
+    max_connections : int
+        Connections that the instance takes.
+    divisor : int
+        The host's part is one in `divisor`; 0 for none.
+    """
+    if divisor == 0:
+        return 0
+    return max(max_connections - RESERVED_CONNECTIONS, 0) // divisor
+
+
+class EntryShare:
+    """The entry host's side of the section.
+
+    Parameters
+    ----------
+    fits : callable
+        ``fits(divisor)`` tells whether the open connections to each instance
+        are within a share.
+
+    Attributes
+    ----------
+    divisor : int
+        Share that new connections must keep to.
+    """
+
+    def __init__(self, fits: collections.abc.Callable[[int], bool]):
+        self._fits = fits
+        self._held = 0
+        self.divisor = 0
+
+    def drop(self) -> None:
+        """Give the share up, as after a lease that ran out."""
+        self._held = 0
+        self.divisor = 0
+
+    def build_report(self, now_s: float) -> bytes:  # noqa: ARG002
+        """Return the share that this host keeps within already."""
+        if self._held != self.divisor and self._fits(self.divisor):
+            self._held = self.divisor
+        return catalog.encode_struct(messages.ShareReport(self._held))
+
+    def receive_answer(self, body: bytes, now_s: float) -> None:  # noqa: ARG002
+        """Keep to the share that the leader gives from now on."""
+        answer = catalog.decode_struct(messages.ShareAnswer, body)
+        if self.divisor == 0 or answer.divisor < self.divisor:
+            self._held = answer.divisor
+        self.divisor = answer.divisor
+
+
+class ControlShares:
+    """The leader's side of the section.
+
+    Parameters
+    ----------
+    list_holders : callable
+        ``list_holders(now_s)`` returns the ids of the entry hosts whose lease
+        may not be over; the others open no connection.
+    """
+
+    def __init__(
+        self,
+        list_holders: collections.abc.Callable[
+            [float], collections.abc.Collection[str]
+        ],
+    ):
+        self._list_holders = list_holders
+        self._reported: dict[str, int] = {}
+        self._told: dict[str, int] = {}
+
+    def start_leadership(self, now_s: float) -> None:  # noqa: ARG002
+        """Forget what an earlier leadership knew."""
+        self._reported = {}
+        self._told = {}
+
+    def get_version(self) -> int:
+        """Return 0: a change of members wakes the hosts already."""
+        return 0
+
+    def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:
+        """Return the share of a host."""
+        report = catalog.decode_struct(messages.ShareReport, body)
+        self._reported[host_id] = report.divisor
+        holders = {*self._list_holders(now_s), host_id}
+        divisor = self._choose(host_id, report.divisor, holders)
+        self._told[host_id] = divisor
+        return catalog.encode_struct(messages.ShareAnswer(divisor))
+
+    def _choose(self, host_id: str, held: int, holders: set[str]) -> int:
+        fair = len(holders)
+        is_smaller = 0 < held <= fair
+        if is_smaller:
+            return fair
+        others = sum(self._count(other) for other in holders if other != host_id)
+        if others + 1 / fair <= 1 + _TOLERANCE:
+            return fair
+        return held
+
+    def _count(self, host_id: str) -> float:
+        """Return the part of the connections that a host may have open."""
+        if host_id not in self._reported:
+            return 1.0
+        divisors = [self._reported[host_id], self._told.get(host_id, 0)]
+        return max(1 / divisor if divisor else 0.0 for divisor in divisors)
--- a/sedgeswitch/pools/transactions.py
+++ b/sedgeswitch/pools/transactions.py
@@ -230,7 +230,9 @@
             return
         self._remember(transaction, ending)
         with trio.CancelScope(shield=True):
-            await held.connections.release(held.pooled, trio.current_time())
+            await held.connections.release(
+                held.pooled, trio.current_time(), is_observed=False
+            )
 
     def _remember(self, transaction: Transaction, ending: Ending) -> None:
         outcome = (transaction.organisation, ending)
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -13,6 +13,7 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
+from sedgeswitch.pools import shares
 from sedgeswitch.routing import candidates
 from sedgeswitch.routing import policies
 
@@ -41,6 +42,13 @@
     pool: pool.PoolSettings
 
 
+class _Kept(typing.NamedTuple):
+    """A pool, and how many connections its instance takes from all hosts."""
+
+    connections: pool.InstancePool
+    max_connections: int
+
+
 class Backends:
     """Pools to all known instances, and the choice among them.
 
@@ -67,7 +75,8 @@
         self._build_slots = build_slots
         self._options = options
         self._rng = rng
-        self._pools: dict[base.Target, pool.InstancePool] = {}
+        self._pools: dict[base.Target, _Kept] = {}
+        self.share = shares.EntryShare(self._fits)
 
     def get_servers(self, group: str) -> list[directory.BackendServer]:
         """Return the announced instances of a group."""
@@ -82,16 +91,25 @@
     ) -> pool.InstancePool:
         """Return the pool of connections to an instance."""
         target = base.Target(server.host, server.port, database)
-        if target not in self._pools:
-            capacity = self._options.connections_per_instance
-            self._pools[target] = pool.InstancePool(
+        kept = self._pools.get(target)
+        if kept is None:
+            capacity = self._get_capacity(server.max_connections, self.share.divisor)
+            connections = pool.InstancePool(
                 self._driver,
                 target,
-                self._build_slots(capacity),
+                self._build_slots(max(capacity, 1)),
                 capacity,
                 self._options.pool,
             )
-        return self._pools[target]
+            kept = self._pools[target] = _Kept(connections, server.max_connections)
+        return kept.connections
+
+    async def follow_share(self) -> None:
+        """Keep every pool within this host's share of its instance."""
+        for kept in list(self._pools.values()):
+            capacity = self._get_capacity(kept.max_connections, self.share.divisor)
+            if capacity != kept.connections.load.capacity:
+                await kept.connections.set_capacity(capacity)
 
     def order_replicas(
         self, servers: list[directory.BackendServer], primary: str, database: str
@@ -111,8 +129,8 @@
         if server is None:
             return 0
         return sum(
-            item.load.in_use + item.load.waiting
-            for target, item in self._pools.items()
+            kept.connections.load.in_use + kept.connections.load.waiting
+            for target, kept in self._pools.items()
             if (target.host, target.port) == (server.host, server.port)
         )
 
@@ -125,16 +143,27 @@
             Addresses of instances that should have no connection at all.
         now_s : float
         """
-        for target, item in list(self._pools.items()):
+        for target, kept in list(self._pools.items()):
             if (target.host, target.port) in left_alone:
-                await item.close()
+                await kept.connections.close()
             else:
-                await item.close_idle(now_s)
+                await kept.connections.close_idle(now_s)
 
     async def close(self) -> None:
         """Close all idle connections."""
-        for item in self._pools.values():
-            await item.close()
+        for kept in self._pools.values():
+            await kept.connections.close()
+
+    def _get_capacity(self, max_connections: int, divisor: int) -> int:
+        shared = shares.get_capacity(max_connections, divisor)
+        return min(self._options.connections_per_instance, shared)
+
+    def _fits(self, divisor: int) -> bool:
+        return all(
+            kept.connections.open_count
+            <= self._get_capacity(kept.max_connections, divisor)
+            for kept in self._pools.values()
+        )
 
     def _build_candidate(
         self, server: directory.BackendServer, database: str
--- a/sedgeswitch/statements/context.py
+++ b/sedgeswitch/statements/context.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from sedgeswitch.groups import sections
+from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import table
 from sedgeswitch.observability import metrics
 from sedgeswitch.sessions import floors
@@ -43,7 +43,7 @@
     Attributes
     ----------
     groups : table.GroupTable
-    observations : sections.EntrySection
+    observations : entry_section.EntrySection
         What is known of the instances' positions and ages.
     backends : backends.Backends
     floors : floors.FloorStore
@@ -51,7 +51,7 @@
     """
 
     groups: table.GroupTable
-    observations: sections.EntrySection
+    observations: entry_section.EntrySection
     backends: backends.Backends
     floors: floors.FloorStore
     metrics: metrics.Metrics
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -4,8 +4,8 @@
 
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
+from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import positions
-from sedgeswitch.groups import sections
 from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
@@ -90,7 +90,7 @@
             eligible, group.primary, work.database
         )
 
-    def _get_views(self, group: str) -> dict[str, sections.ReplicaView]:
+    def _get_views(self, group: str) -> dict[str, entry_section.ReplicaView]:
         now_s = trio.current_time()
         views = self._parts.observations.get_replicas(group, now_s)
         return {view.instance: view for view in views}
@@ -180,7 +180,7 @@
         raise refusals.build_driver_refusal(error) from error
 
 
-def _is_fresh(view: sections.ReplicaView | None, max_age_ms: int | None) -> bool:
+def _is_fresh(view: entry_section.ReplicaView | None, max_age_ms: int | None) -> bool:
     """Return whether a replica may serve a read of a stated age.
 
     Without a stated age only a replica that is known not to answer is left out:
