--- a/sedgeswitch/admission/tests/test_fleet_rate.py
+++ b/sedgeswitch/admission/tests/test_fleet_rate.py
@@ -133,6 +133,30 @@
             drain(fleet, 0)
         self.assertGreaterEqual(fleet.lowest_level, -1e-6)
 
+    def test_new_leader_counts_silent_hosts_as_holding(self):
+        given = settings.Settings(stock_s=2.0, demand_window_s=2.0)
+        clocks = [builders.Clock(host) for host in range(HOST_COUNT)]
+        fleet = builders.Fleet(settings.Limit(20.0, 20), clocks, given)
+        for host in (0, 1, 2, 1, 2):
+            fleet.exchange(host)
+            load(fleet, host)
+        fleet.advance(1.0)
+        for host in (1, 2, 1, 2):
+            fleet.exchange(host)
+        fleet.change_leader()
+        fleet.exchange(0)
+        fleet.advance(1.2)
+        drain(fleet, 0)
+        in_hand = [
+            fleet.wallets[host].get_in_hand(builders.ORGANISATION, fleet.read(host))
+            for host in (1, 2)
+        ]
+        self.assertGreater(sum(in_hand), 5)
+        for host in (1, 2):
+            for _ in range(20):
+                fleet.take(host)
+        self.assertGreaterEqual(fleet.lowest_level, -1e-6)
+
     def test_restart_of_host_that_spent_leaves_no_stale_memory(self):
         for others_drew in (False, True):
             clocks = [builders.Clock(host) for host in range(HOST_COUNT)]
