Refill a recovered bucket over tokens known to be spent

Cause: after a leader change the level was capped by all tokens that the earlier leader counted as held, although hosts had spent them long before. Change: hosts report the time since their last spend; after the last spend of any host only the tokens still in hand cap the refill.

--- a/sedgeswitch/admission/messages.thrift
+++ b/sedgeswitch/admission/messages.thrift
@@ -19,6 +19,7 @@
   6: required double rate_per_s
   7: required double received_age_s
   8: required double sent_age_s
+  9: required double spent_age_s
 }
 
 struct Draw {
--- a/sedgeswitch/admission/recovery.py
+++ b/sedgeswitch/admission/recovery.py
@@ -18,11 +18,14 @@
         How long the host's process had been running.
     memories : dict of str to messages.BucketMemory
         The last bucket states that the host was told, by organisation.
+    in_hand : dict of str to int
+        Tokens that the host held, by organisation.
     """
 
     arrived_s: float
     uptime_s: float
     memories: dict[str, messages.BucketMemory]
+    in_hand: dict[str, int]
 
 
 class Recovery:
@@ -49,7 +52,9 @@
     def add(self, draw: messages.Draw, now_s: float) -> None:
         """Keep a host's report; a later run of the host replaces an earlier one."""
         memories = {memory.organisation: memory for memory in draw.memories}
-        self._reports[draw.host_id] = HostReport(now_s, draw.uptime_s, memories)
+        in_hand = {holding.organisation: holding.in_hand for holding in draw.holdings}
+        report = HostReport(now_s, draw.uptime_s, memories, in_hand)
+        self._reports[draw.host_id] = report
 
     def get_unknown(self, host_ids: typing.Collection[str]) -> int:
         """Return how many of the hosts have not reported."""
@@ -77,7 +82,40 @@
         rate_per_s = min(limit.rate_per_s, memory.rate_per_s)
         elapsed_s = memory.received_age_s + now_s - latest.arrived_s
         level = memory.bucket + rate_per_s * elapsed_s * self._get_slow_factor()
-        return min(level, limit.burst - memory.held)
+        level = min(level, limit.burst - memory.held)
+        return max(level, self._get_level_idle(organisation, limit, latest, reports))
+
+    def _get_level_idle(
+        self,
+        organisation: str,
+        limit: admission_settings.Limit,
+        latest: HostReport,
+        reports: list[HostReport],
+    ) -> float:
+        """Return the level at the start of the leadership, if none was spent before.
+
+        Notes
+        -----
+        Up to the last spend of any host the tokens that the earlier leader counted
+        as held limit the refill; after it, only those that hosts still have.
+        """
+        factor = self._get_slow_factor()
+        memory = latest.memories[organisation]
+        told_s = latest.arrived_s - memory.received_age_s * factor
+        spent_s = max(
+            report.arrived_s - report.memories[organisation].spent_age_s * factor
+            for report in reports
+            if organisation in report.memories
+        )
+        idle_since_s = max(told_s, spent_s)
+        if idle_since_s >= self._started_s:
+            return 0.0
+        rate_per_s = min(limit.rate_per_s, memory.rate_per_s) * factor
+        level = memory.bucket + rate_per_s * (idle_since_s - told_s)
+        level = min(level, limit.burst - memory.held)
+        level += rate_per_s * (self._started_s - idle_since_s)
+        in_hand = sum(report.in_hand.get(organisation, 0) for report in reports)
+        return min(level, limit.burst - in_hand)
 
     def _get_level_unused(
         self,
--- a/sedgeswitch/admission/tests/test_fleet_rate.py
+++ b/sedgeswitch/admission/tests/test_fleet_rate.py
@@ -59,9 +59,16 @@
         fleet.advance(0.021)
 
 
-def hand_over(fleet, host):
+def spend_stock(fleet, host):
+    """Take what is in hand, without a draw."""
+    for _ in range(40):
+        fleet.take(host)
+
+
+def hand_over(fleet, host, pause_s=0.0):
     """Change the leader and let the hosts report, from `host` on."""
     fleet.change_leader()
+    fleet.advance(pause_s)
     for offset in range(HOST_COUNT):
         fleet.exchange((host + offset) % HOST_COUNT)
 
@@ -79,7 +86,8 @@
         (10, lambda: fleet.advance(rng.choice([0.005, 0.05, 0.3, 1.0, 2.1, 6.0]))),
         (3, lambda: fleet.restart(host)),
         (2, fleet.change_leader),
-        (4, lambda: hand_over(fleet, host)),
+        (4, lambda: hand_over(fleet, host, rng.choice([0.0, 0.0, 1.0]))),
+        (4, lambda: spend_stock(fleet, host)),
     ]
     weights, actions = zip(*steps, strict=True)
     return rng.choices(actions, weights)[0]
@@ -157,6 +165,27 @@
                 fleet.take(host)
         self.assertGreaterEqual(fleet.lowest_level, -1e-6)
 
+    def test_stock_spent_just_before_the_change_is_not_refilled_over(self):
+        for pause_s in (0.0, 0.05, 0.5):
+            given = settings.Settings(stock_s=2.0, demand_window_s=2.0)
+            clocks = [builders.Clock(host) for host in range(HOST_COUNT)]
+            fleet = builders.Fleet(settings.Limit(20.0, 20), clocks, given)
+            for host in (0, 1, 2, 1, 2):
+                fleet.exchange(host)
+                load(fleet, host)
+            fleet.advance(1.0)
+            for host in range(HOST_COUNT):
+                fleet.exchange(host)
+            fleet.advance(1.5)
+            before = fleet.spent
+            spend_stock(fleet, 1)
+            self.assertGreater(fleet.spent - before, 3)
+            fleet.advance(pause_s)
+            hand_over(fleet, 0)
+            drain(fleet, 0)
+            drain(fleet, 2)
+            self.assertGreaterEqual(fleet.lowest_level, -1e-6, f"pause {pause_s}")
+
     def test_restart_of_host_that_spent_leaves_no_stale_memory(self):
         for others_drew in (False, True):
             clocks = [builders.Clock(host) for host in range(HOST_COUNT)]
--- a/sedgeswitch/admission/wallet.py
+++ b/sedgeswitch/admission/wallet.py
@@ -97,6 +97,7 @@
         self.in_hand = 0
         self.expires_s = 0.0
         self.spent_total = 0
+        self.spent_s = -math.inf
         self.keep = 0
         self.share_per_s = limit.rate_per_s
         self.short_until_s = -math.inf
@@ -110,8 +111,9 @@
         if now_s >= self.expires_s:
             self.in_hand = 0
 
-    def spend(self) -> None:
+    def spend(self, now_s: float) -> None:
         """Spend one token."""
+        self.spent_s = now_s
         self.in_hand -= 1
         self.spent_total += 1
         self.is_settled = False
@@ -220,7 +222,7 @@
         account.demand.add(now_s)
         account.expire(now_s)
         if account.in_hand > 0 and not account.waiters:
-            account.spend()
+            account.spend(now_s)
             return Admitted(organisation)
         wait_s = min(self._get_wait_s(now_s), deadline_s - now_s)
         if wait_s <= 0 or len(account.waiters) >= self._get_room(account, now_s):
@@ -360,7 +362,7 @@
         is_short = grant.is_short
         account.short_until_s = now_s + _SHORT_MEMORY_S if is_short else -math.inf
         while account.waiters and account.in_hand > 0:
-            account.spend()
+            account.spend(now_s)
             pending = account.waiters.popleft()
             pending.resolve(Admitted(pending.organisation))
         surplus = len(account.waiters) - self._get_room(account, now_s)
@@ -370,7 +372,11 @@
         account = self._accounts.get(organisation)
         if account is None:
             window_s = self._settings.demand_window_s
-            self._accounts[organisation] = _Account(organisation, limit, window_s)
+            account = _Account(organisation, limit, window_s)
+            if organisation in self._memories:
+                # An earlier account may have spent tokens at any time.
+                account.spent_s = math.inf
+            self._accounts[organisation] = account
         elif account.limit != limit:
             account.limit = limit
             account.in_hand = min(account.in_hand, limit.burst)
@@ -447,6 +453,12 @@
             demand_per_s=account.demand.get_rate_per_s(now_s),
         )
 
+    def _get_spent_age_s(self, organisation: str, now_s: float) -> float:
+        account = self._accounts.get(organisation)
+        if account is None:
+            return 0.0
+        return max(0.0, now_s - max(account.spent_s, self._started_s))
+
     def _build_memories(self, now_s: float) -> list[messages.BucketMemory]:
         oldest_s = now_s - self._settings.host_memory_s
         return [
@@ -459,6 +471,7 @@
                 rate_per_s=memory.grant.rate_per_s,
                 received_age_s=now_s - memory.received_s,
                 sent_age_s=now_s - memory.sent_s,
+                spent_age_s=self._get_spent_age_s(organisation, now_s),
             )
             for organisation, memory in self._memories.items()
             if memory.sent_s > oldest_s
