--- a/sedgeswitch/groups/tests/test_failover.py
+++ b/sedgeswitch/groups/tests/test_failover.py
@@ -205,21 +205,24 @@
                 ]
                 self.assertEqual(1, len(primaries))
 
-    def test_leader_lost_while_the_promotion_runs_is_resumed(self):
-        async def scenario(world):
-            def on_propose(command):
-                if command.choose is not None:
-                    world.on_propose = None
-                    world.nursery.start_soon(change_soon, world)
+    def test_leader_lost_while_it_waits_is_resumed(self):
+        async def change_after(world, delay_s):
+            await trio.sleep(delay_s)
+            world.change_leader(trio.current_time())
 
-            world.on_propose = on_propose
-            await kill_primary(world)
+        for name, delay_s in (("fence", 0.03), ("choose", 0.1), ("promoted", 0.01)):
 
-        async def change_soon(world):
-            await trio.sleep(0.1)
-            world.change_leader(trio.current_time())
+            async def scenario(world, name=name, delay_s=delay_s):
+                def on_propose(command):
+                    if getattr(command, name) is not None:
+                        world.on_propose = None
+                        world.nursery.start_soon(change_after, world, delay_s)
+
+                world.on_propose = on_propose
+                await kill_primary(world)
 
-        self.assert_replaced(self.run_world(scenario))
+            with self.subTest(name):
+                self.assert_replaced(self.run_world(scenario))
 
     def test_replaced_instance_leaves_the_group(self):
         async def scenario(world):
