--- a/examples/fleet_plan.py
+++ b/examples/fleet_plan.py
@@ -3,9 +3,10 @@
     python examples/fleet_plan.py processes daura-lots run/daura-lots
     python examples/fleet_plan.py organisations daura-lots run/daura-lots
 
-``processes`` writes the settings of each daemon under the folder, and prints a
-line ``NAME MODULE ARGUMENT...`` for each process.  ``organisations`` writes
-``organisations.json`` for the load tool from the keys in ``keys/``.
+``processes`` writes the settings of each daemon and the configuration under the
+folder, and prints a line ``NAME MODULE ARGUMENT...`` for each process.
+``organisations`` writes ``organisations.json`` for the load tool from the keys in
+``keys/``.
 """
 
 import argparse
@@ -96,6 +97,25 @@
     return found
 
 
+def save_configuration(plan: Plan) -> None:
+    """Write the configuration of the example, and what the load tool needs besides.
+
+    The load tool creates its tables and reads the final state on the primaries.
+    """
+    body = (plan.deployment / "configuration.json").read_bytes()
+    document = json.loads(body)
+    mix = _mix.load_mix(plan.deployment / "mix.json")
+    labels = [item["labels"].items() for item in load_instances(plan)["instances"]]
+    document["selectors"]["load-tool"] = {
+        "organisations": "*",
+        "work": [mix.schema_work, mix.audit_work],
+        "access": ["write"],
+        "labels": dict(labels[0] & set.intersection(*map(set, labels))),
+    }
+    target = plan.folder / "configuration.json"
+    target.write_text(json.dumps(document, indent=2) + "\n")
+
+
 def _move_ports(document: dict[str, typing.Any], offset: int) -> None:
     addresses = [document["callers"], document["peers"], *document["control_hosts"]]
     for address in addresses:
@@ -225,6 +245,7 @@
         given.instance_options.split(),
     )
     if given.step == "processes":
+        save_configuration(plan)
         print("\n".join(build_processes(plan)))
     else:
         save_organisations(plan, given.busy, given.busy_factor)
--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -70,7 +70,7 @@
     fi
     sleep 0.2
 done
-operate apply "examples/$deployment/configuration.json" > "$folder/apply.txt"
+operate apply "$folder/configuration.json" > "$folder/apply.txt"
 head -2 "$folder/apply.txt"
 examples/fleet_keys.sh "$deployment" "$folder"
 operate in-force --wait 10
