Let the settings name the routing policy

The policies were a registry with one name fixed in the entry host, so the simple baselines could not be run on a fleet. routing_policy is checked against the registry.

--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -39,7 +39,6 @@
 
 DRAW_TIMEOUT_S = 0.5
 MAINTENANCE_INTERVAL_S = 0.25
-POLICY = "least_expected_delay"
 
 
 class FleetAdmission:
@@ -157,7 +156,7 @@
         options = backends.BackendOptions(
             self._settings.availability_zone,
             given.connections_per_instance,
-            POLICY,
+            self._settings.routing_policy,
             pool.PoolSettings(given.connect_timeout_s, given.idle_timeout_s),
         )
         return backends.Backends(
--- a/sedgeswitch/daemon/tests/test_settings.py
+++ b/sedgeswitch/daemon/tests/test_settings.py
@@ -31,6 +31,7 @@
             ({"statsd": {"host": "h"}}, "statsd.port: expected a whole number"),
             ({"trace_sample_share": 2}, "trace_sample_share: expected a number from 0"),
             ({"log_level": "LOUD"}, "log_level: expected 'DEBUG' or"),
+            ({"routing_policy": "best"}, "routing_policy: expected"),
             ({"control_hosts": []}, "control_hosts: expected at least one"),
             ({"operator_token_digest": "x"}, "operator_token_digest: expected a SHA"),
         ]
--- a/sedgeswitch/routing/policies.py
+++ b/sedgeswitch/routing/policies.py
@@ -9,6 +9,8 @@
     [list[candidates.Candidate], random.Random], list[candidates.Candidate]
 ]
 
+DEFAULT_POLICY = "least_expected_delay"
+
 _POLICIES: dict[str, Policy] = {}
 
 
@@ -33,7 +35,12 @@
     return _POLICIES[name]
 
 
-@register_policy("least_expected_delay")
+def list_policies() -> list[str]:
+    """Return the names of the registered policies."""
+    return sorted(_POLICIES)
+
+
+@register_policy(DEFAULT_POLICY)
 def order_by_expected_delay(
     eligible: list[candidates.Candidate], rng: random.Random
 ) -> list[candidates.Candidate]:
--- a/sedgeswitch/settings.py
+++ b/sedgeswitch/settings.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sedgeswitch.routing import policies
 from sedgeswitch.utils import checks
 from sedgeswitch.utils import records
 
@@ -169,6 +170,8 @@
     trace_sample_share : float
         Share of requests that are traced, from 0 to 1.
     log_level : str
+    routing_policy : str
+        Registered name of the policy that orders the replicas for a read.
     requests : Requests
     pool : Pool
     agreement : Agreement
@@ -191,6 +194,7 @@
     statsd: Statsd | None = None
     trace_sample_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     log_level: LogLevel = "INFO"
+    routing_policy: str = policies.DEFAULT_POLICY
     requests: Requests = Requests()
     pool: Pool = Pool()
     agreement: Agreement = Agreement()
@@ -245,6 +249,9 @@
     _check_roles(settings)
     _check_control_hosts(settings)
     _check_times(settings)
+    checks.check_choice(
+        "routing_policy", settings.routing_policy, policies.list_policies()
+    )
     return settings
 
 
