--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -46,7 +46,6 @@
 MAINTENANCE_INTERVAL_S = 0.1
 # Shortest time between two heartbeats that do not wait for their turn.
 URGENT_PAUSE_S = 0.02
-POLICY = "least_expected_delay"
 
 
 class FleetAdmission:
@@ -172,7 +171,7 @@
         options = backends.BackendOptions(
             self._settings.availability_zone,
             given.connections_per_instance,
-            POLICY,
+            self._settings.routing_policy,
             pool.PoolSettings(given.connect_timeout_s, given.idle_timeout_s),
         )
         return backends.Backends(
--- a/sedgeswitch/statements/acknowledgement.py
+++ b/sedgeswitch/statements/acknowledgement.py
@@ -60,7 +60,7 @@
             instance
             for instance in self._list_replicas()
             if instance in self._reached
-            and positions.has_reached(self._reached[instance], position)
+            and positions.confirms_write(self._reached[instance], position)
         ]
         return len(reached) >= replicas
 
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -164,11 +164,9 @@
         group, database = work.group, work.database
 
         def list_replicas() -> list[str]:
-            # Only agreed instances count: a promotion reads no others.
             state = self._parts.groups.get_group(group)
-            if state is None:
-                return []
-            return [item for item in state.instances if item != state.primary]
+            counting = self._parts.groups.get_ack_instances(group)
+            return [item for item in counting if item != state.primary]
 
         async def read_position(instance: str) -> positions.Position | None:
             server = self._parts.backends.get_server(instance)
