Measure the processor time of a statement through an entry host

benchmarks.hot_path: a closed loop of callers through one of three entry hosts, stand-in instances, 24 connections.

--- /dev/null
+++ b/benchmarks/callers.py
@@ -0,0 +1,224 @@
+"""Callers of one entry host: a closed or an open loop of the same request.
+
+Usage: ``python -m benchmarks.callers --port 7000 --key KEY --access read ...``
+
+Prints one JSON line with what came back.
+"""
+
+import argparse
+import collections
+import json
+import typing
+
+import httptools
+import trio
+
+HOST = "127.0.0.1"
+RECEIVE_BYTES = 65536
+GROUP = "lots"
+SQL_BY_ACCESS = {
+    "read": "SELECT value FROM lots WHERE household = $1",
+    "write": "INSERT INTO lots (household, value) VALUES ($1, 'x') "
+    "ON CONFLICT (household) DO UPDATE SET value = 'y'",
+}
+
+
+class Outcome(typing.NamedTuple):
+    """What a run of callers got.
+
+    Attributes
+    ----------
+    sent : int
+    answered : int
+        Answers with status 200 within the deadline.
+    late : int
+        Answers with status 200 after it.
+    skipped : int
+        Arrivals that found no free connection.
+    statuses : dict of str to int
+    duration_s : float
+    """
+
+    sent: int
+    answered: int
+    late: int
+    skipped: int
+    statuses: dict[str, int]
+    duration_s: float
+
+
+class _Response:
+    """Collects one response from the parser's callbacks."""
+
+    def __init__(self):
+        self.is_complete = False
+
+    def on_message_complete(self) -> None:
+        self.is_complete = True
+
+
+class Tally:
+    """Counts answers."""
+
+    def __init__(self):
+        self.sent = 0
+        self.answered = 0
+        self.late = 0
+        self.skipped = 0
+        self.statuses: collections.Counter[str] = collections.Counter()
+
+
+def build_request(
+    key: str, access: str, household: str, deadline_ms: int, group: str = GROUP
+) -> bytes:
+    """Return the bytes of one statement request."""
+    body = json.dumps(
+        {
+            "group": group,
+            "work": "benchmark",
+            "access": access,
+            "sql": SQL_BY_ACCESS[access],
+            "parameters": [household],
+            "deadline_ms": deadline_ms,
+        }
+    ).encode()
+    head = (
+        "POST /v1/statements HTTP/1.1\r\nHost: e\r\n"
+        f"Authorization: Bearer {key}\r\nContent-Type: application/json\r\n"
+        f"Sedge-Session: {household}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+async def exchange(stream: trio.abc.Stream, request: bytes) -> int:
+    """Send a request and return the status of its response.
+
+    Raises
+    ------
+    trio.BrokenResourceError
+        If the connection ended before the response did.
+    """
+    await stream.send_all(request)
+    response = _Response()
+    parser = httptools.HttpResponseParser(response)
+    while not response.is_complete:
+        data = await stream.receive_some(RECEIVE_BYTES)
+        if not data:
+            raise trio.BrokenResourceError
+        parser.feed_data(data)
+    return parser.get_status_code()
+
+
+class Callers:
+    """Connections that send statements of households to one entry host.
+
+    Parameters
+    ----------
+    given : argparse.Namespace
+    """
+
+    def __init__(self, given: argparse.Namespace):
+        self._given = given
+        self._deadline_s = given.deadline_ms / 1000
+        self.tally = Tally()
+
+    async def run(self) -> Outcome:
+        """Send until the duration is over and return what came back."""
+        started_s = trio.current_time()
+        with trio.move_on_after(self._given.duration_s):
+            if self._given.rate_per_s > 0:
+                await self._run_open()
+            else:
+                await self._run_closed()
+        elapsed_s = trio.current_time() - started_s
+        counted = self.tally
+        return Outcome(
+            counted.sent,
+            counted.answered,
+            counted.late,
+            counted.skipped,
+            dict(counted.statuses),
+            elapsed_s,
+        )
+
+    async def _run_closed(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in range(self._given.connections):
+                nursery.start_soon(self._call_forever, number)
+
+    async def _call_forever(self, number: int) -> None:
+        request = self._build_request(number)
+        while True:
+            stream = await trio.open_tcp_stream(HOST, self._given.port)
+            async with stream:
+                while await self._call(stream, request):
+                    pass
+
+    async def _run_open(self) -> None:
+        send, receive = trio.open_memory_channel(0)
+        async with trio.open_nursery() as nursery:
+            for number in range(self._given.connections):
+                nursery.start_soon(self._call_when_told, number, receive.clone())
+            interval_s = 1 / self._given.rate_per_s
+            next_s = trio.current_time()
+            while True:
+                await trio.sleep_until(next_s)
+                next_s += interval_s
+                try:
+                    send.send_nowait(None)
+                except trio.WouldBlock:
+                    self.tally.skipped += 1
+
+    async def _call_when_told(
+        self, number: int, receive: trio.MemoryReceiveChannel
+    ) -> None:
+        request = self._build_request(number)
+        while True:
+            stream = await trio.open_tcp_stream(HOST, self._given.port)
+            async with stream:
+                async for _ in receive:
+                    if not await self._call(stream, request):
+                        break
+
+    def _build_request(self, number: int) -> bytes:
+        given = self._given
+        household = f"h{number}"
+        return build_request(given.key, given.access, household, given.deadline_ms)
+
+    async def _call(self, stream: trio.abc.Stream, request: bytes) -> bool:
+        started_s = trio.current_time()
+        self.tally.sent += 1
+        try:
+            status = await exchange(stream, request)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.tally.statuses["broken"] += 1
+            return False
+        self.tally.statuses[str(status)] += 1
+        if status == 200:
+            is_late = trio.current_time() - started_s > self._deadline_s
+            self.tally.late += is_late
+            self.tally.answered += not is_late
+        return True
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--key", required=True)
+    parser.add_argument("--access", choices=sorted(SQL_BY_ACCESS), default="read")
+    parser.add_argument("--connections", type=int, default=32)
+    parser.add_argument("--duration-s", type=float, default=5.0)
+    parser.add_argument("--rate-per-s", type=float, default=0.0)
+    parser.add_argument("--deadline-ms", type=int, default=2000)
+    return parser
+
+
+def main() -> None:
+    """Run callers and print what came back."""
+    outcome = trio.run(Callers(build_parser().parse_args()).run)
+    print(json.dumps(outcome._asdict()))
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -26,6 +26,8 @@
     control_count : int
     changes : mapping of str to object, optional
         Settings of the entry hosts that differ from the defaults.
+    profiled : tuple of str
+        Hosts whose Python code is profiled.
     """
 
     def __init__(
@@ -34,8 +36,10 @@
         first_port: int,
         control_count: int,
         changes: typing.Mapping[str, typing.Any] | None = None,
+        profiled: tuple[str, ...] = (),
     ):
         self._folder = folder
+        self._profiled = profiled
         self._next_port = first_port
         self._changes = changes or {}
         self.version = 0
@@ -113,6 +117,10 @@
         status, answer = exchange(leader.http_port, "GET", path)
         return status == 200 and answer["everywhere"]
 
+    def get_profile_path(self, host_id: str) -> pathlib.Path:
+        """Return where the profile of a host lies once it has ended."""
+        return self._folder / f"{host_id}.profile"
+
     def read_traffic(self, host_id: str) -> dict:
         """Return the traffic counts of a host."""
         ports = {host.host_id: host.http_port for host in self.control_hosts}
@@ -142,11 +150,17 @@
         path.parent.mkdir(parents=True, exist_ok=True)
         path.write_text(json.dumps(plain))
         arguments = ["run", "--settings", str(path)]
-        return processes.Process(
-            name, "sedgeswitch.daemon", arguments, self._folder / "logs"
-        )
+        module = "sedgeswitch.daemon"
+        if name in self._profiled:
+            profile = str(self.get_profile_path(name))
+            arguments = ["-o", profile, "-m", module, *arguments]
+            module = "cProfile"
+        return processes.Process(name, module, arguments, self._folder / "logs")
 
     def _has_leader(self) -> bool:
+        ended = [process.name for process in self.control if not process.is_running]
+        if ended:
+            raise RuntimeError(f"control hosts ended: {ended}; see their logs")
         try:
             self.find_leader()
         except OSError:
@@ -156,10 +170,10 @@
     def _count_leases(self) -> int:
         try:
             leader = self.find_leader()
-            _, answer = exchange(leader.http_port, "GET", "/v1/status/entry")
+            status, answer = exchange(leader.http_port, "GET", "/v1/status/entry")
         except OSError:
             return 0
-        return len(answer["rows"])
+        return len(answer["rows"]) if status == 200 else 0
 
 
 def exchange(
--- /dev/null
+++ b/benchmarks/hot_path.py
@@ -0,0 +1,249 @@
+"""Processor time per statement through a real entry host, split by stage.
+
+Usage: ``python -m benchmarks.hot_path [--check]``
+
+The cost is the daemon's user and system time, as the operating system counts
+it, over the statements answered. The split is that of a second run under
+cProfile, which makes code of many small calls look dearer than it is.
+"""
+
+import argparse
+import collections
+import json
+import pathlib
+import pstats
+import socket
+import tempfile
+import time
+import typing
+
+from benchmarks import fleet
+from benchmarks import service
+
+WARM_UP_S = 2.0
+GROWTH_CONNECTIONS = 4000
+CONNECTIONS = 24
+POOL = {"connections_per_instance": 8}
+AIM_US = 150.0
+# A daemon must serve its share of the statements within one core, with margin.
+MAX_US = 350.0
+MAX_IDLE_CONNECTION_BYTES = 8 * 1024
+STAGE_BY_PATH = {
+    "sedgeswitch/callers": "HTTP",
+    "httptools": "HTTP",
+    "http/": "HTTP",
+    "sedgeswitch/statements/requests": "decoding",
+    "sedgeswitch/utils/records": "encoding",
+    "sedgeswitch/statements/authorisation": "key and selectors",
+    "sedgeswitch/configuration": "key and selectors",
+    "sedgeswitch/keys": "key and selectors",
+    "hashlib": "key and selectors",
+    "hmac": "key and selectors",
+    "sedgeswitch/admission": "admission",
+    "sedgeswitch/membership/directory": "routing",
+    "sedgeswitch/routing": "routing",
+    "sedgeswitch/statements/backends": "routing",
+    "sedgeswitch/sessions": "sessions",
+    "sedgeswitch/transport": "calls to other hosts",
+    "thrift": "calls to other hosts",
+    "sedgeswitch/pools": "pool",
+    "sedgeswitch/daemon/slots": "pool",
+    "sedgeswitch/drivers": "wire to instances",
+    "psycopg": "wire to instances",
+    "sedgeswitch/observability": "spans and metrics",
+    "opentelemetry": "spans and metrics",
+    "trio": "trio",
+    "outcome": "trio",
+    "selectors.py": "trio",
+    "sedgeswitch/statements": "statement",
+    "sedgeswitch/groups": "statement",
+}
+
+
+class Cost(typing.NamedTuple):
+    """What the statements of one access cost.
+
+    Attributes
+    ----------
+    access : str
+    statements : int
+    entry_us : float
+        Processor time of the entry host that the callers use, a statement.
+    home_us : float
+        Processor time of all other entry hosts together, a statement.
+    statements_per_s : float
+    """
+
+    access: str
+    statements: int
+    entry_us: float
+    home_us: float
+    statements_per_s: float
+
+
+def measure_cost(running: service.Service, access: str, duration_s: float) -> Cost:
+    """Return the cost of one access under a closed loop of callers."""
+    others = [item for item in running.fleet.entry if item is not running.entry]
+    _run_callers(running, f"warm-{access}", access, WARM_UP_S)
+    before_s = running.entry.read_usage().cpu_s
+    others_before_s = sum(item.read_usage().cpu_s for item in others)
+    outcome = _run_callers(running, f"timed-{access}", access, duration_s)
+    entry_s = running.entry.read_usage().cpu_s - before_s
+    others_s = sum(item.read_usage().cpu_s for item in others) - others_before_s
+    failed = {key: n for key, n in outcome.statuses.items() if key != "200"}
+    if failed:
+        print(f"{access}: not answered with 200: {failed}")
+    count = outcome.answered + outcome.late
+    return Cost(
+        access,
+        count,
+        entry_s / count * 1e6,
+        others_s / count * 1e6,
+        count / outcome.duration_s,
+    )
+
+
+def _run_callers(
+    running: service.Service, name: str, access: str, duration_s: float
+) -> typing.Any:
+    process = running.start_callers(
+        name,
+        *("--connections", str(CONNECTIONS), "--duration-s", str(duration_s)),
+        access=access,
+    )
+    return running.read_outcome(process)
+
+
+def measure_idle_connection(running: service.Service, count: int) -> float:
+    """Return the daemon's resident bytes for each idle connection."""
+    request = b"GET /v1/health HTTP/1.1\r\nHost: e\r\n\r\n"
+    before_bytes = running.entry.read_usage().resident_bytes
+    opened = []
+    try:
+        for _ in range(count):
+            connection = socket.create_connection((fleet.HOST, running.port), 10)
+            opened.append(connection)
+            connection.sendall(request)
+            connection.recv(4096)
+        time.sleep(1.0)
+        after_bytes = running.entry.read_usage().resident_bytes
+    finally:
+        for connection in opened:
+            connection.close()
+    return (after_bytes - before_bytes) / count
+
+
+def split_profile(path: pathlib.Path) -> dict[str, float]:
+    """Return the share of each stage in a profile's own time."""
+    stats = pstats.Stats(str(path)).stats
+    seconds: collections.Counter[str] = collections.Counter()
+    for (file, _line, name), (_, _, own_s, _, by_caller) in stats.items():
+        if "epoll" in name and "poll" in name:
+            continue
+        if file != "~":
+            seconds[get_stage(file)] += own_s
+            continue
+        # Time of built-in functions belongs to the code that calls them.
+        for (caller_file, _, _), (_, _, caller_own_s, _) in by_caller.items():
+            seconds[get_stage(caller_file)] += caller_own_s
+    total_s = sum(seconds.values())
+    return {name: own_s / total_s for name, own_s in seconds.most_common()}
+
+
+def get_stage(file: str) -> str:
+    """Return the stage that a source file belongs to."""
+    for part, stage in STAGE_BY_PATH.items():
+        if part in file:
+            return stage
+    return "other"
+
+
+def measure(accesses: typing.Sequence[str], given: argparse.Namespace) -> dict:
+    """Return the costs without a profiler."""
+    with tempfile.TemporaryDirectory() as folder:
+        changes = {
+            "pool": POOL,
+            "trace_sample_share": given.trace_share,
+        }
+        running = service.Service(
+            pathlib.Path(folder), given.first_port, changes=changes
+        )
+        try:
+            running.start()
+            costs = [
+                measure_cost(running, access, given.duration_s) for access in accesses
+            ]
+            idle_bytes = measure_idle_connection(running, given.idle_connections)
+        finally:
+            running.stop()
+    return {
+        "costs": [cost._asdict() for cost in costs],
+        "idle_connection_bytes": idle_bytes,
+    }
+
+
+def profile(access: str, given: argparse.Namespace) -> dict[str, float]:
+    """Return the share of each stage for one access."""
+    with tempfile.TemporaryDirectory() as folder:
+        running = service.Service(
+            pathlib.Path(folder),
+            given.first_port,
+            changes={"pool": POOL},
+            profiled=("e1",),
+        )
+        try:
+            running.start()
+            _run_callers(running, f"profiled-{access}", access, given.duration_s)
+        finally:
+            running.stop()
+        path = running.fleet.get_profile_path("e1")
+        if given.keep_profile:
+            given.keep_profile.write_bytes(path.read_bytes())
+        return split_profile(path)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--accesses", default="read,write")
+    parser.add_argument("--duration-s", type=float, default=8.0)
+    parser.add_argument("--trace-share", type=float, default=0.0)
+    parser.add_argument("--idle-connections", type=int, default=GROWTH_CONNECTIONS)
+    parser.add_argument("--first-port", type=int, default=28000)
+    parser.add_argument("--no-profile", action="store_true")
+    parser.add_argument("--keep-profile", type=pathlib.Path)
+    parser.add_argument("--check", action="store_true")
+    return parser
+
+
+def main() -> int:
+    """Print the figures; 1 if a bound is not kept."""
+    given = build_parser().parse_args()
+    accesses = given.accesses.split(",")
+    figures = measure(accesses, given)
+    print(json.dumps(figures, indent=1), flush=True)
+    if not given.no_profile:
+        for access in accesses:
+            shares = profile(access, given)
+            total_us = next(
+                cost["entry_us"]
+                for cost in figures["costs"]
+                if cost["access"] == access
+            )
+            print(f"{access}: share of the profile, and of the measured cost")
+            for stage, share in shares.items():
+                print(f"  {stage:<22}{share * 100:6.1f} %{share * total_us:8.1f} us")
+    read_us = figures["costs"][0]["entry_us"]
+    idle_bytes = figures["idle_connection_bytes"]
+    breaches = []
+    if read_us > MAX_US:
+        breaches.append(f"statement: expected at most {MAX_US} us, got {read_us:.0f}")
+    if idle_bytes > MAX_IDLE_CONNECTION_BYTES:
+        allowed = MAX_IDLE_CONNECTION_BYTES
+        breaches.append(f"idle connection: expected at most {allowed} bytes")
+    print(f"aim {AIM_US} us a statement; " + ("; ".join(breaches) or "bounds kept"))
+    return 1 if breaches and given.check else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/benchmarks/service.py
@@ -0,0 +1,162 @@
+"""One entry host with callers and stand-in instances, for benchmarks."""
+
+import json
+import os
+import pathlib
+import time
+import typing
+
+from benchmarks import callers
+from benchmarks import fleet
+from benchmarks import processes
+from sedgeswitch.keys import plain
+
+INSTANCES = 3
+CONTROL_HOSTS = 3
+ORGANISATION = "lot-desk"
+DATABASE = "lots"
+READY_TIMEOUT_S = 60.0
+CREATE_SQL = (
+    "CREATE TABLE IF NOT EXISTS lots (household TEXT PRIMARY KEY, value TEXT NOT NULL)"
+)
+
+
+class Service:
+    """Control hosts, entry hosts and one database group of real processes.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+    first_port : int
+    entry_count : int
+        Three make the session homes of the first host remote ones.
+    changes : mapping of str to object, optional
+        Settings of the entry hosts that differ from the defaults.
+    profiled : tuple of str
+        Hosts whose Python code is profiled.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        first_port: int,
+        entry_count: int = 3,
+        changes: typing.Mapping[str, typing.Any] | None = None,
+        profiled: tuple[str, ...] = (),
+    ):
+        self._folder = folder
+        self._entry_count = entry_count
+        self._instance_port = first_port + 200
+        self.key = plain.generate_key(os.urandom)
+        self.fleet = fleet.Fleet(folder, first_port, CONTROL_HOSTS, changes, profiled)
+        self.instances: list[processes.Process] = []
+
+    @property
+    def port(self) -> int:
+        """Port of the first entry host for callers."""
+        return self.fleet.callers_ports["e1"]
+
+    @property
+    def entry(self) -> processes.Process:
+        """Process of the first entry host."""
+        return self.fleet.get_process("e1")
+
+    def start(self) -> None:
+        """Start everything and wait until a write is answered."""
+        self.fleet.start_control()
+        self.fleet.start_entry(self._entry_count)
+        self.fleet.change(self._build_operations(), "setup")
+        self._start_instances()
+        processes.wait_until(self._try_create, READY_TIMEOUT_S, "a first write")
+
+    def stop(self) -> None:
+        """End every process."""
+        self.fleet.stop()
+        processes.stop_all(self.instances)
+
+    def start_callers(
+        self, name: str, *arguments: str, access: str = "read"
+    ) -> processes.Process:
+        """Start a process of callers against the first entry host."""
+        return processes.Process(
+            name,
+            "benchmarks.callers",
+            [
+                *("--port", str(self.port), "--key", self.key.plain),
+                *("--access", access, *arguments),
+            ],
+            self._folder / "callers",
+        )
+
+    def read_outcome(self, process: processes.Process) -> callers.Outcome:
+        """Return what a process of callers got, once it has ended."""
+        while process.is_running:
+            time.sleep(0.05)
+        text = (self._folder / "callers" / f"{process.name}.log").read_text()
+        return callers.Outcome(**json.loads(text.splitlines()[-1]))
+
+    def _build_operations(self) -> list[dict]:
+        group = {"database": DATABASE, "ack_instances": 2, "replicas_may_serve": True}
+        selector = {
+            "organisations": "*",
+            "work": "*",
+            "access": ["read", "write"],
+            "groups": "*",
+        }
+        return [
+            {
+                "operation": "set_organisation",
+                "name": ORGANISATION,
+                "rate_per_s": 1e6,
+                "burst": 1e6,
+            },
+            {
+                "operation": "set_key",
+                "organisation": ORGANISATION,
+                "key_id": self.key.key_id,
+                "digest": self.key.digest,
+            },
+            {"operation": "set_group", "name": callers.GROUP, "group": group},
+            {"operation": "set_selector", "name": "all", "selector": selector},
+        ]
+
+    def _start_instances(self) -> None:
+        first = self._instance_port
+        peers = [f"{fleet.HOST}:{first + 10 + n}" for n in range(INSTANCES)]
+        for number in range(INSTANCES):
+            others = [peer for place, peer in enumerate(peers) if place != number]
+            arguments = [
+                *("--instance", f"i{number}", "--group", callers.GROUP),
+                *("--data-folder", str(self._folder / f"i{number}")),
+                *("--port", str(first + number)),
+                *("--peer-port", str(first + 10 + number)),
+                *("--control-port", str(first + 20 + number)),
+                *("--peers", ",".join(others)),
+                *("--announce-to", f"{fleet.HOST}:{self.port}"),
+                *("--availability-zone", fleet.ZONES[number]),
+                *("--slots", "64", "--max-connections", "200"),
+            ]
+            if number == 0:
+                arguments.append("--primary")
+            self.instances.append(
+                processes.Process(
+                    f"i{number}", "standin.instance", arguments, self._folder / "logs"
+                )
+            )
+
+    def _try_create(self) -> bool:
+        body = {
+            "group": callers.GROUP,
+            "work": "schema",
+            "access": "write",
+            "sql": CREATE_SQL,
+            "deadline_ms": 2000,
+        }
+        headers = {"Authorization": f"Bearer {self.key.plain}"}
+        try:
+            status, _ = fleet.exchange(
+                self.port, "POST", "/v1/statements", body, headers
+            )
+        except OSError:
+            return False
+        return status == 200
