Count a write's instances as the promotion reads them

Ruled out: has_reached itself, which is right for floors, whose writes were acknowledged. Change: confirms_write over get_ack_instances, under the permit's timeline, and never fewer instances than a promotion counts on.

--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -7,6 +7,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import positions
+from sedgeswitch.groups import settings
 from sedgeswitch.groups import table
 from sedgeswitch.idempotency import ledger
 from sedgeswitch.pools import pool
@@ -22,6 +23,7 @@
 RETRY_DELAY_S = 0.05
 POLL_TIMEOUT_S = 0.5
 _READ_ONLY = "25006"
+_GROUP_SETTINGS = settings.GroupSettings()
 
 
 class Written(typing.NamedTuple):
@@ -98,6 +100,8 @@
         verdicts.RefusedError
             The write may have run, but must not be answered as done.
         """
+        # The term names the timeline, whatever the instance has come to since.
+        position = positions.Position(permit.timeline, position.lsn)
         key = floors.SessionKey(work.organisation, session, work.group)
         is_safe = False
         with trio.move_on_at(deadline_s):
@@ -155,9 +159,10 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(record_floor)
-            if work.ack_instances > 1:
-                waiter = self._get_waiter(work)
-                await waiter.wait(position, work.ack_instances - 1)
+            # A promotion counts on no fewer, whatever the group asks for.
+            instances = max(work.ack_instances, _GROUP_SETTINGS.ack_instances)
+            if instances > 1:
+                await self._get_waiter(work).wait(position, instances - 1)
         return is_recorded
 
     def _get_waiter(self, work: context.Work) -> acknowledgement.AckWaiter:
