Let one process of a host at a time hold a lease

Cause: a host id registered by a restarted process while the first, frozen, one could still hold a lease: what the second acknowledged of the group table was counted for the first, whose permits were older. Ruled out: the lease table itself, which counts by host id. Change: another incarnation is refused until the lease that the host may hold is over.

--- a/sedgeswitch/membership/registrar.py
+++ b/sedgeswitch/membership/registrar.py
@@ -161,10 +161,25 @@
             heartbeat.host,
             heartbeat.port,
         )
-        if self._members.members.get(member.host_id) == member:
+        known = self._members.members.get(member.host_id)
+        if known == member:
             return
+        if known is not None and known.incarnation != member.incarnation:
+            self._check_lease_over(member.host_id)
         await self._propose(member, is_removal=False)
 
+    def _check_lease_over(self, host_id: str) -> None:
+        """Refuse a second process of a host while the first may hold a lease.
+
+        What one process acknowledges must not be counted for the other.
+        """
+        if self.leases.get_until(host_id) > trio.current_time():
+            raise failures.CallError(
+                "host_id_in_use",
+                f"another process of {host_id} may still hold a lease",
+                verdicts.Verdict.NOT_RUN,
+            )
+
     async def _remove_expired(self, now_s: float) -> None:
         if self._log.get_leadership(now_s) is None:
             return
--- /dev/null
+++ b/sedgeswitch/membership/tests/test_incarnations.py
@@ -0,0 +1,68 @@
+"""Tests of two processes that run under one host id."""
+
+import types
+import unittest
+
+import trio
+import trio.testing
+
+from sedgeswitch.membership import machine
+from sedgeswitch.membership import messages
+from sedgeswitch.membership import registrar
+from sedgeswitch.transport import failures
+
+LEASE_S = 2.0
+
+
+class FakeLog:
+    """A log that commits at once, on a host that always leads."""
+
+    leader_id = "c1"
+
+    def __init__(self, members):
+        self._members = members
+
+    def get_leadership(self, now_s):
+        return types.SimpleNamespace(term=1, started_s=0.0)
+
+    async def propose(self, slice_name, body, timeout_s):
+        return self._members.apply(1, body)
+
+
+def build_heartbeat(incarnation):
+    return messages.Heartbeat("e4", incarnation, "z1", "127.0.0.1", 7104, {}, False)
+
+
+class IncarnationTest(unittest.TestCase):
+    def setUp(self):
+        members = machine.MembersMachine()
+        self.registrar = registrar.Registrar(FakeLog(members), members, LEASE_S)
+
+    def run_virtually(self, function):
+        trio.run(function, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_second_process_waits_until_the_first_lease_is_over(self):
+        async def body():
+            await self.registrar.answer_heartbeat(build_heartbeat("first"))
+            with self.assertRaises(failures.CallError) as caught:
+                await self.registrar.answer_heartbeat(build_heartbeat("second"))
+            self.assertEqual(caught.exception.code, "host_id_in_use")
+            await trio.sleep(LEASE_S * 1.1)
+            answer = await self.registrar.answer_heartbeat(build_heartbeat("second"))
+            self.assertGreater(answer.lease_ms, 0)
+
+        self.run_virtually(body)
+
+    def test_first_process_gets_no_lease_beside_the_second(self):
+        async def body():
+            await self.registrar.answer_heartbeat(build_heartbeat("first"))
+            await trio.sleep(LEASE_S * 1.1)
+            await self.registrar.answer_heartbeat(build_heartbeat("second"))
+            with self.assertRaises(failures.CallError):
+                await self.registrar.answer_heartbeat(build_heartbeat("first"))
+
+        self.run_virtually(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
