Leave drained replicas alone, send gauges, decode tokens to results

Cause: each waiting write polled drained replicas too, so that none was idle; queue, lease, grant and share were not visible to operators.

--- a/sedgeswitch/admission/wallet.py
+++ b/sedgeswitch/admission/wallet.py
@@ -254,6 +254,10 @@
             pending.resolve(self._build_denied(account))
         return pending.outcome
 
+    def list_organisations(self) -> list[str]:
+        """Return the organisations that have a limit."""
+        return list(self._accounts)
+
     def get_in_hand(self, organisation: str, now_s: float) -> int:
         """Return the tokens in hand for an organisation."""
         account = self._get_account(organisation)
--- a/sedgeswitch/daemon/__main__.py
+++ b/sedgeswitch/daemon/__main__.py
@@ -3,6 +3,7 @@
 import random
 import sys
 
+import expression
 import loguru
 import trio
 from cleo import application
@@ -45,17 +46,25 @@
         if not path:
             self.line_error("<error>--settings: expected a file</error>")
             return EXIT_INVALID
-        try:
-            settings = daemon_settings.load_settings(path)
-        except (checks.CheckError, OSError) as error:
-            self.line_error(f"<error>{error}</error>")
+        loaded = read_settings(path)
+        if loaded.is_error():
+            self.line_error(f"<error>{loaded.error}</error>")
             return EXIT_INVALID
+        settings = loaded.ok
         if self.option("check"):
             self.line(f"{path}: the settings of {settings.host_id} are valid")
             return EXIT_OK
         return run_daemon(settings)
 
 
+def read_settings(path: str) -> expression.Result[daemon_settings.Settings, str]:
+    """Return the settings that a file holds, or why they can't be used."""
+    try:
+        return expression.Ok(daemon_settings.load_settings(path))
+    except (checks.CheckError, OSError) as error:
+        return expression.Error(str(error))
+
+
 def run_daemon(settings: daemon_settings.Settings) -> int:
     """Run a daemon with its logs on standard error, and return its exit code."""
     logs.configure_logs(settings.host_id, settings.log_level, sys.stderr, plain.redact)
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -175,7 +175,12 @@
             pool.PoolSettings(given.connect_timeout_s, given.idle_timeout_s),
         )
         return backends.Backends(
-            self.directory, driver, self._build_slots, options, rng
+            self.directory,
+            driver,
+            self._build_slots,
+            self._is_left_alone,
+            options,
+            rng,
         )
 
     def _build_slots(self, capacity: int) -> fair_queue.FairQueue:
@@ -297,9 +302,27 @@
                 self.backends.share.drop()
             await self.backends.follow_share()
             await self.backends.close_idle(left_alone, trio.current_time())
+            self._record_gauges()
             self._metrics.flush()
             await trio.sleep(MAINTENANCE_INTERVAL_S)
 
+    def _record_gauges(self) -> None:
+        if not self._metrics.is_enabled:
+            return
+        now_s = trio.current_time()
+        lease_left_s = max(self.heart.lease_until_s - now_s, 0.0)
+        self._metrics.set_gauge("lease.left_s", lease_left_s)
+        self._metrics.set_gauge("configuration.version", self.configuration.version)
+        self._metrics.set_gauge("groups.version", self.groups.get_version())
+        self._metrics.set_gauge("transactions.open", self.transactions.open_count)
+        self._metrics.set_gauge("share.divisor", self.backends.share.divisor)
+        for organisation in self.wallet.list_organisations():
+            in_hand = self.wallet.get_in_hand(organisation, now_s)
+            self._metrics.set_gauge(f"grants.{organisation}", in_hand)
+        for instance, load in self.backends.get_loads().items():
+            self._metrics.set_gauge(f"queue.{instance}", load.waiting)
+            self._metrics.set_gauge(f"in_use.{instance}", load.in_use)
+
 
 def build_not_ready() -> verdicts.RefusedError:
     """Return the refusal of a health check on a host that can't serve."""
--- a/sedgeswitch/observability/metrics.py
+++ b/sedgeswitch/observability/metrics.py
@@ -20,6 +20,11 @@
         self._counts: dict[str, int] = {}
         self._gauges: dict[str, float] = {}
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether anything is sent."""
+        return self._client is not None
+
     def count(self, name: str, increment: int = 1) -> None:
         """Add to a counter."""
         self._counts[name] = self._counts.get(name, 0) + increment
--- a/sedgeswitch/sessions/tokens.py
+++ b/sedgeswitch/sessions/tokens.py
@@ -5,12 +5,18 @@
 without asking any other host.
 """
 
+import expression
+
 from sedgeswitch.groups import positions
 
 LONGEST_TOKEN = 2048
 MOST_GROUPS = 16
 _GROUP_SEPARATOR = ","
 _PART_SEPARATOR = ":"
+_PART_COUNT = 3
+_ALLOWED = "expected group:timeline:position, separated by commas"
+
+Decoded = expression.Result[dict[str, positions.Position], str]
 
 
 def encode_token(floors: dict[str, positions.Position]) -> str:
@@ -28,26 +34,27 @@
     return _GROUP_SEPARATOR.join(parts)
 
 
-def decode_token(token: str) -> dict[str, positions.Position]:
-    """Return the positions of a token.
+def decode_token(token: str) -> Decoded:
+    """Return the positions of a token, or what is wrong with it.
 
-    Raises
-    ------
-    ValueError
-        If it is no token.
+    Examples
+    --------
+    >>> decode_token("draw:2:ff").ok
+    {'draw': Position(timeline=2, lsn=255)}
     """
-    if not token:
-        return {}
     if len(token) > LONGEST_TOKEN:
-        raise ValueError(f"expected at most {LONGEST_TOKEN} characters")
+        return expression.Error(f"expected at most {LONGEST_TOKEN} characters")
     floors = {}
     for part in token.split(_GROUP_SEPARATOR):
         fields = part.split(_PART_SEPARATOR)
-        if len(fields) != 3:
-            raise ValueError("expected group:timeline:position, separated by commas")
+        if len(fields) != _PART_COUNT:
+            return expression.Error(_ALLOWED)
         group, timeline, lsn = fields
-        floors[group] = positions.Position(int(timeline), int(lsn, 16))
-    return floors
+        try:
+            floors[group] = positions.Position(int(timeline), int(lsn, 16))
+        except ValueError:
+            return expression.Error(_ALLOWED)
+    return expression.Ok(floors)
 
 
 def merge_floor(
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -58,6 +58,8 @@
     driver : base.Driver
     build_slots : callable
         Makes the slot queue of a pool from its capacity.
+    is_drained : callable
+        Tells of a backend server whether nothing should touch it.
     options : BackendOptions
     rng : random.Random
     """
@@ -67,12 +69,14 @@
         servers: directory.EntryDirectory,
         driver: base.Driver,
         build_slots: BuildSlots,
+        is_drained: collections.abc.Callable[[directory.BackendServer], bool],
         options: BackendOptions,
         rng: random.Random,
     ):
         self._servers = servers
         self._driver = driver
         self._build_slots = build_slots
+        self._is_drained = is_drained
         self._options = options
         self._rng = rng
         self._pools: dict[base.Target, _Kept] = {}
@@ -86,6 +90,11 @@
         """Return an announced instance by its id."""
         return self._servers.servers.get(instance)
 
+    def is_left_alone(self, instance: str) -> bool:
+        """Return whether an announced instance is drained, so nothing touches it."""
+        server = self.get_server(instance)
+        return server is not None and self._is_drained(server)
+
     def get_pool(
         self, server: directory.BackendServer, database: str
     ) -> pool.InstancePool:
@@ -123,6 +132,18 @@
         order = policies.get_policy(self._options.policy)
         return [candidate.server for candidate in order(eligible, self._rng)]
 
+    def get_loads(self) -> dict[str, pool.PoolLoad]:
+        """Return how busy the pool of each announced instance is."""
+        loads = {
+            (target.host, target.port): kept.connections.load
+            for target, kept in self._pools.items()
+        }
+        return {
+            server.instance: loads[server.host, server.port]
+            for server in self._servers.servers.values()
+            if (server.host, server.port) in loads
+        }
+
     def count_in_use(self, instance: str) -> int:
         """Return how many connections to an instance run something."""
         server = self.get_server(instance)
--- a/sedgeswitch/statements/requests.py
+++ b/sedgeswitch/statements/requests.py
@@ -204,10 +204,13 @@
     verdicts.RefusedError
         400 if the header is no position token.
     """
-    try:
-        return tokens.decode_token(request.headers.get(POSITION_HEADER, ""))
-    except ValueError as error:
-        raise build_bad_request(f"{POSITION_HEADER}: {error}") from error
+    token = request.headers.get(POSITION_HEADER)
+    if not token:
+        return {}
+    decoded = tokens.decode_token(token)
+    if decoded.is_error():
+        raise build_bad_request(f"{POSITION_HEADER}: {decoded.error}")
+    return decoded.ok
 
 
 def get_session(request: http.Request) -> str:
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -168,11 +168,6 @@
     def _get_waiter(self, work: context.Work) -> acknowledgement.AckWaiter:
         group, database = work.group, work.database
 
-        def list_replicas() -> list[str]:
-            state = self._parts.groups.get_group(group)
-            counting = self._parts.groups.get_ack_instances(group)
-            return [item for item in counting if item != state.primary]
-
         async def read_position(instance: str) -> positions.Position | None:
             server = self._parts.backends.get_server(instance)
             if server is None:
@@ -182,10 +177,21 @@
 
         if group not in self._waiters:
             self._waiters[group] = acknowledgement.AckWaiter(
-                self._nursery, list_replicas, read_position
+                self._nursery, lambda: self._list_replicas(group), read_position
             )
         return self._waiters[group]
 
+    def _list_replicas(self, group: str) -> list[str]:
+        """Return the replicas to ask; drained ones only if there are no others."""
+        state = self._parts.groups.get_group(group)
+        counting = self._parts.groups.get_ack_instances(group)
+        replicas = [item for item in counting if item != state.primary]
+        awake = [
+            item for item in replicas if not self._parts.backends.is_left_alone(item)
+        ]
+        needed = _GROUP_SETTINGS.ack_instances - 1
+        return awake if len(awake) >= needed else replicas
+
 
 async def _write(
     pooled: pool.PooledConnection, work: context.Work, statement: requests.Statement
