Find a leader that the settings do not name; replace silent connections

Cause: a control host that took the place of another is in no entry host's settings, so entry hosts could not reach it once it led. And after a silent partition a peer kept its TCP connection, whose next retransmission may be minutes away; a send that hung left the old stream being read for ever. Ruled out: the agreement's links, which replace theirs after three timeouts. Change: not_leader carries the leader's address; a peer opens a new connection after three timeouts in a row.

--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -148,6 +148,16 @@
         """The host that leads, as far as this one knows."""
         return self._state.leader_id if self._state else None
 
+    @property
+    def leader_address(self) -> peer.Address | None:
+        """Where the leader takes messages, as far as this host knows."""
+        if self._state is None or self._state.log.voter_set is None:
+            return None
+        for member in self._state.log.voter_set.members:
+            if member.id == self._state.leader_id:
+                return peer.Address(member.host, member.port)
+        return None
+
     @property
     def commit_index(self) -> int:
         """Index up to which entries are known to be committed."""
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -6,6 +6,7 @@
 import loguru
 import trio
 
+from sedgeswitch.membership import hints
 from sedgeswitch.membership import messages
 from sedgeswitch.membership import sections
 from sedgeswitch.transport import failures
@@ -52,12 +53,15 @@
             host_id: peer.Peer(address) for host_id, address in addresses.items()
         }
         self._order = list(self._peers)
+        self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
         """Keep the connections open until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             for control_peer in self._peers.values():
                 nursery.start_soon(control_peer.run)
+            await trio.sleep_forever()
 
     async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
         """Call the control host that is believed to lead.
@@ -78,9 +82,18 @@
         if self._order[0] != host_id:
             return
         self._order.append(self._order.pop(0))
-        if error.code == "not_leader" and error.detail in self._peers:
-            self._order.remove(error.detail)
-            self._order.insert(0, error.detail)
+        hint = hints.decode_hint(error.detail)
+        if error.code == hints.NOT_LEADER and hint is not None:
+            self._prefer(hint)
+
+    def _prefer(self, hint: hints.Hint) -> None:
+        known = self._peers.get(hint.host_id)
+        if known is None or known.address != hint.address:
+            self._peers[hint.host_id] = peer.Peer(hint.address)
+            self._nursery.start_soon(self._peers[hint.host_id].run)
+        if hint.host_id in self._order:
+            self._order.remove(hint.host_id)
+        self._order.insert(0, hint.host_id)
 
 
 class Heart:
--- a/sedgeswitch/membership/registrar.py
+++ b/sedgeswitch/membership/registrar.py
@@ -8,12 +8,14 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.membership import hints
 from sedgeswitch.membership import leases
 from sedgeswitch.membership import machine
 from sedgeswitch.membership import messages
 from sedgeswitch.membership import sections
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
+from sedgeswitch.transport import peer
 
 SLICE_NAME = "membership"
 PROPOSE_TIMEOUT_S = 2.0
@@ -27,6 +29,7 @@
     """What the registrar needs of the replicated log."""
 
     leader_id: str | None
+    leader_address: peer.Address | None
 
     def get_leadership(self, now_s: float) -> typing.Any:
         """Return the confirmed leadership of this host, or None."""
@@ -89,7 +92,9 @@
         self._follow(trio.current_time())
         if self._log.get_leadership(trio.current_time()) is None:
             raise failures.CallError(
-                "not_leader", self._log.leader_id or "", verdicts.Verdict.NOT_RUN
+                hints.NOT_LEADER,
+                hints.encode_hint(self._log.leader_id, self._log.leader_address),
+                verdicts.Verdict.NOT_RUN,
             )
 
     async def answer_heartbeat(
@@ -196,5 +201,5 @@
             await self._log.propose(SLICE_NAME, body, PROPOSE_TIMEOUT_S)
         except Exception as error:
             raise failures.CallError(
-                "not_leader", str(error), verdicts.Verdict.NOT_RUN
+                hints.NOT_LEADER, str(error), verdicts.Verdict.NOT_RUN
             ) from error
--- a/sedgeswitch/membership/tests/test_incarnations.py
+++ b/sedgeswitch/membership/tests/test_incarnations.py
@@ -18,6 +18,7 @@
     """A log that commits at once, on a host that always leads."""
 
     leader_id = "c1"
+    leader_address = None
 
     def __init__(self, members):
         self._members = members
--- a/sedgeswitch/transport/peer.py
+++ b/sedgeswitch/transport/peer.py
@@ -12,6 +12,8 @@
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 1.0
 CONNECT_TIMEOUT_S = 2.0
+# After a silent partition TCP may wait minutes before it sends again.
+RECONNECT_AFTER_TIMEOUTS = 3
 
 
 class Address(typing.NamedTuple):
@@ -59,6 +61,8 @@
         self._next_request_id = 0
         self._wake = trio.Event()
         self._connected = trio.Event()
+        self._receiving = trio.CancelScope()
+        self._timeouts = 0
         self.bytes_sent = 0
 
     @property
@@ -118,8 +122,15 @@
                 await pending.done.wait()
         finally:
             self._pending.pop(request_id, None)
+        if not pending.done.is_set():
+            self._count_timeout(stream)
         return self._read_answer(pending)
 
+    def _count_timeout(self, stream: trio.abc.Stream) -> None:
+        self._timeouts += 1
+        if self._timeouts >= RECONNECT_AFTER_TIMEOUTS:
+            self._drop(stream)
+
     async def _send(
         self, stream: trio.abc.Stream, request_id: int, message: typing.Any
     ) -> None:
@@ -155,9 +166,11 @@
     async def _receive(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
         self._connected.set()
+        self._timeouts = 0
+        self._receiving = trio.CancelScope()
         reader = frames.FrameReader(stream)
         try:
-            async with stream:
+            with self._receiving:
                 while frame := await reader.read():
                     self._settle(frame)
         except (
@@ -168,8 +181,11 @@
             pass
         finally:
             self._drop(stream)
+            # A peer that does not answer must not hold up the next connection.
+            await trio.aclose_forcefully(stream)
 
     def _settle(self, frame: frames.Frame) -> None:
+        self._timeouts = 0
         # A late answer finds no pending call and goes to nobody else.
         pending = self._pending.pop(frame.request_id, None)
         if pending is not None:
@@ -181,6 +197,7 @@
             return
         self._stream = None
         self._connected = trio.Event()
+        self._receiving.cancel()
         pendings = list(self._pending.values())
         self._pending.clear()
         for pending in pendings:
--- a/sedgeswitch/transport/tests/test_calls.py
+++ b/sedgeswitch/transport/tests/test_calls.py
@@ -63,6 +63,18 @@
 
         trio.run(_run_against, _echo_slowest_first, body)
 
+    def test_connection_is_replaced_after_timeouts_in_a_row(self):
+        async def body(calling):
+            for _ in range(peer.RECONNECT_AFTER_TIMEOUTS):
+                with self.assertRaises(failures.CallError):
+                    await calling.call(ttypes.Failure("lost", "60", False), 0.01)
+            self.assertFalse(calling.is_connected)
+            await calling.wait_connected()
+            reply = await calling.call(ttypes.Failure("next", "0", False), 5.0)
+            self.assertEqual(reply.code, "next")
+
+        trio.run(_run_against, _echo_slowest_first, body)
+
     def test_unreachable_peer_fails_as_not_run(self):
         async def body():
             with self.assertRaises(failures.CallError) as caught:
