Shut down when no control host takes the farewell

A daemon that is stopped together with the control hosts ended with exit code 2 and a stack trace, as the last heartbeat raised CallError. The lease runs out by itself, so the error is only logged.

--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 
+import loguru
 import trio
 
 from sedgeswitch import settings as daemon_settings
@@ -34,6 +35,7 @@
 from sedgeswitch.statements import context
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import service
+from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 
@@ -135,7 +137,11 @@
     async def leave(self) -> None:
         """Give up the lease, after the last request has been answered."""
         with trio.move_on_after(heart.CALL_TIMEOUT_S):
-            await self.heart.leave()
+            try:
+                await self.heart.leave()
+            except failures.CallError as error:
+                # The lease runs out by itself.
+                loguru.logger.info("no control host took the farewell: {}", error)
         await self.backends.close()
 
     def _build_heart(self) -> heart.Heart:
