--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 
+import loguru
 import trio
 
 from sedgeswitch import settings as daemon_settings
@@ -39,6 +40,7 @@
 from sedgeswitch.statements import service
 from sedgeswitch.statements import transactions
 from sedgeswitch.statements import writes
+from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 
@@ -150,7 +152,11 @@
         """Give up the lease, after the last request and transaction have ended."""
         await self.transactions.wait_idle()
         with trio.move_on_after(heart.CALL_TIMEOUT_S):
-            await self.heart.leave()
+            try:
+                await self.heart.leave()
+            except failures.CallError as error:
+                # The lease runs out by itself.
+                loguru.logger.info("no control host took the farewell: {}", error)
         await self.backends.close()
 
     def _build_heart(self) -> heart.Heart:
