Watch the deadlines of connections in one task, take a free slot at once

Ruled out: no timeouts at the edge, which would let a slow peer hold a connection for ever. Change: one task checks the deadlines of all connections every 0.25 s; a free slot is taken without waiting. A connection that is cancelled between a request's arrival and its handler does not start the handler. Tests: callers.tests.test_http.

--- a/sedgeswitch/callers/http.py
+++ b/sedgeswitch/callers/http.py
@@ -8,6 +8,7 @@
 import collections.abc
 import contextlib
 import http
+import math
 import typing
 
 import httptools
@@ -227,14 +228,41 @@
         self._limits = limits
         self._is_draining = is_draining
         self._builder = _RequestBuilder(limits)
+        self._scope = trio.CancelScope()
+        self._is_sending = False
         self.is_busy = False
+        self.deadline_s = math.inf
 
     async def run(self) -> None:
         """Serve until the peer closes, breaks a limit or the host drains."""
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             async with self._stream:
-                while await self._serve_one():
-                    pass
+                with self._scope:
+                    while await self._serve_one():
+                        pass
+                if self._scope.cancel_called and not self._is_sending:
+                    await self._refuse_late_request()
+
+    def check_deadline(self, now_s: float) -> None:
+        """End the connection if its peer has taken too long.
+
+        Notes
+        -----
+        One task calls this for all connections. A cancel scope for each wait
+        would cost more than the parsing of a request.
+        """
+        if now_s >= self.deadline_s:
+            self._scope.cancel()
+
+    async def _refuse_late_request(self) -> None:
+        if not self._builder.is_started and not self._builder.finished:
+            return
+        error = verdicts.build_not_run(
+            408, "request_timeout", "the request did not arrive in time"
+        )
+        response = encode_response(build_problem(error.refusal), is_closing=True)
+        with trio.move_on_after(self._limits.send_timeout_s):
+            await self._stream.send_all(response)
 
     async def _serve_one(self) -> bool:
         try:
@@ -248,9 +276,9 @@
         self.is_busy = True
         response = await self._answer(request)
         is_closing = not is_kept_alive or self._is_draining()
-        is_sent = await self._send(response, is_closing)
+        await self._send(response, is_closing)
         self.is_busy = False
-        return is_sent and not is_closing
+        return not is_closing
 
     async def _answer(self, request: Request) -> Response:
         try:
@@ -264,34 +292,30 @@
             )
             return build_problem(refusal)
 
-    async def _send(self, response: Response, is_closing: bool) -> bool:
-        with trio.move_on_after(self._limits.send_timeout_s):
-            await self._stream.send_all(encode_response(response, is_closing))
-            return True
-        return False
+    async def _send(self, response: Response, is_closing: bool) -> None:
+        self.deadline_s = trio.current_time() + self._limits.send_timeout_s
+        self._is_sending = True
+        await self._stream.send_all(encode_response(response, is_closing))
+        self._is_sending = False
 
     async def _receive(self) -> bool:
         """Wait for a whole request; False when the peer closed between two."""
-        if self._builder.finished:
-            return True
-        with trio.CancelScope() as scope:
-            scope.deadline = trio.current_time() + self._limits.idle_timeout_s
-            is_timed = False
-            while not self._builder.finished:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
-                if not data:
-                    return False
-                self._feed(data)
-                if not is_timed:
-                    is_timed = True
-                    timeout_s = self._limits.request_timeout_s
-                    scope.deadline = trio.current_time() + timeout_s
-            return True
-        if self._builder.is_started:
-            raise verdicts.build_not_run(
-                408, "request_timeout", "the request did not arrive in time"
-            )
-        return False
+        if not self._builder.finished:
+            self.deadline_s = trio.current_time() + self._limits.idle_timeout_s
+        is_timed = False
+        while not self._builder.finished:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return False
+            self._feed(data)
+            if not is_timed:
+                is_timed = True
+                timeout_s = self._limits.request_timeout_s
+                self.deadline_s = trio.current_time() + timeout_s
+        # The handler keeps to the request's own deadline.
+        self.deadline_s = math.inf
+        # Cancelled just now, the handler would be cut short: it must not start.
+        return not self._scope.cancel_called
 
     def _feed(self, data: bytes) -> None:
         try:
--- a/sedgeswitch/callers/routes.py
+++ b/sedgeswitch/callers/routes.py
@@ -13,6 +13,7 @@
 ]
 
 DRAIN_POLL_S = 0.02
+DEADLINE_POLL_S = 0.25
 
 
 class _Route(typing.NamedTuple):
@@ -132,6 +133,7 @@
         """Accept connections until cancelled or drained."""
         async with trio.open_nursery() as nursery:
             with self._listening:
+                nursery.start_soon(self._check_deadlines)
                 await trio.serve_tcp(
                     self._serve_connection,
                     port,
@@ -140,6 +142,13 @@
                     task_status=task_status,
                 )
 
+    async def _check_deadlines(self) -> None:
+        while not (self._listening.cancel_called and not self._connections):
+            now_s = trio.current_time()
+            for connection in self._connections:
+                connection.check_deadline(now_s)
+            await trio.sleep(DEADLINE_POLL_S)
+
     async def drain(self, linger_s: float) -> None:
         """Let running requests finish, then close every connection.
 
--- /dev/null
+++ b/sedgeswitch/callers/tests/test_http.py
@@ -0,0 +1,72 @@
+"""Tests of one HTTP connection with slow peers."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from sedgeswitch.callers import http
+
+REQUEST = b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
+LIMITS = http.Limits(request_timeout_s=5.0, idle_timeout_s=60.0)
+
+
+async def _check_deadlines(connection):
+    while True:
+        connection.check_deadline(trio.current_time())
+        await trio.sleep(0.25)
+
+
+def _run(body, handler_s=0.0):
+    """Run `body` with the peer's end; return the bodies that the handler got."""
+    handled = []
+
+    async def handle(request):
+        await trio.sleep(handler_s)
+        handled.append(request.body)
+        return http.Response(200, b"done")
+
+    async def run():
+        here, there = trio.testing.memory_stream_pair()
+        connection = http.HttpConnection(here, handle, LIMITS, lambda: False)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_check_deadlines, connection)
+            nursery.start_soon(connection.run)
+            await body(there)
+            nursery.cancel_scope.cancel()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(run, clock=clock)
+    return handled
+
+
+class HttpConnectionTest(unittest.TestCase):
+    def test_request_cut_short_gets_408_and_is_not_run(self):
+        async def body(there):
+            await there.send_all(REQUEST[:-1])
+            received = await there.receive_some(4096)
+            self.assertIn(b"408", received[:20])
+            self.assertIn(b"not_run", received)
+            self.assertEqual(await there.receive_some(4096), b"")
+
+        self.assertEqual(_run(body), [])
+
+    def test_handler_slower_than_every_timeout_is_answered(self):
+        async def body(there):
+            await there.send_all(REQUEST)
+            self.assertIn(b"200", (await there.receive_some(4096))[:20])
+
+        self.assertEqual(_run(body, handler_s=100.0), [b"ab"])
+
+    def test_idle_connection_is_closed_without_an_answer(self):
+        async def body(there):
+            await there.send_all(REQUEST)
+            self.assertIn(b"200", (await there.receive_some(4096))[:20])
+            self.assertEqual(await there.receive_some(4096), b"")
+            self.assertGreaterEqual(trio.current_time(), 60.0)
+
+        self.assertEqual(_run(body), [b"ab"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sedgeswitch/daemon/slots.py
+++ b/sedgeswitch/daemon/slots.py
@@ -1,5 +1,7 @@
 """The queue in front of each pool of connections."""
 
+import contextlib
+
 import trio
 
 from sedgeswitch import verdicts
@@ -19,6 +21,9 @@
 
     async def acquire(self, organisation: str, deadline_s: float) -> None:  # noqa: ARG002
         """Wait for a slot, or refuse at the deadline."""
+        with contextlib.suppress(trio.WouldBlock):
+            self._slots.acquire_nowait()
+            return
         with trio.move_on_at(deadline_s):
             await self._slots.acquire()
             return
