Index announced backend servers by group, encode answers without a copy

Cause: each statement looked at every announced backend server (2,790 at the design size), and answers were copied value by value before they were encoded. Change: a list by group, built once per change of the directory; msgspec encodes the rows as they are. Also slots for connections.

--- a/sedgeswitch/callers/http.py
+++ b/sedgeswitch/callers/http.py
@@ -238,6 +238,19 @@
         is running.
     """
 
+    __slots__ = (
+        "_builder",
+        "_deadline_s",
+        "_handler",
+        "_is_draining",
+        "_is_late",
+        "_is_sending",
+        "_limits",
+        "_scope",
+        "_stream",
+        "is_busy",
+    )
+
     def __init__(
         self,
         stream: trio.abc.Stream,
--- a/sedgeswitch/membership/directory.py
+++ b/sedgeswitch/membership/directory.py
@@ -79,6 +79,7 @@
         self._version = -1
         self._announced: dict[str, BackendServer] = {}
         self._known: dict[str, BackendServer] = {}
+        self._by_group: dict[str, list[BackendServer]] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
 
     def register_listener(self, listener: collections.abc.Callable[[], None]) -> None:
@@ -91,7 +92,11 @@
 
     def get_group(self, group: str) -> list[BackendServer]:
         """Return the backend servers of a database group."""
-        return [server for server in self.servers.values() if server.group == group]
+        if group not in self._by_group:
+            self._by_group[group] = [
+                server for server in self.servers.values() if server.group == group
+            ]
+        return self._by_group[group]
 
     def build_report(self, now_s: float) -> bytes:  # noqa: ARG002
         """Return what was announced to this host since the last report."""
@@ -130,6 +135,7 @@
         self._epoch = answer.epoch
         self._version = answer.version
         if is_changed:
+            self._by_group = {}
             for listener in self._listeners:
                 listener()
 
--- a/sedgeswitch/statements/service.py
+++ b/sedgeswitch/statements/service.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+import msgspec
 import trio
 
 from sedgeswitch import verdicts
@@ -97,7 +98,9 @@
         headers = ()
         if seen:
             headers = (("Sedge-Position", tokens.encode_token(seen)),)
-        return http.build_json(answer, headers)
+        # Rows may be many: they are encoded as they are, not copied first.
+        body = msgspec.json.encode(answer._asdict())
+        return http.Response(200, body, headers=headers)
 
     async def _execute(
         self,
