--- a/sedgeswitch/callers/http.py
+++ b/sedgeswitch/callers/http.py
@@ -4,10 +4,10 @@
 and how long it may take.
 """
 
-import collections
 import collections.abc
 import contextlib
 import http
+import math
 import typing
 
 import httptools
@@ -18,7 +18,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.utils import records
 
-RECEIVE_BYTES = 64 * 1024
+RECEIVE_BYTES = 8 * 1024
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 
@@ -143,9 +143,21 @@
 class _RequestBuilder:
     """Collects one request from the parser's callbacks."""
 
+    __slots__ = (
+        "_body",
+        "_header_bytes",
+        "_headers",
+        "_limits",
+        "_url",
+        "finished",
+        "is_started",
+        "parser",
+        "refusal",
+    )
+
     def __init__(self, limits: Limits):
         self._limits = limits
-        self.finished: collections.deque[tuple[Request, bool]] = collections.deque()
+        self.finished: list[tuple[Request, bool]] = []
         self.refusal: verdicts.RefusedError | None = None
         self.is_started = False
         self.parser = httptools.HttpRequestParser(self)
@@ -200,6 +212,17 @@
             )
 
 
+_REQUEST_TIMEOUT = verdicts.Refusal(
+    verdicts.Verdict.NOT_RUN,
+    408,
+    "request_timeout",
+    "the request did not arrive in time",
+)
+_LEAVING = verdicts.Refusal(
+    verdicts.Verdict.NOT_RUN, 503, "leaving", "this host is shutting down", 500
+)
+
+
 class HttpConnection:
     """Serves the requests of one connection, one after another.
 
@@ -215,6 +238,19 @@
         is running.
     """
 
+    __slots__ = (
+        "_builder",
+        "_deadline_s",
+        "_handler",
+        "_is_draining",
+        "_is_late",
+        "_is_sending",
+        "_limits",
+        "_scope",
+        "_stream",
+        "is_busy",
+    )
+
     def __init__(
         self,
         stream: trio.abc.Stream,
@@ -227,30 +263,65 @@
         self._limits = limits
         self._is_draining = is_draining
         self._builder = _RequestBuilder(limits)
+        self._scope = trio.CancelScope()
+        self._is_sending = False
+        self._is_late = False
+        self._deadline_s = math.inf
         self.is_busy = False
 
     async def run(self) -> None:
         """Serve until the peer closes, breaks a limit or the host drains."""
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             async with self._stream:
-                while await self._serve_one():
-                    pass
+                with self._scope:
+                    while await self._serve_one():
+                        pass
+                if self._scope.cancel_called and not self._is_sending:
+                    await self._refuse_unserved()
+
+    def stop(self) -> None:
+        """End the connection; call it while no request runs."""
+        self._scope.cancel()
+
+    def check_deadline(self, now_s: float) -> None:
+        """End the connection if its peer has taken too long.
+
+        Notes
+        -----
+        One task calls this for all connections. A cancel scope for each wait
+        would cost more than the parsing of a request.
+        """
+        if now_s >= self._deadline_s:
+            self._is_late = True
+            self._scope.cancel()
+
+    async def _refuse_unserved(self) -> None:
+        """Answer a request that arrived in part, or as the connection ended."""
+        if not self._builder.is_started and not self._builder.finished:
+            return
+        refusal = _LEAVING
+        if self._is_late:
+            refusal = _REQUEST_TIMEOUT
+        response = encode_response(build_problem(refusal), is_closing=True)
+        with trio.move_on_after(self._limits.send_timeout_s):
+            await self._stream.send_all(response)
 
     async def _serve_one(self) -> bool:
         try:
             is_open = await self._receive()
         except verdicts.RefusedError as error:
+            self.is_busy = True
             await self._send(build_problem(error.refusal), is_closing=True)
             return False
         if not is_open:
             return False
-        request, is_kept_alive = self._builder.finished.popleft()
+        request, is_kept_alive = self._builder.finished.pop(0)
         self.is_busy = True
         response = await self._answer(request)
         is_closing = not is_kept_alive or self._is_draining()
-        is_sent = await self._send(response, is_closing)
+        await self._send(response, is_closing)
         self.is_busy = False
-        return is_sent and not is_closing
+        return not is_closing
 
     async def _answer(self, request: Request) -> Response:
         try:
@@ -264,34 +335,30 @@
             )
             return build_problem(refusal)
 
-    async def _send(self, response: Response, is_closing: bool) -> bool:
-        with trio.move_on_after(self._limits.send_timeout_s):
-            await self._stream.send_all(encode_response(response, is_closing))
-            return True
-        return False
+    async def _send(self, response: Response, is_closing: bool) -> None:
+        self._deadline_s = trio.current_time() + self._limits.send_timeout_s
+        self._is_sending = True
+        await self._stream.send_all(encode_response(response, is_closing))
+        self._is_sending = False
 
     async def _receive(self) -> bool:
         """Wait for a whole request; False when the peer closed between two."""
-        if self._builder.finished:
-            return True
-        with trio.CancelScope() as scope:
-            scope.deadline = trio.current_time() + self._limits.idle_timeout_s
-            is_timed = False
-            while not self._builder.finished:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
-                if not data:
-                    return False
-                self._feed(data)
-                if not is_timed:
-                    is_timed = True
-                    timeout_s = self._limits.request_timeout_s
-                    scope.deadline = trio.current_time() + timeout_s
-            return True
-        if self._builder.is_started:
-            raise verdicts.build_not_run(
-                408, "request_timeout", "the request did not arrive in time"
-            )
-        return False
+        if not self._builder.finished:
+            self._deadline_s = trio.current_time() + self._limits.idle_timeout_s
+        is_timed = False
+        while not self._builder.finished:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return False
+            self._feed(data)
+            if not is_timed:
+                is_timed = True
+                timeout_s = self._limits.request_timeout_s
+                self._deadline_s = trio.current_time() + timeout_s
+        # The handler keeps to the request's own deadline.
+        self._deadline_s = math.inf
+        # Cancelled just now, the handler would be cut short: it must not start.
+        return not self._scope.cancel_called
 
     def _feed(self, data: bytes) -> None:
         try:
