Refuse transaction words behind comments, and NUL characters

Cause: only the text before the first blank was compared, so that '/* x */ COMMIT', ';COMMIT' or 'commit/**/work' passed; libpq cuts texts at a NUL character; a body nested too deeply raised RecursionError (a 500). Ruled out: a pattern for block comments, as they nest.

--- a/sedgeswitch/sessions/tokens.py
+++ b/sedgeswitch/sessions/tokens.py
@@ -5,12 +5,15 @@
 without asking any other host.
 """
 
+import re
+
 from sedgeswitch.groups import positions
 
 LONGEST_TOKEN = 2048
 MOST_GROUPS = 16
 _GROUP_SEPARATOR = ","
 _PART_SEPARATOR = ":"
+_PART = re.compile(r"([!-+\--9;-~]{1,64}):([0-9]{1,10}):([0-9a-f]{1,16})")
 
 
 def encode_token(floors: dict[str, positions.Position]) -> str:
@@ -42,10 +45,10 @@
         raise ValueError(f"expected at most {LONGEST_TOKEN} characters")
     floors = {}
     for part in token.split(_GROUP_SEPARATOR):
-        fields = part.split(_PART_SEPARATOR)
-        if len(fields) != 3:
+        fields = _PART.fullmatch(part)
+        if fields is None:
             raise ValueError("expected group:timeline:position, separated by commas")
-        group, timeline, lsn = fields
+        group, timeline, lsn = fields.groups()
         floors[group] = positions.Position(int(timeline), int(lsn, 16))
     return floors
 
--- a/sedgeswitch/statements/requests.py
+++ b/sedgeswitch/statements/requests.py
@@ -1,5 +1,6 @@
 """What a caller asks for, checked."""
 
+import re
 import typing
 
 import msgspec
@@ -31,6 +32,13 @@
     ]
 )
 
+# What the server skips: blanks, empty statements and `--` comments. A `/*`
+# comment nests, so that no pattern finds its end.
+_SKIPPED = re.compile(r"(?:[\s;]|--[^\r\n]*)+")
+_COMMENT_EDGE = re.compile(r"/\*|\*/")
+_WORD = re.compile(r"[A-Za-z_]*")
+_NUL = "\0"
+
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 _Sql = typing.Annotated[str, msgspec.Meta(min_length=1)]
 _Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
@@ -127,7 +135,7 @@
     """
     try:
         plain = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise build_bad_request(f"body: expected JSON, {error}") from error
     if not isinstance(plain, dict):
         raise build_bad_request("body: expected a JSON object")
@@ -187,9 +195,11 @@
     verdicts.RefusedError
         400 if it would begin, end or divide a transaction.
     """
-    words = sql.split(None, 1)
-    first_word = words[0].rstrip(";").lower() if words else ""
-    if not first_word or first_word in _TRANSACTION_WORDS:
+    if _NUL in sql:
+        raise build_bad_request("sql: expected no NUL character")
+    command = _skip_comments(sql)
+    first_word = _WORD.match(command).group().lower()
+    if not command or first_word in _TRANSACTION_WORDS:
         raise build_bad_request(
             f"sql: expected no transaction control, got {sql[:40]!r}"
         )
@@ -218,11 +228,19 @@
 def encode_parameters(
     parameters: list[str | int | float | bool | None],
 ) -> tuple[str | None, ...]:
-    """Return parameters in PostgreSQL's text form."""
+    """Return parameters in PostgreSQL's text form.
+
+    Raises
+    ------
+    verdicts.RefusedError
+        400 for a NUL character: the server would cut the text there.
+    """
     return tuple(_encode_parameter(parameter) for parameter in parameters)
 
 
 def _encode_parameter(parameter: str | int | float | bool | None) -> str | None:
+    if isinstance(parameter, str) and _NUL in parameter:
+        raise build_bad_request("parameters: expected no NUL character")
     if parameter is None or isinstance(parameter, str):
         return parameter
     if isinstance(parameter, bool):
@@ -230,6 +248,26 @@
     return str(parameter)
 
 
+def _skip_comments(sql: str) -> str:
+    """Return `sql` from its first word or symbol that the server runs."""
+    while True:
+        skipped = _SKIPPED.match(sql)
+        if skipped:
+            sql = sql[skipped.end() :]
+        if not sql.startswith("/*"):
+            return sql
+        sql = _skip_block_comment(sql)
+
+
+def _skip_block_comment(sql: str) -> str:
+    depth = 0
+    for edge in _COMMENT_EDGE.finditer(sql):
+        depth += 1 if edge.group() == "/*" else -1
+        if depth == 0:
+            return sql[edge.end() :]
+    return ""
+
+
 def _get_header(request: http.Request, name: str) -> str:
     value = request.headers.get(name, "")
     if len(value) > LONGEST_HEADER_VALUE or not value.isprintable():
