--- a/sedgeswitch/sessions/tokens.py
+++ b/sedgeswitch/sessions/tokens.py
@@ -5,6 +5,8 @@
 without asking any other host.
 """
 
+import re
+
 import expression
 
 from sedgeswitch.groups import positions
@@ -13,8 +15,8 @@
 MOST_GROUPS = 16
 _GROUP_SEPARATOR = ","
 _PART_SEPARATOR = ":"
-_PART_COUNT = 3
 _ALLOWED = "expected group:timeline:position, separated by commas"
+_PART = re.compile(r"([!-+\--9;-~]{1,64}):([0-9]{1,10}):([0-9a-f]{1,16})")
 
 Decoded = expression.Result[dict[str, positions.Position], str]
 
@@ -46,14 +48,11 @@
         return expression.Error(f"expected at most {LONGEST_TOKEN} characters")
     floors = {}
     for part in token.split(_GROUP_SEPARATOR):
-        fields = part.split(_PART_SEPARATOR)
-        if len(fields) != _PART_COUNT:
-            return expression.Error(_ALLOWED)
-        group, timeline, lsn = fields
-        try:
-            floors[group] = positions.Position(int(timeline), int(lsn, 16))
-        except ValueError:
+        fields = _PART.fullmatch(part)
+        if fields is None:
             return expression.Error(_ALLOWED)
+        group, timeline, lsn = fields.groups()
+        floors[group] = positions.Position(int(timeline), int(lsn, 16))
     return expression.Ok(floors)
 
 
