--- a/sedgeswitch/admission/tests/test_drawing.py
+++ b/sedgeswitch/admission/tests/test_drawing.py
@@ -65,6 +65,9 @@
                 pending = made.take("ward-4", start_s, start_s + 0.3)
                 outcome = await made.wait(pending)
                 self.assertGreater(outcome.retry_after_ms, 0)
+                refusal = wallet.build_refusal(outcome).refusal
+                self.assertIs(refusal.verdict, verdicts.Verdict.NOT_RUN)
+                self.assertEqual(refusal.status, 429)
                 self.assertAlmostEqual(trio.current_time(), start_s + 0.3)
                 nursery.cancel_scope.cancel()
 
--- a/sedgeswitch/admission/wallet.py
+++ b/sedgeswitch/admission/wallet.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sedgeswitch import verdicts
 from sedgeswitch.admission import demand
 from sedgeswitch.admission import messages
 from sedgeswitch.admission import settings as admission_settings
@@ -40,6 +41,13 @@
     retry_after_ms: int
 
 
+def build_refusal(denied: Denied) -> verdicts.RefusedError:
+    """Return the error that tells a caller of a denied request."""
+    detail = f"{denied.organisation} has used up its rate and burst"
+    retry_after_ms = denied.retry_after_ms
+    return verdicts.build_not_run(429, "rate_exceeded", detail, retry_after_ms)
+
+
 class Pending:
     """A request that waits for the next draw.
 
