Bound the wait for a connection by the configured longest wait

Cause: max_wait_ms of the configuration was read but not used, so that a request with a long deadline could leave the queue minutes after its instance was drained. Change: the queue's deadline is the earlier of the two.

--- a/sedgeswitch/statements/context.py
+++ b/sedgeswitch/statements/context.py
@@ -37,6 +37,14 @@
     max_wait_s: float
 
 
+def get_queue_deadline(work: Work, deadline_s: float, now_s: float) -> float:
+    """Return until when a request may wait for a connection.
+
+    A wait that lasts long could end on an instance that is drained meanwhile.
+    """
+    return min(deadline_s, now_s + work.max_wait_s)
+
+
 class Parts(typing.NamedTuple):
     """The collaborators of the statement path.
 
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -109,7 +109,8 @@
         until_s = now_s + (statement.deadline_s - now_s) * REPLICA_TIME_SHARE
         rows = None
         try:
-            pooled = await connections.acquire(work.organisation, until_s)
+            queue_until_s = context.get_queue_deadline(work, until_s, now_s)
+            pooled = await connections.acquire(work.organisation, queue_until_s)
         except verdicts.RefusedError:
             return None
         try:
@@ -156,7 +157,10 @@
     ) -> base.Rows | None:
         """Return the rows, None if the permit's term has ended meanwhile."""
         connections = self._parts.backends.get_pool(server, work.database)
-        pooled = await connections.acquire(work.organisation, statement.deadline_s)
+        until_s = context.get_queue_deadline(
+            work, statement.deadline_s, trio.current_time()
+        )
+        pooled = await connections.acquire(work.organisation, until_s)
         try:
             with self._interrupter.interruptible(permit):
                 return await _execute_read_only(pooled, statement)
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -187,7 +187,8 @@
         permit = await self._parts.groups.wait_serving(work.group, expires_s)
         server = primaries.get_primary(permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
-        pooled = await connections.acquire(work.organisation, expires_s)
+        until_s = context.get_queue_deadline(work, expires_s, trio.current_time())
+        pooled = await connections.acquire(work.organisation, until_s)
         kept = _Context(permit, work, session, seen)
         try:
             return await self._owned.begin(connections, pooled, kept, expires_s)
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -119,7 +119,10 @@
     ) -> tuple[requests.Answer, positions.Position]:
         server = primaries.get_primary(permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
-        pooled = await connections.acquire(work.organisation, statement.deadline_s)
+        until_s = context.get_queue_deadline(
+            work, statement.deadline_s, trio.current_time()
+        )
+        pooled = await connections.acquire(work.organisation, until_s)
         try:
             # The wait for a connection may have outlasted the lease.
             if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
