--- a/benchmarks/deployment_fleet.py
+++ b/benchmarks/deployment_fleet.py
@@ -1,5 +1,6 @@
 """An example fleet that a benchmark starts through the shell scripts."""
 
+import contextlib
 import http.client
 import json
 import os
@@ -151,7 +152,11 @@
 
     def kill(self, name: str) -> None:
         """Kill a process."""
-        os.kill(int((self.folder / "pids" / name).read_text()), signal.SIGKILL)
+        self.send_signal(name, signal.SIGKILL)
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        send_signal(int((self.folder / "pids" / name).read_text()), number)
 
     def restart(self, name: str) -> None:
         """Start a process that was killed."""
@@ -197,3 +202,9 @@
             timeout=SCRIPT_TIMEOUT_S,
             check=False,
         )
+
+
+def send_signal(process_id: int, number: signal.Signals) -> None:
+    """Send a signal to a process that may have ended."""
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(process_id, number)
