--- a/sedgeswitch/membership/entry_peers.py
+++ b/sedgeswitch/membership/entry_peers.py
@@ -78,6 +78,7 @@
         if link is None:
             link = self._links[host_id] = _Link(member)
             self._nursery.start_soon(link.run)
-        with trio.move_on_after(min(CONNECT_WAIT_S, timeout_s)):
-            await link.peer.wait_connected()
+        if not link.peer.is_connected:
+            with trio.move_on_after(min(CONNECT_WAIT_S, timeout_s)):
+                await link.peer.wait_connected()
         return await link.peer.call(message, timeout_s)
--- a/sedgeswitch/transport/peer.py
+++ b/sedgeswitch/transport/peer.py
@@ -129,10 +129,9 @@
         async with self._send_lock:
             try:
                 # A frame cut short by a timeout would garble the ones after it.
-                with (
-                    trio.CancelScope(shield=True),
-                    trio.move_on_after(CONNECT_TIMEOUT_S) as scope,
-                ):
+                with trio.CancelScope(
+                    shield=True, deadline=trio.current_time() + CONNECT_TIMEOUT_S
+                ) as scope:
                     await stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self._drop(stream)
