Report an announcement in full unless the leader's copy holds it

Cause: an entry host compared announcements with what it had reported itself. A change lost with its heartbeat, or undone through another host, was then only renewed, and the leader kept the older labels. Ruled out: sending lost reports again; a host that was cut off would renew old announcements. Change: compare with the directory that the leader answered; instances that the leader asks for go in full with the next heartbeat.

--- a/sedgeswitch/membership/directory.py
+++ b/sedgeswitch/membership/directory.py
@@ -78,7 +78,9 @@
         self._epoch = -1
         self._version = -1
         self._announced: dict[str, BackendServer] = {}
-        self._known: dict[str, BackendServer] = {}
+        self._reported: dict[str, BackendServer] = {}
+        # Instances that the leader asked to hear of in full.
+        self._unknown: set[str] = set()
         self._listeners: list[collections.abc.Callable[[], None]] = []
 
     def register_listener(self, listener: collections.abc.Callable[[], None]) -> None:
@@ -96,30 +98,30 @@
     def build_report(self, now_s: float) -> bytes:  # noqa: ARG002
         """Return what was announced to this host since the last report."""
         announced, self._announced = self._announced, {}
-        changed = [
-            server
+        self._reported = announced
+        # Compared with what the leader has answered: what this host reported
+        # earlier may be lost, or another host may have reported since.
+        renewed = {
+            instance: None
             for instance, server in announced.items()
-            if self._known.get(instance) != server
-        ]
-        renewed = [
-            instance
-            for instance, server in announced.items()
-            if self._known.get(instance) == server
-        ]
-        self._known.update(announced)
+            if self.servers.get(instance) == server and instance not in self._unknown
+        }
+        changed = [announced[name] for name in announced if name not in renewed]
         report = messages.DirectoryReport(
             self._epoch,
             self._version,
             [_build_message(server) for server in changed],
-            renewed,
+            list(renewed),
         )
         return catalog.encode_struct(report)
 
     def receive_answer(self, body: bytes, now_s: float) -> None:  # noqa: ARG002
         """Take in changes of the directory."""
         answer = catalog.decode_struct(messages.DirectoryAnswer, body)
-        for instance in answer.unknown:
-            self._known.pop(instance, None)
+        reported, self._reported = self._reported, {}
+        self._unknown = set(answer.unknown)
+        for instance in self._unknown & reported.keys():
+            self._announced.setdefault(instance, reported[instance])
         is_changed = bool(answer.upserts or answer.removals or answer.is_whole)
         if answer.is_whole:
             self.servers = {}
--- /dev/null
+++ b/sedgeswitch/membership/tests/test_directory.py
@@ -0,0 +1,112 @@
+"""Tests of the directory of backend servers."""
+
+import random
+import unittest
+
+from sedgeswitch.membership import directory
+from sedgeswitch.membership.tests import builders
+
+INTERVAL_S = 2.5
+
+
+class Hosts:
+    """Entry hosts and two leaders, one of them in charge."""
+
+    def __init__(self, seed, count=2):
+        self.rng = random.Random(seed)
+        self.entries = [directory.EntryDirectory() for _ in range(count)]
+        self.leaders = [directory.ControlDirectory(self.rng) for _ in range(2)]
+        self.leader = self.leaders[0]
+        self.leader.start_leadership(0.0)
+
+    def change_leader(self, now_s):
+        self.leader = self.leaders[self.leader is self.leaders[0]]
+        self.leader.start_leadership(now_s)
+
+    def beat(self, index, now_s, loss=0.0):
+        """Exchange one heartbeat; the report or its answer may be lost."""
+        entry = self.entries[index]
+        report = entry.build_report(now_s)
+        if self.rng.random() < loss:
+            return
+        answer = self.leader.answer_report(f"entry-{index}", report, now_s)
+        if self.rng.random() < loss:
+            return
+        entry.receive_answer(answer, now_s)
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_random_loss_and_leaders_copies_end_equal_to_announced(self):
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                self._run_random(seed)
+
+    def _run_random(self, seed):
+        hosts = Hosts(seed)
+        rng = hosts.rng
+        servers = {f"lots-{i}": builders.build_server(f"lots-{i}") for i in range(6)}
+        now_s = 0.0
+        for tick in range(240):
+            now_s += 0.5
+            is_calm = tick > 120
+            if not is_calm and rng.random() < 0.02:
+                hosts.change_leader(now_s)
+            if not is_calm and rng.random() < 0.1:
+                name = rng.choice(sorted(servers))
+                labels = {"rack": rng.choice("abc")}
+                servers[name] = servers[name]._replace(labels=labels)
+            if not is_calm and len(servers) > 3 and rng.random() < 0.02:
+                del servers[rng.choice(sorted(servers))]
+            for place, server in enumerate(servers.values()):
+                if (tick + place) % int(INTERVAL_S / 0.5) == 0:
+                    rng.choice(hosts.entries).record_announcement(server)
+            for index in range(len(hosts.entries)):
+                hosts.beat(index, now_s, 0.0 if is_calm else 0.2)
+        self.assertEqual(hosts.leader.servers, servers)
+        for entry in hosts.entries:
+            self.assertEqual(entry.servers, servers)
+
+    def test_announcement_expires(self):
+        hosts = Hosts(0)
+        hosts.entries[0].record_announcement(builders.build_server())
+        hosts.beat(0, 1.0)
+        hosts.beat(1, 5.0)
+        self.assertIn("lots-0", hosts.entries[1].servers)
+        hosts.beat(1, 1.0 + directory.ANNOUNCEMENT_LEASE_S)
+        self.assertEqual(hosts.entries[1].servers, {})
+
+    def test_changed_labels_in_a_lost_report_arrive_with_the_next(self):
+        hosts = Hosts(0)
+        entry = hosts.entries[0]
+        changed = builders.build_server(labels={"rack": "b"})
+        entry.record_announcement(builders.build_server())
+        hosts.beat(0, 1.0)
+        entry.record_announcement(changed)
+        hosts.beat(0, 2.0, loss=1.0)
+        entry.record_announcement(changed)
+        hosts.beat(0, 3.0)
+        self.assertEqual(hosts.leader.servers["lots-0"], changed)
+
+    def test_labels_changed_back_through_another_host_arrive(self):
+        hosts = Hosts(0)
+        first = builders.build_server()
+        for index, labels in ((0, "a"), (1, "b"), (0, "a"), (0, "a")):
+            server = builders.build_server(labels={"rack": labels})
+            hosts.entries[index].record_announcement(server)
+            hosts.beat(index, 1.0)
+        self.assertEqual(hosts.leader.servers["lots-0"], first)
+
+    def test_new_leader_removes_nothing_before_announcements_had_time(self):
+        hosts = Hosts(0)
+        hosts.entries[0].record_announcement(builders.build_server())
+        hosts.beat(0, 11.0)
+        hosts.change_leader(12.0)
+        for now_s in (12.5, 17.0, 21.9):
+            hosts.beat(0, now_s)
+            self.assertIn("lots-0", hosts.entries[0].servers)
+        hosts.beat(0, 12.0 + directory.ANNOUNCEMENT_LEASE_S)
+        self.assertEqual(hosts.entries[0].servers, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
