Keep the lease sound across removals, late heartbeats and bad answers

Causes, each with a test in test_leases: - a heartbeat that came while its host's removal was being agreed got a lease, and the removal then took the host out of the lease holders; - a removal of unknown outcome could be applied after that, too; - a heartbeat overtaken by a later one replaced its reports, and a late leaving heartbeat of an earlier process released the new one's lease; - a malformed section, an unknown section or an answer of another type raised out of the heart and ended the daemon. Change: a host with a removal under way registers again, behind it in the log; heartbeats carry a sequence; an answer that can't be read renews no lease and is tried again. Ruled out: a lock around heartbeats and removals; an outcome that is not known has no end to wait for. Not covered: an ordinary heartbeat of an earlier process that arrives after the new one's first.

--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -6,14 +6,17 @@
 import loguru
 import trio
 
+from sedgeswitch import verdicts
 from sedgeswitch.membership import messages
 from sedgeswitch.membership import sections
+from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
 
 CALL_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 5.0
 RETRY_DELAY_S = 0.05
+MALFORMED = "malformed_answer"
 
 
 class HostIdentity(typing.NamedTuple):
@@ -105,6 +108,7 @@
         self._lapse_listeners: list[collections.abc.Callable[[], None]] = []
         self._versions: dict[str, int] = {}
         self._wake = trio.Event()
+        self._sequence = 0
         self.lease_until_s = float("-inf")
         self.is_leaving = False
 
@@ -152,17 +156,25 @@
         bool
             Whether agreed state has moved, so that the next heartbeat, which
             acknowledges it, should follow at once.
+
+        Raises
+        ------
+        failures.CallError
+            If there is no answer that can be read; the lease is not renewed.
         """
         sent_s = trio.current_time()
         reports = {
             name: section.build_report(sent_s)
             for name, section in self._sections.items()
         }
-        heartbeat = messages.Heartbeat(*self._identity, reports, self.is_leaving)
+        self._sequence += 1
+        heartbeat = messages.Heartbeat(
+            *self._identity, reports, self.is_leaving, self._sequence
+        )
         answer = await self._control.call(heartbeat, CALL_TIMEOUT_S)
+        _check_type(answer, messages.HeartbeatAnswer)
         now_s = trio.current_time()
-        for name, body in answer.sections.items():
-            self._sections[name].receive_answer(body, now_s)
+        self._receive_sections(answer.sections, now_s)
         if not self.is_leaving:
             if self.lease_until_s < now_s:
                 self._note_lapse()
@@ -171,6 +183,20 @@
         self._versions = answer.versions
         return is_changed
 
+    def _receive_sections(self, answers: dict[str, bytes], now_s: float) -> None:
+        """Give each section its answer, whatever becomes of the others."""
+        malformed = []
+        for name, body in answers.items():
+            # A leader of another release may know more sections.
+            if name not in self._sections:
+                continue
+            try:
+                self._sections[name].receive_answer(body, now_s)
+            except catalog.MessageError as error:
+                malformed.append(f"{name}: {error}")
+        if malformed:
+            raise _build_malformed("; ".join(malformed))
+
     def _note_lapse(self) -> None:
         for listener in self._lapse_listeners:
             listener()
@@ -187,7 +213,8 @@
                 if await self.beat():
                     delay_s = 0.0
             except failures.CallError as error:
-                loguru.logger.debug("heartbeat failed: {}", error)
+                level = "WARNING" if error.code == MALFORMED else "DEBUG"
+                loguru.logger.log(level, "heartbeat failed: {}", error)
                 delay_s = RETRY_DELAY_S
             with trio.move_on_after(delay_s):
                 await self._wake.wait()
@@ -198,6 +225,7 @@
             watch = messages.Watch(self._versions, int(WATCH_TIMEOUT_S * 1000))
             try:
                 answer = await self._control.call(watch, WATCH_TIMEOUT_S + 1.0)
+                _check_type(answer, messages.WatchAnswer)
             except failures.CallError:
                 await trio.sleep(RETRY_DELAY_S)
                 continue
@@ -205,3 +233,12 @@
                 self.wake()
                 # The heartbeat brings the new versions before the next watch.
                 await trio.sleep(RETRY_DELAY_S)
+
+
+def _check_type(answer: typing.Any, answer_type: type) -> None:
+    if not isinstance(answer, answer_type):
+        raise _build_malformed(f"a {type(answer).__name__}")
+
+
+def _build_malformed(detail: str) -> failures.CallError:
+    return failures.CallError(MALFORMED, detail, verdicts.Verdict.MAY_HAVE_RUN)
--- a/sedgeswitch/membership/messages.thrift
+++ b/sedgeswitch/membership/messages.thrift
@@ -10,6 +10,8 @@
   6: required map<string, binary> sections,
   // Set by a host that shuts down gracefully: it holds no lease any more.
   7: required bool is_leaving,
+  // Grows with each heartbeat of an incarnation; late ones are refused.
+  8: required i64 sequence,
 }
 
 struct HeartbeatAnswer {
--- a/sedgeswitch/membership/registrar.py
+++ b/sedgeswitch/membership/registrar.py
@@ -35,6 +35,13 @@
         """Commit a command and return its result."""
 
 
+class _Latest(typing.NamedTuple):
+    """The latest heartbeat of a host."""
+
+    incarnation: str
+    sequence: int
+
+
 class Registrar:
     """Answers heartbeats and watches while this host leads.
 
@@ -54,6 +61,9 @@
         self._sections: dict[str, sections.ControlSection] = {}
         self._listeners: list[collections.abc.Callable[[float, int], None]] = []
         self._led_term = -1
+        self._latest: dict[str, _Latest] = {}
+        # How many removals of each host were proposed whose end is not known.
+        self._removals: dict[str, int] = {}
         self._versions: dict[str, int] = {}
         self._changed = trio.Event()
 
@@ -101,10 +111,15 @@
         ------
         failures.CallError
             ``not_leader`` if this host does not lead; the detail names the
-            leader.
+            leader. ``superseded`` if a later heartbeat of the host has arrived.
         """
         self.check_leading()
+        arrival = self._record_arrival(heartbeat)
+        if heartbeat.is_leaving and not self._is_registered(heartbeat):
+            return messages.HeartbeatAnswer(0, {}, self._get_versions())
         await self._register(heartbeat)
+        if self._latest.get(heartbeat.host_id) != arrival:
+            raise _build_superseded(heartbeat)
         now_s = trio.current_time()
         answers = {
             name: self._sections[name].answer_report(heartbeat.host_id, body, now_s)
@@ -144,6 +159,9 @@
 
     def _start_leadership(self, now_s: float) -> None:
         loguru.logger.info("leading in term {}", self._led_term)
+        self._latest = {}
+        # What an earlier leadership proposed has been applied or is lost.
+        self._removals = {}
         self.leases.start_leadership(now_s)
         for section in self._sections.values():
             section.start_leadership(now_s)
@@ -153,26 +171,51 @@
     def _get_versions(self) -> dict[str, int]:
         return {name: item.get_version() for name, item in self._sections.items()}
 
+    def _record_arrival(self, heartbeat: messages.Heartbeat) -> _Latest:
+        """Refuse a heartbeat that arrives after a later one of its host.
+
+        Its reports are out of date, and a host that left holds no lease.
+        """
+        latest = self._latest.get(heartbeat.host_id)
+        given = _Latest(heartbeat.incarnation, heartbeat.sequence)
+        is_same_process = latest is not None and latest.incarnation == given.incarnation
+        if is_same_process and given.sequence < latest.sequence:
+            raise _build_superseded(heartbeat)
+        self._latest[heartbeat.host_id] = given
+        return given
+
+    def _is_registered(self, heartbeat: messages.Heartbeat) -> bool:
+        member = _build_member(heartbeat)
+        if member.host_id in self._removals:
+            return False
+        return self._members.members.get(member.host_id) == member
+
     async def _register(self, heartbeat: messages.Heartbeat) -> None:
-        member = machine.Member(
-            heartbeat.host_id,
-            heartbeat.incarnation,
-            heartbeat.availability_zone,
-            heartbeat.host,
-            heartbeat.port,
-        )
-        if self._members.members.get(member.host_id) == member:
-            return
-        await self._propose(member, is_removal=False)
+        """Return once the host is registered, and no removal is under way."""
+        while not self._is_registered(heartbeat):
+            removals = self._removals.get(heartbeat.host_id)
+            await self._propose(_build_member(heartbeat), is_removal=False)
+            # The log holds the registration after the removals before it.
+            if self._removals.get(heartbeat.host_id) == removals:
+                self._removals.pop(heartbeat.host_id, None)
 
     async def _remove_expired(self, now_s: float) -> None:
         if self._log.get_leadership(now_s) is None:
             return
         for member in self.leases.get_expired(now_s, REMOVE_AFTER_S):
+            # A heartbeat may have come while the removals before waited.
+            if member not in self.leases.get_expired(
+                trio.current_time(), REMOVE_AFTER_S
+            ):
+                continue
+            host_id = member.host_id
+            removals = self._removals[host_id] = self._removals.get(host_id, 0) + 1
             try:
                 await self._propose(member, is_removal=True)
             except failures.CallError:
                 return
+            if self._removals.get(host_id) == removals:
+                del self._removals[host_id]
 
     async def _propose(self, member: machine.Member, is_removal: bool) -> None:
         command = machine.build_command(member, is_removal)
@@ -183,3 +226,17 @@
             raise failures.CallError(
                 "not_leader", str(error), verdicts.Verdict.NOT_RUN
             ) from error
+
+
+def _build_superseded(heartbeat: messages.Heartbeat) -> failures.CallError:
+    return failures.CallError("superseded", heartbeat.host_id, verdicts.Verdict.NOT_RUN)
+
+
+def _build_member(heartbeat: messages.Heartbeat) -> machine.Member:
+    return machine.Member(
+        heartbeat.host_id,
+        heartbeat.incarnation,
+        heartbeat.availability_zone,
+        heartbeat.host,
+        heartbeat.port,
+    )
--- /dev/null
+++ b/sedgeswitch/membership/tests/test_leases.py
@@ -0,0 +1,173 @@
+"""Tests of the lease between entry hosts and the leader."""
+
+import random
+import unittest
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.membership import heart
+from sedgeswitch.membership import leases
+from sedgeswitch.membership import machine
+from sedgeswitch.membership import messages
+from sedgeswitch.membership import registrar
+from sedgeswitch.membership.tests import builders
+from sedgeswitch.transport import catalog
+from sedgeswitch.transport import failures
+
+
+def build_registrar():
+    members = machine.MembersMachine()
+    log = builders.FakeLog(members)
+    log.term = 1
+    return log, registrar.Registrar(log, members, builders.LEASE_S)
+
+
+class LeaseTest(unittest.TestCase):
+    def test_random_faults_host_lease_ends_before_leaders_count(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                builders.run_virtual(self._run_faults, seed)
+
+    async def _run_faults(self, seed):
+        fleet = builders.Fleet(seed)
+        served = 0
+
+        def step():
+            event = fleet.rng.random()
+            if event < 0.2:
+                fleet.change_leader()
+            elif event < 0.5:
+                fleet.cut = {fleet.rng.randrange(len(fleet.hearts))}
+            else:
+                fleet.cut = set()
+
+        def check(now_s):
+            nonlocal served
+            serving = fleet.registrars[fleet.leader]
+            serving.check_leading()
+            holders = {member.host_id for member in serving.leases.get_holders(now_s)}
+            for index, item in enumerate(fleet.hearts):
+                if not item.is_lease_valid(now_s):
+                    continue
+                served += 1
+                self.assertIn(f"entry-{index}", holders)
+                until_s = serving.leases.get_until(f"entry-{index}")
+                drifted_s = (item.lease_until_s - now_s) * leases.CLOCK_DRIFT_SHARE
+                self.assertLessEqual(item.lease_until_s + drifted_s, until_s)
+
+        await fleet.run(40.0, check, step)
+        self.assertGreater(served, 100)
+
+    def test_heartbeat_during_removal_keeps_host_registered(self):
+        async def run():
+            log, serving = build_registrar()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serving.run)
+                await trio.sleep(0.1)
+                for host_id in ("entry-0", "entry-1"):
+                    await serving.answer_heartbeat(builders.build_heartbeat(host_id))
+                log.delay_s = 1.5
+                while not log.pending:
+                    await trio.sleep(0.01)
+                # entry-0 is being removed, entry-1 is next.
+                for host_id in ("entry-1", "entry-0"):
+                    beat = builders.build_heartbeat(host_id, 2)
+                    nursery.start_soon(serving.answer_heartbeat, beat)
+                await trio.sleep(4.0)
+                self.assertEqual(log.members.members.keys(), {"entry-0", "entry-1"})
+                nursery.cancel_scope.cancel()
+
+        builders.run_virtual(run)
+
+    def test_removal_of_unknown_outcome_is_followed_by_registration(self):
+        async def run():
+            log, serving = build_registrar()
+            serving.check_leading()
+            beat = builders.build_heartbeat("entry-0")
+            await serving.answer_heartbeat(beat)
+            await trio.sleep(builders.LEASE_S + 2 * registrar.REMOVE_AFTER_S)
+            log.lose_next = True
+            log.delay_s = 0.5
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serving._remove_expired, trio.current_time())
+                await trio.sleep(0.1)
+                await serving.answer_heartbeat(builders.build_heartbeat("entry-0", 2))
+            self.assertEqual(len(serving.leases.get_holders(trio.current_time())), 1)
+
+        builders.run_virtual(run)
+
+    def test_late_heartbeat_is_refused(self):
+        async def run():
+            _, serving = build_registrar()
+            await serving.answer_heartbeat(builders.build_heartbeat("entry-0", 5))
+            with self.assertRaises(failures.CallError) as caught:
+                await serving.answer_heartbeat(builders.build_heartbeat("entry-0", 4))
+            self.assertEqual(caught.exception.code, "superseded")
+
+        builders.run_virtual(run)
+
+    def test_leaving_heartbeat_of_earlier_process_releases_nothing(self):
+        async def run():
+            _, serving = build_registrar()
+            beat = builders.build_heartbeat("entry-0", 1, incarnation="run-2")
+            await serving.answer_heartbeat(beat)
+            leaving = builders.build_heartbeat("entry-0", 9, is_leaving=True)
+            await serving.answer_heartbeat(leaving)
+            self.assertEqual(len(serving.leases.get_holders(trio.current_time())), 1)
+
+        builders.run_virtual(run)
+
+
+class FakeControl:
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def call(self, message, timeout_s):  # noqa: ARG002
+        await trio.sleep(0.01)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+class HeartTest(unittest.TestCase):
+    def _run_with(self, answer):
+        async def run():
+            identity = heart.HostIdentity("entry-0", "run-1", "bagmati", "::1", 1)
+            control = FakeControl(answer)
+            item = heart.Heart(identity, control, builders.HEARTBEAT_S)
+            item.register_section("members", _Section())
+            with trio.move_on_after(3.0):
+                await item.run()
+            return item.is_lease_valid(trio.current_time())
+
+        return builders.run_virtual(run)
+
+    def test_malformed_section_renews_no_lease_and_heart_goes_on(self):
+        answer = messages.HeartbeatAnswer(2000, {"members": b"\xff"}, {})
+        self.assertFalse(self._run_with(answer))
+
+    def test_unknown_section_is_passed_over(self):
+        answer = messages.HeartbeatAnswer(2000, {"later": b"\xff"}, {})
+        self.assertTrue(self._run_with(answer))
+
+    def test_answer_of_another_type_renews_no_lease(self):
+        self.assertFalse(self._run_with(messages.MemberCommand()))
+
+    def test_any_call_error_is_survived(self):
+        rng = random.Random(3)
+        for verdict in verdicts.Verdict:
+            code = f"code-{rng.random()}"
+            self.assertFalse(self._run_with(failures.CallError(code, "", verdict)))
+
+
+class _Section:
+    def build_report(self, now_s):  # noqa: ARG002
+        return b""
+
+    def receive_answer(self, body, now_s):  # noqa: ARG002
+        catalog.decode_struct(messages.Members, body)
+
+
+if __name__ == "__main__":
+    unittest.main()
