--- a/sedgeswitch/membership/tests/test_incarnations.py
+++ b/sedgeswitch/membership/tests/test_incarnations.py
@@ -31,7 +31,7 @@
 
 
 def build_heartbeat(incarnation):
-    return messages.Heartbeat("e4", incarnation, "z1", "127.0.0.1", 7104, {}, False)
+    return messages.Heartbeat("e4", incarnation, "z1", "127.0.0.1", 7104, {}, False, 1)
 
 
 class IncarnationTest(unittest.TestCase):
