--- a/sedgeswitch/membership/tests/builders.py
+++ b/sedgeswitch/membership/tests/builders.py
@@ -49,6 +49,7 @@
     """One control host's view of a log that applies in order, after a delay."""
 
     leader_id = None
+    leader_address = None
 
     def __init__(self, members, rng=None):
         self.members = members
--- a/sedgeswitch/membership/tests/test_incarnations.py
+++ b/sedgeswitch/membership/tests/test_incarnations.py
@@ -4,11 +4,10 @@
 import unittest
 
 import trio
-import trio.testing
 
 from sedgeswitch.membership import machine
-from sedgeswitch.membership import messages
 from sedgeswitch.membership import registrar
+from sedgeswitch.membership.tests import builders
 from sedgeswitch.transport import failures
 
 LEASE_S = 2.0
@@ -31,7 +30,7 @@
 
 
 def build_heartbeat(incarnation):
-    return messages.Heartbeat("e4", incarnation, "z1", "127.0.0.1", 7104, {}, False, 1)
+    return builders.build_heartbeat("e4", incarnation=incarnation)
 
 
 class IncarnationTest(unittest.TestCase):
@@ -39,9 +38,6 @@
         members = machine.MembersMachine()
         self.registrar = registrar.Registrar(FakeLog(members), members, LEASE_S)
 
-    def run_virtually(self, function):
-        trio.run(function, clock=trio.testing.MockClock(autojump_threshold=0))
-
     def test_second_process_waits_until_the_first_lease_is_over(self):
         async def body():
             await self.registrar.answer_heartbeat(build_heartbeat("first"))
@@ -52,7 +48,7 @@
             answer = await self.registrar.answer_heartbeat(build_heartbeat("second"))
             self.assertGreater(answer.lease_ms, 0)
 
-        self.run_virtually(body)
+        builders.run_virtual(body)
 
     def test_first_process_gets_no_lease_beside_the_second(self):
         async def body():
@@ -62,7 +58,7 @@
             with self.assertRaises(failures.CallError):
                 await self.registrar.answer_heartbeat(build_heartbeat("first"))
 
-        self.run_virtually(body)
+        builders.run_virtual(body)
 
 
 if __name__ == "__main__":
