--- a/sedgeswitch/daemon/__main__.py
+++ b/sedgeswitch/daemon/__main__.py
@@ -25,7 +25,7 @@
 class RunCommand(command.Command):
     """Runs a daemon until it is told to stop."""
 
-    name = "run"
+    name = "sedgeswitchd"
     description = "Runs an entry host, a control host or both, by its settings."
     options = [
         option("settings", "s", "The JSON file of settings.", flag=False),
@@ -87,8 +87,8 @@
     app.add(RunCommand())
     app.auto_exits(False)
     arguments = sys.argv[1:]
-    if not arguments or arguments[0] != "run":
-        sys.argv[1:1] = ["run"]
+    if not arguments or arguments[0] != RunCommand.name:
+        sys.argv[1:1] = [RunCommand.name]
     return app.run()
 
 
