--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -149,7 +149,7 @@
         path = self._folder / f"{name}.json"
         path.parent.mkdir(parents=True, exist_ok=True)
         path.write_text(json.dumps(plain))
-        arguments = ["run", "--settings", str(path)]
+        arguments = ["--settings", str(path)]
         module = "sedgeswitch.daemon"
         if name in self._profiled:
             profile = str(self.get_profile_path(name))
--- a/examples/fleet_plan.py
+++ b/examples/fleet_plan.py
@@ -142,7 +142,7 @@
 
 def _build_daemon(plan: Plan, host: daemon_settings.Settings) -> str:
     path = plan.folder / "settings" / f"{host.host_id}.json"
-    return f"{host.host_id} sedgeswitch.daemon run --settings={path}"
+    return f"{host.host_id} sedgeswitch.daemon --settings={path}"
 
 
 def _build_instance(plan: Plan, found: Instances, item: Instance) -> list[str]:
