--- /dev/null
+++ b/benchmarks/saturation.py
@@ -0,0 +1,132 @@
+"""What callers get from an entry host beyond its capacity.
+
+Usage: ``python -m benchmarks.saturation [--check]``
+
+A closed loop finds the capacity; open loops then send 1, 2 and 4 times as much.
+Goodput counts the answers with status 200 that came before the deadline.
+"""
+
+import argparse
+import pathlib
+import tempfile
+import typing
+
+from benchmarks import service
+
+FACTORS = (1.0, 2.0, 4.0)
+CALLER_PROCESSES = 4
+CONNECTIONS = 150
+DEADLINE_MS = 1000
+POOL = {"connections_per_instance": 8}
+# Goodput past saturation, as a share of its peak.
+MIN_SHARE_OF_PEAK = 0.9
+
+
+class Load(typing.NamedTuple):
+    """What callers got at one offered rate.
+
+    Attributes
+    ----------
+    factor : float
+        Offered rate over capacity; 0 for the closed loop.
+    offered_per_s : float
+    goodput_per_s : float
+    late_per_s : float
+    skipped_per_s : float
+        Arrivals for which every connection of the callers was waiting.
+    cpu_share : float
+        Of the entry host.
+    statuses : dict of str to int
+    """
+
+    factor: float
+    offered_per_s: float
+    goodput_per_s: float
+    late_per_s: float
+    skipped_per_s: float
+    cpu_share: float
+    statuses: dict[str, int]
+
+
+def measure_load(
+    running: service.Service, factor: float, rate_per_s: float, duration_s: float
+) -> Load:
+    """Return what callers get at an offered rate; 0 for a closed loop."""
+    connections = CONNECTIONS if factor else 8
+    started = [
+        running.start_callers(
+            f"callers-{factor}-{number}",
+            *("--connections", str(connections), "--duration-s", str(duration_s)),
+            *("--rate-per-s", str(rate_per_s / CALLER_PROCESSES)),
+            *("--deadline-ms", str(DEADLINE_MS)),
+        )
+        for number in range(CALLER_PROCESSES)
+    ]
+    before_s = running.entry.read_usage().cpu_s
+    outcomes = [running.read_outcome(process) for process in started]
+    cpu_s = running.entry.read_usage().cpu_s - before_s
+    statuses: dict[str, int] = {}
+    for outcome in outcomes:
+        for status, count in outcome.statuses.items():
+            statuses[status] = statuses.get(status, 0) + count
+    elapsed_s = max(outcome.duration_s for outcome in outcomes)
+    return Load(
+        factor,
+        rate_per_s,
+        sum(outcome.answered for outcome in outcomes) / elapsed_s,
+        sum(outcome.late for outcome in outcomes) / elapsed_s,
+        sum(outcome.skipped for outcome in outcomes) / elapsed_s,
+        cpu_s / elapsed_s,
+        statuses,
+    )
+
+
+def print_load(load: Load) -> None:
+    """Print one line of the table."""
+    print(
+        f"{load.factor:>5.1f}x offered {load.offered_per_s:7.0f}/s  "
+        f"goodput {load.goodput_per_s:7.0f}/s  late {load.late_per_s:6.0f}/s  "
+        f"skipped {load.skipped_per_s:7.0f}/s  cpu {load.cpu_share * 100:5.1f} %  "
+        f"{load.statuses}",
+        flush=True,
+    )
+
+
+def run(first_port: int, duration_s: float) -> list[Load]:
+    """Return the loads, the closed loop's first."""
+    with tempfile.TemporaryDirectory() as folder:
+        running = service.Service(
+            pathlib.Path(folder), first_port, changes={"pool": POOL}
+        )
+        try:
+            running.start()
+            measure_load(running, 0.0, 0.0, 2.0)
+            loads = [measure_load(running, 0.0, 0.0, duration_s)]
+            print_load(loads[0])
+            capacity_per_s = loads[0].goodput_per_s
+            for factor in FACTORS:
+                rate_per_s = factor * capacity_per_s
+                loads.append(measure_load(running, factor, rate_per_s, duration_s))
+                print_load(loads[-1])
+        finally:
+            running.stop()
+    return loads
+
+
+def main() -> int:
+    """Print the figures; 1 if goodput falls too far below its peak."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--duration-s", type=float, default=6.0)
+    parser.add_argument("--first-port", type=int, default=30400)
+    parser.add_argument("--check", action="store_true")
+    given = parser.parse_args()
+    loads = run(given.first_port, given.duration_s)
+    peak_per_s = max(load.goodput_per_s for load in loads)
+    lowest_per_s = min(load.goodput_per_s for load in loads if load.factor > 1)
+    share = lowest_per_s / peak_per_s
+    print(f"lowest goodput past saturation: {share * 100:.0f} % of its peak")
+    return 1 if given.check and share < MIN_SHARE_OF_PEAK else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
