Keep floors true over members that a host has missed

Cause: hosts place sessions by the members that they know. (1) A host that has just started, or that jumps over versions, cannot name the homes that others still read by, and recorded at its own only. (2) A home that was removed and registered again while cut off took itself for a home all the time. (3) Such a home answered hosts that follow newer members before it heard of them. (4) A lease renewed while a query or record was on its way vouched for the homes of before. Ruled out: eviction, merged floors and the settling of new homes, which hold. Change: writes wait settle_s for buckets whose homes in between are not known; homes count such buckets as new; queries carry the version of the members; record and query count only under a lease and an unchanged placement.

--- a/sedgeswitch/sessions/floors.py
+++ b/sedgeswitch/sessions/floors.py
@@ -41,6 +41,9 @@
 class FloorStore(typing.Protocol):
     """Keeps the last position that each session has written."""
 
+    async def wait_settled(self, key: SessionKey, deadline_s: float) -> bool:
+        """Wait until a write can be recorded; False if not in time."""
+
     async def record(
         self, key: SessionKey, position: positions.Position, deadline_s: float
     ) -> bool:
@@ -56,6 +59,14 @@
     def __init__(self):
         self._floors: dict[SessionKey, positions.Position] = {}
 
+    async def wait_settled(
+        self,
+        key: SessionKey,  # noqa: ARG002
+        deadline_s: float,  # noqa: ARG002
+    ) -> bool:
+        """Return at once."""
+        return True
+
     async def record(
         self,
         key: SessionKey,
--- a/sedgeswitch/sessions/homes.py
+++ b/sedgeswitch/sessions/homes.py
@@ -3,6 +3,10 @@
 Three homes keep the last position that a session has written. A write is
 recorded on a majority of them before it is acknowledged; a read asks until a
 majority has answered that it knows. The two majorities meet in a home.
+
+A change of members changes homes. A write is recorded at the homes of before,
+too, for as long as another host may read by them. A host that cannot name them,
+because it has just started or has missed versions, waits that long instead.
 """
 
 import collections.abc
@@ -90,6 +94,8 @@
         self._placed = placement.EMPTY
         # Placements that other hosts may still read by, with their end.
         self._earlier: list[tuple[float, placement.Placement]] = []
+        # Until when other hosts may read by homes that this host never knew.
+        self._unclear_until_s: dict[int, float] = {}
         self._homes: dict[str, _Home] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -104,10 +110,32 @@
 
     def set_placement(self, placed: placement.Placement, now_s: float) -> None:
         """Follow a change of members."""
+        for bucket in placement.get_unclear_buckets(self._placed, placed):
+            self._unclear_until_s[bucket] = now_s + self._settle_s
         if self._placed.version >= 0:
             self._earlier.append((now_s + self._settle_s, self._placed))
         self._placed = placed
 
+    async def wait_settled(self, key: floors.SessionKey, deadline_s: float) -> bool:
+        """Wait until the homes that other hosts may read by are known.
+
+        Notes
+        -----
+        Without the wait a write that follows a start of this host, or a gap in
+        what it knows of the members, would run and could not be recorded in
+        time.
+
+        Returns
+        -------
+        bool
+            False if they are not known before the deadline.
+        """
+        with trio.move_on_at(deadline_s):
+            for scope in {key, key._replace(session="")}:
+                await self._wait_clear(placement.get_bucket(get_session(scope)))
+            return True
+        return False
+
     async def record(
         self, key: floors.SessionKey, position: positions.Position, deadline_s: float
     ) -> bool:
@@ -132,15 +160,16 @@
     ) -> floors.Floor:
         """Return what a majority of the homes knows of a session."""
         session = get_session(key)
-        homes = self._placed.homes[placement.get_bucket(session)]
+        placed = self._placed
+        homes = placed.homes[placement.get_bucket(session)]
         tally = _Tally(homes)
-        query = messages.FloorQuery(session, key.group)
+        query = messages.FloorQuery(session, key.group, placed.version)
         for member in homes:
             batcher = self._get_home(member.host_id).queries
             batcher.submit(query, lambda answer: tally.add(_skip_unknown(answer)))
         with trio.move_on_at(min(deadline_s, trio.current_time() + QUERY_TIMEOUT_S)):
             await tally.settled.wait()
-        is_known = tally.is_reached and self._is_lease_valid(trio.current_time())
+        is_known = tally.is_reached and self._is_current(placed, trio.current_time())
         return _merge_answers(tally.answers, is_known)
 
     async def _record_scope(
@@ -150,16 +179,29 @@
         record = messages.FloorRecord(session, key.group, *position)
         bucket = placement.get_bucket(session)
         while True:
+            await self._wait_clear(bucket)
+            placed = self._placed
             tallies = [
                 self._submit_record(homes, record)
                 for homes in self._get_home_sets(bucket, trio.current_time())
             ]
             for tally in tallies:
                 await tally.settled.wait()
-            if all(tally.is_reached for tally in tallies):
+            # Only a lease shows that nobody reads by homes unknown to this host.
+            is_current = self._is_current(placed, trio.current_time())
+            if is_current and all(tally.is_reached for tally in tallies):
                 return
             await trio.sleep(RETRY_DELAY_S)
 
+    def _is_current(self, placed: placement.Placement, now_s: float) -> bool:
+        # A lease renewed meanwhile says nothing for the homes of before.
+        return placed is self._placed and self._is_lease_valid(now_s)
+
+    async def _wait_clear(self, bucket: int) -> None:
+        while self._unclear_until_s.get(bucket, 0.0) > trio.current_time():
+            await trio.sleep_until(self._unclear_until_s[bucket])
+        self._unclear_until_s.pop(bucket, None)
+
     def _submit_record(
         self, homes: placement.Homes, record: messages.FloorRecord
     ) -> _Tally:
--- a/sedgeswitch/sessions/keeper.py
+++ b/sedgeswitch/sessions/keeper.py
@@ -51,6 +51,7 @@
         self._host_id = host_id
         self._read_primary = read_primary
         self._settle_s = settle_s
+        self._placed = placement.EMPTY
         self._ready_s: dict[int, float] = {}
         self._bases: dict[tuple[int, str], positions.Position] = {}
         self._sampled: set[tuple[int, str]] = set()
@@ -61,7 +62,16 @@
         )
 
     def set_placement(self, placed: placement.Placement, now_s: float) -> None:
-        """Follow the members: take up new buckets, leave others."""
+        """Follow the members: take up new buckets, leave others.
+
+        Notes
+        -----
+        A bucket that another host may have had in versions that this host has
+        missed counts as a new one.
+        """
+        for bucket in placement.get_unclear_buckets(self._placed, placed):
+            self._leave(bucket)
+        self._placed = placed
         for bucket, homes in enumerate(placed.homes):
             is_home = any(member.host_id == self._host_id for member in homes)
             if is_home and bucket not in self._ready_s:
@@ -83,8 +93,9 @@
     ) -> messages.QueryFloorsAnswer:
         """Answer a batch of queries."""
         now_s = trio.current_time()
-        for group in {query.group for query in request.queries}:
-            await self._sample(group, now_s)
+        async with trio.open_nursery() as nursery:
+            for group in sorted({query.group for query in request.queries}):
+                nursery.start_soon(self._sample, group, now_s)
         answers = [self._answer(query, now_s) for query in request.queries]
         return messages.QueryFloorsAnswer(answers)
 
@@ -101,7 +112,8 @@
         self._bases[bucket, group] = tokens.merge_floor(base, floor) or floor
 
     def _leave(self, bucket: int) -> None:
-        del self._ready_s[bucket]
+        if self._ready_s.pop(bucket, None) is None:
+            return
         self._bases = {
             key: base for key, base in self._bases.items() if key[0] != bucket
         }
@@ -128,6 +140,8 @@
                 self._samples[group] = _Sample(position, asked_s)
 
     def _answer(self, query: messages.FloorQuery, now_s: float) -> messages.FloorAnswer:
+        if query.members_version > self._placed.version:
+            return _UNKNOWN
         bucket = placement.get_bucket(query.session)
         base = self._get_base(bucket, query.group, now_s)
         if base is None:
--- a/sedgeswitch/sessions/messages.thrift
+++ b/sedgeswitch/sessions/messages.thrift
@@ -16,9 +16,12 @@
 struct RecordFloorsAnswer {
 }
 
+// A home that follows older members than the asking host does not answer: it may
+// have lost the bucket meanwhile without having heard of it.
 struct FloorQuery {
   1: required i64 session,
   2: required string group,
+  3: required i64 members_version,
 }
 
 struct QueryFloors {
--- a/sedgeswitch/sessions/placement.py
+++ b/sedgeswitch/sessions/placement.py
@@ -22,13 +22,15 @@
         Version of the agreed members; -1 before any is known.
     homes : tuple of Homes
         By bucket.
+    members : frozenset of machine.Member
     """
 
     version: int
     homes: tuple[Homes, ...]
+    members: frozenset[machine.Member]
 
 
-EMPTY = Placement(-1, ((),) * BUCKET_COUNT)
+EMPTY = Placement(-1, ((),) * BUCKET_COUNT, frozenset())
 
 
 def get_bucket(session: int) -> int:
@@ -53,7 +55,34 @@
     buckets get another home.
     """
     homes = tuple(_place(bucket, members) for bucket in range(BUCKET_COUNT))
-    return Placement(version, homes)
+    return Placement(version, homes, frozenset(members))
+
+
+def get_unclear_buckets(
+    earlier: Placement, placed: Placement
+) -> collections.abc.Collection[int]:
+    """Return the buckets that may have had other homes between two placements.
+
+    Notes
+    -----
+    A host that follows a later version may have missed versions in between. If
+    as many members differ as versions passed, each has changed once. Homes that
+    are the same before and after then were the same all the time.
+    """
+    if placed.version == earlier.version + 1:
+        return ()
+    differing = {member.host_id for member in earlier.members ^ placed.members}
+    if len(differing) != placed.version - earlier.version:
+        return range(BUCKET_COUNT)
+    return [
+        bucket
+        for bucket in range(BUCKET_COUNT)
+        if _list_places(earlier.homes[bucket]) != _list_places(placed.homes[bucket])
+    ]
+
+
+def _list_places(homes: Homes) -> list[tuple[str, str]]:
+    return [(member.host_id, member.availability_zone) for member in homes]
 
 
 def _place(bucket: int, members: collections.abc.Collection[machine.Member]) -> Homes:
--- /dev/null
+++ b/sedgeswitch/sessions/tests/builders.py
@@ -0,0 +1,217 @@
+"""Entry hosts that keep floors for each other, in virtual time."""
+
+import random
+
+import trio
+import trio.testing
+
+from sedgeswitch import verdicts
+from sedgeswitch.groups import positions
+from sedgeswitch.membership import machine
+from sedgeswitch.sessions import batching
+from sedgeswitch.sessions import floors
+from sedgeswitch.sessions import homes
+from sedgeswitch.sessions import keeper
+from sedgeswitch.sessions import placement
+from sedgeswitch.transport import failures
+
+LEASE_S = 2.0
+SETTLE_S = LEASE_S * 1.1
+HEARTBEAT_S = 0.5
+REMOVE_AFTER_S = 0.2
+GROUP = "draw"
+ZONES = ("bagmati", "gandaki", "koshi")
+
+
+def build_member(host_id, incarnation="1", zone=None):
+    zone = zone or ZONES[int(host_id[1:]) % len(ZONES)]
+    return machine.Member(host_id, incarnation, zone, "127.0.0.1", 1)
+
+
+def build_key(session, organisation="ward-4"):
+    return floors.SessionKey(organisation, session, GROUP)
+
+
+class Host:
+    """One incarnation of an entry host."""
+
+    def __init__(self, fleet, host_id, incarnation):
+        self.fleet = fleet
+        self.host_id = host_id
+        self.member = build_member(host_id, incarnation)
+        self.lease_until_s = float("-inf")
+        self.scope = trio.CancelScope()
+        self.keeper = keeper.FloorKeeper(host_id, self.read_primary, SETTLE_S)
+        self.floors = homes.HomeFloors(self.build_client, self.is_leased, SETTLE_S)
+
+    def is_leased(self, now_s):
+        return now_s < self.lease_until_s
+
+    def follow(self, placed, sent_s):
+        now_s = trio.current_time()
+        if placed.version > self.keeper._placed.version:
+            self.keeper.set_placement(placed, now_s)
+            self.floors.set_placement(placed, now_s)
+        self.lease_until_s = sent_s + LEASE_S
+
+    async def read_primary(self, group):  # noqa: ARG002
+        term = self.fleet.term
+        if not self.is_leased(trio.current_time()):
+            return None
+        await self.fleet.travel()
+        position = self.fleet.position
+        await self.fleet.travel()
+        is_same = term == self.fleet.term
+        return position if is_same and self.is_leased(trio.current_time()) else None
+
+    def build_client(self, host_id):
+        if host_id == self.host_id:
+            return batching.LocalHome(self.keeper)
+
+        async def call(message, timeout_s):
+            with trio.move_on_after(timeout_s):
+                return await self.fleet.deliver(host_id, message)
+            raise failures.CallError("timeout", "", verdicts.Verdict.MAY_HAVE_RUN)
+
+        return batching.RemoteHome(call)
+
+    async def run(self, *tasks):
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.floors.run)
+                nursery.start_soon(self.beat)
+                for task in tasks:
+                    nursery.start_soon(task, self)
+
+    async def beat(self):
+        while True:
+            sent_s = trio.current_time()
+            await self.fleet.travel()
+            placed = self.fleet.answer_heartbeat(self)
+            await self.fleet.travel()
+            if placed is not None and self.host_id not in self.fleet.cut:
+                self.follow(placed, sent_s)
+            await trio.sleep(HEARTBEAT_S * self.fleet.rng.random())
+
+
+class Fleet:
+    """Hosts, their agreed members and one group's primary."""
+
+    def __init__(self, seed=0, loss_share=0.0):
+        self.rng = random.Random(seed)
+        self.loss_share = loss_share
+        self.hosts = {}
+        self.cut = set()
+        self.members = {}
+        self.version = 0
+        self.counted_until_s = {}
+        self.term = 1
+        self.position = positions.Position(1, 0)
+        self.acked = {}
+        self.known = 0
+        self.wrong = []
+        self._placed = placement.build_placement(0, [])
+        self._incarnations = 0
+
+    def start_host(self, nursery, host_id, *tasks):
+        self._incarnations += 1
+        host = self.hosts[host_id] = Host(self, host_id, str(self._incarnations))
+        nursery.start_soon(host.run, *tasks)
+        return host
+
+    def stop_host(self, host_id):
+        host = self.hosts.pop(host_id, None)
+        if host is not None:
+            host.scope.cancel()
+
+    def change_members(self, *changes):
+        """Register members, or remove them by id."""
+        for change in changes:
+            if isinstance(change, str):
+                del self.members[change]
+            else:
+                self.members[change.host_id] = change
+            self.version += 1
+        members = list(self.members.values())
+        self._placed = placement.build_placement(self.version, members)
+        return self._placed
+
+    def answer_heartbeat(self, host):
+        if host.host_id in self.cut:
+            return None
+        if self.members.get(host.host_id) != host.member:
+            self.change_members(host.member)
+        until_s = trio.current_time() + LEASE_S * 1.01
+        self.counted_until_s[host.host_id] = until_s
+        return self._placed
+
+    async def remove_silent(self):
+        while True:
+            now_s = trio.current_time()
+            for host_id in list(self.members):
+                if self.counted_until_s[host_id] + REMOVE_AFTER_S < now_s:
+                    self.change_members(host_id)
+            await trio.sleep(0.05)
+
+    async def travel(self):
+        is_slow = self.rng.random() < self.loss_share
+        await trio.sleep(self.rng.uniform(0.0, 1.0 if is_slow else 0.01))
+
+    async def deliver(self, host_id, message):
+        await self.travel()
+        host = self.hosts.get(host_id)
+        if host is None or self.rng.random() < self.loss_share:
+            raise failures.CallError("lost", "", verdicts.Verdict.MAY_HAVE_RUN)
+        if hasattr(message, "records"):
+            reply = await host.keeper.answer_record(message)
+        else:
+            reply = await host.keeper.answer_query(message)
+        await self.travel()
+        return reply
+
+    def fail_over(self):
+        """Replace the primary; what was not acknowledged may be lost."""
+        self.term += 1
+        kept = [position.lsn for position in self.acked.values()]
+        lsn = max(kept, default=0)
+        if self.rng.random() < 0.5:
+            lsn = self.position.lsn
+        self.position = positions.Position(self.term, lsn)
+
+    def commit(self):
+        self.position = positions.Position(self.term, self.position.lsn + 8)
+        return self.position
+
+    async def write(self, host, key, deadline_s=4.0):
+        """Write once; return whether it was acknowledged."""
+        deadline_s += trio.current_time()
+        term = self.term
+        if not await host.floors.wait_settled(key, deadline_s):
+            return False
+        if term != self.term or not host.is_leased(trio.current_time()):
+            return False
+        position = self.commit()
+        is_recorded = await host.floors.record(key, position, deadline_s)
+        await self.travel()
+        is_leased = host.is_leased(trio.current_time())
+        if not is_recorded or term != self.term or not is_leased:
+            return False
+        for scope in (key, key._replace(session="")):
+            known = self.acked.get(scope, position)
+            self.acked[scope] = max(known, position)
+        return True
+
+    async def read(self, host, key):
+        """Ask for a floor; note it if it misses an acknowledged write."""
+        expected = self.acked.get(key)
+        floor = await host.floors.get_floor(key, trio.current_time() + 1.0)
+        if not floor.is_known:
+            return floor
+        self.known += 1
+        is_low = floor.position is None or not positions.has_reached(
+            floor.position, expected or positions.Position(0, 0)
+        )
+        if is_low:
+            now_s = trio.current_time()
+            self.wrong.append((now_s, host.host_id, key, floor.position, expected))
+        return floor
--- /dev/null
+++ b/sedgeswitch/sessions/tests/test_homes.py
@@ -0,0 +1,218 @@
+"""A floor is at least the session's last acknowledged write, or unknown."""
+
+import unittest
+import unittest.mock
+
+import trio
+import trio.testing
+
+from sedgeswitch.sessions import homes
+from sedgeswitch.sessions import keeper
+from sedgeswitch.sessions import messages
+from sedgeswitch.sessions import placement
+from sedgeswitch.sessions import tokens
+from sedgeswitch.sessions.tests import builders
+
+SEEDS = range(8)
+HOST_COUNT = 6
+SCENARIO_S = 40.0
+KEYS = [
+    builders.build_key(session, organisation)
+    for organisation in ("ward-4", "ward-5")
+    for session in ("", "h1", "h2", "h3")
+]
+
+
+def run_virtual(function, *arguments):
+    return trio.run(
+        function, *arguments, clock=trio.testing.MockClock(autojump_threshold=0)
+    )
+
+
+async def serve_callers(host):
+    fleet = host.fleet
+
+    async def write():
+        while True:
+            await fleet.write(host, fleet.rng.choice(KEYS))
+            await trio.sleep(fleet.rng.uniform(0.0, 2.0))
+
+    async def read():
+        while True:
+            await fleet.read(host, fleet.rng.choice(KEYS))
+            await trio.sleep(fleet.rng.uniform(0.0, 0.2))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(write)
+        nursery.start_soon(read)
+
+
+async def disturb(fleet, nursery):
+    async def cut(host_id):
+        fleet.cut.add(host_id)
+        await trio.sleep(fleet.rng.uniform(0.1, 6.0))
+        fleet.cut.discard(host_id)
+
+    async def restart(host_id):
+        fleet.stop_host(host_id)
+        await trio.sleep(fleet.rng.uniform(0.0, 5.0))
+        if host_id not in fleet.hosts:
+            fleet.start_host(nursery, host_id, serve_callers)
+
+    async def fail_over(host_id):  # noqa: ARG001
+        fleet.fail_over()
+
+    while True:
+        await trio.sleep(fleet.rng.uniform(0.1, 4.0))
+        fault = fleet.rng.choice([cut, cut, restart, fail_over])
+        nursery.start_soon(fault, f"e{fleet.rng.randrange(HOST_COUNT)}")
+
+
+async def run_history(seed):
+    fleet = builders.Fleet(seed, loss_share=0.02)
+    with trio.move_on_after(SCENARIO_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.remove_silent)
+            for place in range(HOST_COUNT):
+                fleet.start_host(nursery, f"e{place}", serve_callers)
+            nursery.start_soon(disturb, fleet, nursery)
+    return fleet
+
+
+class HistoryTest(unittest.TestCase):
+    def test_floor_is_never_below_an_acknowledged_write(self):
+        with unittest.mock.patch.object(keeper, "MAX_SESSIONS", 3):
+            for seed in SEEDS:
+                fleet = run_virtual(run_history, seed)
+                self.assertFalse(fleet.wrong, f"seed {seed}: {fleet.wrong[:3]}")
+                self.assertGreater(fleet.known, 100, f"seed {seed}")
+                self.assertGreater(len(fleet.acked), 5, f"seed {seed}")
+
+
+class Quiet:
+    """A fleet whose members change only when the test says so."""
+
+    def __init__(self):
+        self.fleet = builders.Fleet()
+        self.fleet.cut.add("e1")
+        self.home = builders.Host(self.fleet, "e1", "1")
+        self.session = homes.get_session(KEYS[1])
+        self.bucket = placement.get_bucket(self.session)
+
+    def follow(self, *changes):
+        placed = self.fleet.change_members(*changes)
+        self.home.follow(placed, trio.current_time())
+
+    async def ask(self, version):
+        query = messages.FloorQuery(self.session, builders.GROUP, version)
+        request = messages.QueryFloors([query])
+        return (await self.home.keeper.answer_query(request)).answers[0]
+
+
+class HomeTest(unittest.TestCase):
+    def test_home_does_not_answer_a_host_that_follows_newer_members(self):
+        async def run():
+            quiet = Quiet()
+            quiet.follow(quiet.home.member)
+            await trio.sleep(builders.SETTLE_S)
+            quiet.home.lease_until_s = trio.current_time() + 1.0
+            return await quiet.ask(1), await quiet.ask(2)
+
+        known, unknown = run_virtual(run)
+        self.assertTrue(known.is_known)
+        self.assertFalse(unknown.is_known)
+
+    def test_home_that_missed_versions_counts_as_new(self):
+        async def run():
+            quiet = Quiet()
+            quiet.follow(quiet.home.member)
+            await trio.sleep(builders.SETTLE_S)
+            quiet.fleet.commit()
+            # Removed and registered again: others were the homes in between.
+            quiet.fleet.change_members("e1")
+            quiet.follow(quiet.home.member)
+            early = await quiet.ask(quiet.fleet.version)
+            quiet.home.lease_until_s = trio.current_time() + 3.0
+            await trio.sleep(builders.SETTLE_S)
+            return early, await quiet.ask(quiet.fleet.version)
+
+        early, late = run_virtual(run)
+        self.assertFalse(early.is_known)
+        self.assertEqual(late.lsn, 8)
+
+    def test_write_on_a_host_that_has_just_started_waits(self):
+        async def run():
+            fleet = builders.Fleet()
+            async with trio.open_nursery() as nursery:
+                for place in range(4):
+                    fleet.start_host(nursery, f"e{place}")
+                await trio.sleep(2 * builders.SETTLE_S)
+                host = fleet.start_host(nursery, "e4")
+                await trio.sleep(0.1)
+                started_s = trio.current_time()
+                is_soon = await host.floors.wait_settled(KEYS[1], started_s + 0.5)
+                is_acked = await fleet.write(host, KEYS[1])
+                waited_s = trio.current_time() - started_s
+                nursery.cancel_scope.cancel()
+            return is_soon, is_acked, waited_s
+
+        is_soon, is_acked, waited_s = run_virtual(run)
+        self.assertFalse(is_soon)
+        self.assertTrue(is_acked)
+        self.assertGreater(waited_s, builders.SETTLE_S - 0.2)
+
+    def test_dropped_entry_is_covered_by_its_bucket(self):
+        async def run():
+            quiet = Quiet()
+            quiet.follow(quiet.home.member)
+            await trio.sleep(builders.SETTLE_S)
+            quiet.home.lease_until_s = trio.current_time() + 1.0
+            sessions = range(5)
+            record = messages.FloorRecord(quiet.session, builders.GROUP, 1, 80)
+            others = [
+                messages.FloorRecord(session, builders.GROUP, 1, 90)
+                for session in sessions
+            ]
+            await quiet.home.keeper.answer_record(
+                messages.RecordFloors([record, *others])
+            )
+            return await quiet.ask(1)
+
+        with unittest.mock.patch.object(keeper, "MAX_SESSIONS", 2):
+            self.assertEqual(run_virtual(run).lsn, 80)
+
+
+class PlacementTest(unittest.TestCase):
+    def test_clear_buckets_had_the_same_homes_all_the_time(self):
+        fleet = builders.Fleet(seed=3)
+        for place in range(9):
+            fleet.change_members(builders.build_member(f"e{place}"))
+        before = fleet.change_members(builders.build_member("e9"))
+        steps = ["e3", builders.build_member("e10"), "e7", builders.build_member("e11")]
+        between = [fleet.change_members(step) for step in steps]
+        unclear = set(placement.get_unclear_buckets(before, between[-1]))
+        self.assertTrue(0 < len(unclear) < placement.BUCKET_COUNT)
+        for bucket in set(range(placement.BUCKET_COUNT)) - unclear:
+            for placed in between:
+                self.assertEqual(placed.homes[bucket], before.homes[bucket])
+
+    def test_member_that_left_and_returned_makes_every_bucket_unclear(self):
+        fleet = builders.Fleet()
+        before = fleet.change_members(builders.build_member("e0"))
+        after = fleet.change_members("e0", builders.build_member("e0"))
+        unclear = placement.get_unclear_buckets(before, after)
+        self.assertEqual(len(unclear), placement.BUCKET_COUNT)
+
+
+class TokensTest(unittest.TestCase):
+    def test_merged_floor_is_at_least_as_high_as_both(self):
+        merged = tokens.merge_floor(
+            tokens.decode_token("draw:2:10")["draw"],
+            tokens.decode_token("draw:1:ff")["draw"],
+        )
+        self.assertEqual(tokens.encode_token({"draw": merged}), "draw:2:ff")
+
+    def test_wrong_token_is_refused(self):
+        for token in ("draw", "draw:-1:0", "draw:1:g", "dr aw:1:1", "draw:1_0:1"):
+            with self.subTest(token=token), self.assertRaises(ValueError):
+                tokens.decode_token(token)
