Pass over a replica that has no position yet

Cause: a replica that has replayed nothing tells NULL for its position; the CheckError left the polling task and ended the whole daemon, or a read's request with a 500.

--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -16,6 +16,7 @@
 from sedgeswitch.pools import shares
 from sedgeswitch.routing import candidates
 from sedgeswitch.routing import policies
+from sedgeswitch.utils import checks
 
 SAME_ZONE_DISTANCE_S = 0.0005
 OTHER_ZONE_DISTANCE_S = 0.02
@@ -182,7 +183,14 @@
     base.DriverError
         If the instance does not tell.
     """
-    state = instances.decode_state(await pooled.execute(instances.STATE_QUERY))
+    rows = await pooled.execute(instances.STATE_QUERY)
+    try:
+        state = instances.decode_state(rows)
+    except checks.CheckError as error:
+        # A replica that has replayed nothing yet has no position.
+        raise base.DriverError(
+            "", str(error), verdicts.Verdict.NOT_RUN, is_lost=False
+        ) from error
     pooled.position = state.position
     return state.position
 
