Tell the truth about writes that were tried more than once

Cause: (1) a write with a key whose first try may have run was refused with the verdict of its last try, not_run; (2) a deadline that passed before anything was sent, in a queue or without a primary, was answered may_have_run, as the outer of two scopes with one deadline won; (3) two first uses of the ledger at once refused one of them (23505); (4) connecting to a frozen primary was not given up when its term ended; (5) the position for the caller kept the timeline that the instance told, not the term's; (6) ledger rows stayed for ever. Change: the verdict covers all tries; acquiring is interruptible; rows carry created_s, and at most 1000 older than 7 days are deleted a minute and host. Writes also wait until their floor can be recorded. Ruled out: lost answers at each statement, crossed resends on two hosts and a failover between had one effect each before, too.

--- a/sedgeswitch/idempotency/ledger.py
+++ b/sedgeswitch/idempotency/ledger.py
@@ -14,14 +14,19 @@
 
 TABLE = "sedgeswitch_requests"
 UNDEFINED_TABLE = "42P01"
+RETENTION_S = 7 * 24 * 3600
+MAX_EXPIRED = 1000
 
 CREATE_SQL = (
     f"CREATE TABLE IF NOT EXISTS {TABLE} ("
     "organisation text NOT NULL, request_id text NOT NULL, digest text NOT NULL, "
-    "answer text, PRIMARY KEY (organisation, request_id))"
+    "answer text, created_s bigint NOT NULL, "
+    "PRIMARY KEY (organisation, request_id))"
 )
+CREATE_INDEX_SQL = f"CREATE INDEX IF NOT EXISTS {TABLE}_created ON {TABLE} (created_s)"
 CLAIM_SQL = (
-    f"INSERT INTO {TABLE} (organisation, request_id, digest) VALUES ($1, $2, $3) "
+    f"INSERT INTO {TABLE} (organisation, request_id, digest, created_s) "
+    "VALUES ($1, $2, $3, $4) "
     "ON CONFLICT (organisation, request_id) DO NOTHING"
 )
 FIND_SQL = (
@@ -30,7 +35,15 @@
 SETTLE_SQL = (
     f"UPDATE {TABLE} SET answer = $3 WHERE organisation = $1 AND request_id = $2"
 )
+EXPIRE_SQL = (
+    f"DELETE FROM {TABLE} WHERE (organisation, request_id) IN "
+    f"(SELECT organisation, request_id FROM {TABLE} WHERE created_s < $1 "
+    f"LIMIT {MAX_EXPIRED})"
+)
 _CLAIMED = "INSERT 0 1"
+_CONFLICT = "40001"
+# Two sessions that create one table at once: one of them may get either.
+_CREATED_MEANWHILE = ("23505", "42P07")
 
 
 class RequestId(typing.NamedTuple):
@@ -64,9 +77,34 @@
     return hashlib.sha256(msgspec.json.encode([sql, list(parameters)])).hexdigest()
 
 
-async def claim(executor: Executor, request: RequestId) -> base.Rows | None:
+async def create_table(executor: Executor) -> None:
+    """Create the ledger's table unless it is there.
+
+    Raises
+    ------
+    base.DriverError
+        If the server refuses or is lost.
+    """
+    try:
+        await executor.execute(CREATE_SQL)
+        await executor.execute(CREATE_INDEX_SQL)
+    except base.DriverError as error:
+        if error.is_lost or error.sqlstate not in _CREATED_MEANWHILE:
+            raise
+
+
+async def claim(
+    executor: Executor, request: RequestId, unix_s: float
+) -> base.Rows | None:
     """Claim a request within the transaction that will run it.
 
+    Parameters
+    ----------
+    executor : Executor
+    request : RequestId
+    unix_s : float
+        Time of the claim, in seconds since 1970.
+
     Returns
     -------
     base.Rows or None
@@ -80,10 +118,17 @@
     verdicts.RefusedError
         422 if the id was used for another statement.
     """
-    claimed = await executor.execute(CLAIM_SQL, request)
+    claimed = await executor.execute(CLAIM_SQL, (*request, str(int(unix_s))))
     if claimed.status == _CLAIMED:
         return None
     found = await executor.execute(FIND_SQL, request[:2])
+    if not found.rows:
+        raise base.DriverError(
+            _CONFLICT,
+            "the first run expired meanwhile",
+            verdicts.Verdict.NOT_RUN,
+            False,
+        )
     digest, answer = found.rows[0]
     if digest != request.digest:
         raise verdicts.build_not_run(
@@ -100,6 +145,23 @@
     await executor.execute(SETTLE_SQL, (*request[:2], answer))
 
 
+async def expire(executor: Executor, unix_s: float) -> None:
+    """Delete the oldest claims, at most `MAX_EXPIRED`, after `RETENTION_S`.
+
+    Parameters
+    ----------
+    executor : Executor
+    unix_s : float
+        Present time, in seconds since 1970.
+
+    Raises
+    ------
+    base.DriverError
+        If the server refuses or is lost.
+    """
+    await executor.execute(EXPIRE_SQL, (str(int(unix_s - RETENTION_S)),))
+
+
 def _decode_answer(answer: str) -> base.Rows:
     columns, rows, status = msgspec.json.decode(answer)
     return base.Rows(tuple(columns), [tuple(row) for row in rows], status)
--- a/sedgeswitch/statements/service.py
+++ b/sedgeswitch/statements/service.py
@@ -108,10 +108,7 @@
         seen: dict[str, positions.Position],
     ) -> tuple[requests.Answer, dict[str, positions.Position]]:
         if statement.access == requests.WRITE:
-            outcome = await run_before(
-                statement.deadline_s, self._writer.run, work, statement
-            )
-            answer, position = outcome
+            answer, position = await self._writer.run(work, statement)
             return answer, tokens.add_floor(seen, statement.group, position)
         floor = await self._get_floor(work, statement, seen)
         answer = await run_before(
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -13,6 +13,7 @@
 from sedgeswitch.groups import table
 from sedgeswitch.observability import traces
 from sedgeswitch.pools import transactions
+from sedgeswitch.sessions import floors
 from sedgeswitch.sessions import tokens
 from sedgeswitch.statements import authorisation
 from sedgeswitch.statements import backends
@@ -184,6 +185,8 @@
         seen: dict[str, positions.Position],
         expires_s: float,
     ) -> transactions.Transaction:
+        key = floors.SessionKey(work.organisation, session, work.group)
+        await self._parts.floors.wait_settled(key, expires_s)
         permit = await self._parts.groups.wait_serving(work.group, expires_s)
         server = primaries.get_primary(permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
@@ -233,7 +236,7 @@
         position = await service.run_before(
             deadline_s, self._commit_and_read, transaction
         )
-        await self._writer.acknowledge(
+        position = await self._writer.acknowledge(
             kept.permit, kept.work, kept.session, position, deadline_s
         )
         seen = tokens.add_floor(kept.seen, kept.work.group, position)
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -1,7 +1,10 @@
 """Writes: on the primary, under a lease, answered once enough replicas have them."""
 
+import collections.abc
+import time
 import typing
 
+import loguru
 import trio
 
 from sedgeswitch import verdicts
@@ -22,6 +25,9 @@
 
 RETRY_DELAY_S = 0.05
 POLL_TIMEOUT_S = 0.5
+# How often a host that writes to a group with keys cleans the group's ledger.
+EXPIRE_INTERVAL_S = 60.0
+EXPIRE_TIMEOUT_S = 5.0
 _READ_ONLY = "25006"
 _GROUP_SETTINGS = settings.GroupSettings()
 
@@ -40,16 +46,69 @@
     position: positions.Position
 
 
+class _Tries:
+    """What the tries of one write have come to.
+
+    Attributes
+    ----------
+    current : verdicts.Verdict
+        Whether the try that runs now may have run.
+    is_committed : bool
+        Whether the try that runs now has been committed by the primary.
+    """
+
+    def __init__(self):
+        self.current = verdicts.Verdict.NOT_RUN
+        self.is_committed = False
+        self._earlier = verdicts.Verdict.NOT_RUN
+
+    @property
+    def verdict(self) -> verdicts.Verdict:
+        """Whether any try may have run."""
+        if verdicts.Verdict.MAY_HAVE_RUN in (self.current, self._earlier):
+            return verdicts.Verdict.MAY_HAVE_RUN
+        return verdicts.Verdict.NOT_RUN
+
+    def note_sending(self) -> None:
+        """Note that the current try sends its statement."""
+        self.current = verdicts.Verdict.MAY_HAVE_RUN
+
+    def note_end(self, refusal: verdicts.Refusal) -> None:
+        """Note that the current try was refused."""
+        self.current = verdicts.Verdict.NOT_RUN
+        self.is_committed = False
+        if refusal.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+            self._earlier = verdicts.Verdict.MAY_HAVE_RUN
+
+    def build_late(self) -> verdicts.RefusedError:
+        """Return the refusal of a write whose deadline has passed."""
+        if self.is_committed:
+            return refusals.build_not_replicated()
+        return refusals.build_deadline_passed(self.verdict)
+
+    def build_final(self, refusal: verdicts.Refusal) -> verdicts.RefusedError:
+        """Return the refusal for the caller, who knows nothing of the tries."""
+        return verdicts.RefusedError(refusal._replace(verdict=self.verdict))
+
+
 class Writer:
     """Runs writes.
 
     Parameters
     ----------
     parts : context.Parts
+    get_unix_s : callable, optional
+        Returns the time in seconds since 1970, by which ledger rows expire.
     """
 
-    def __init__(self, parts: context.Parts):
+    def __init__(
+        self,
+        parts: context.Parts,
+        get_unix_s: collections.abc.Callable[[], float] = time.time,
+    ):
         self._parts = parts
+        self._get_unix_s = get_unix_s
+        self._expire_due_s: dict[str, float] = {}
         self._interrupter = interruption.Interrupter(parts.groups)
         self._waiters: dict[str, acknowledgement.AckWaiter] = {}
         self._nursery: trio.Nursery | None = None
@@ -74,13 +133,27 @@
             With a verdict that says whether the write may have run.
         """
         self._parts.observations.note_use(work.group, trio.current_time())
+        tries = _Tries()
+        try:
+            with trio.move_on_at(statement.deadline_s):
+                return await self._run_until_done(work, statement, tries)
+        except verdicts.RefusedError as error:
+            raise tries.build_final(error.refusal) from error
+        raise tries.build_late()
+
+    async def _run_until_done(
+        self, work: context.Work, statement: requests.Statement, tries: "_Tries"
+    ) -> tuple[requests.Answer, positions.Position]:
+        key = floors.SessionKey(work.organisation, statement.session, work.group)
         while True:
+            await self._parts.floors.wait_settled(key, statement.deadline_s)
             permit = await self._parts.groups.wait_serving(
                 work.group, statement.deadline_s
             )
             try:
-                return await self._run_under(permit, work, statement)
+                return await self._run_under(permit, work, statement, tries)
             except verdicts.RefusedError as error:
+                tries.note_end(error.refusal)
                 if not self._may_retry(error.refusal, statement):
                     raise
             await trio.sleep(RETRY_DELAY_S)
@@ -92,9 +165,14 @@
         session: str,
         position: positions.Position,
         deadline_s: float,
-    ) -> None:
+    ) -> positions.Position:
         """Wait until a committed write may be answered as done.
 
+        Returns
+        -------
+        positions.Position
+            Position of the write, for its caller.
+
         Raises
         ------
         verdicts.RefusedError
@@ -110,31 +188,64 @@
             raise refusals.build_not_replicated()
         if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
             raise refusals.build_lease_lost(verdicts.Verdict.MAY_HAVE_RUN)
+        return position
 
     async def _run_under(
         self,
         permit: table.WritePermit,
         work: context.Work,
         statement: requests.Statement,
+        tries: "_Tries",
     ) -> tuple[requests.Answer, positions.Position]:
         server = primaries.get_primary(permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
-        pooled = await connections.acquire(work.organisation, statement.deadline_s)
+        pooled = None
         try:
-            # The wait for a connection may have outlasted the lease.
-            if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
-                raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+            # A frozen primary holds up connecting as well as statements.
             with self._interrupter.interruptible(permit) as scope:
-                written = await _write(pooled, work, statement)
+                pooled = await connections.acquire(
+                    work.organisation, statement.deadline_s
+                )
+                # The wait for a connection may have outlasted the lease.
+                if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
+                    raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+                tries.note_sending()
+                unix_s = self._get_unix_s()
+                written = await _write(pooled, work, statement, unix_s)
         finally:
-            await connections.release(pooled, trio.current_time())
+            if pooled is not None:
+                await connections.release(pooled, trio.current_time())
         if scope.cancelled_caught:
-            raise refusals.build_lease_lost(verdicts.Verdict.MAY_HAVE_RUN)
-        await self.acknowledge(
+            raise refusals.build_lease_lost(tries.current)
+        tries.is_committed = True
+        position = await self.acknowledge(
             permit, work, statement.session, written.position, statement.deadline_s
         )
+        if statement.idempotency_key:
+            self._clean_ledger(work, connections)
         answer = requests.Answer(*written.rows, server.instance, False)
-        return answer, written.position
+        return answer, position
+
+    def _clean_ledger(self, work: context.Work, connections: pool.InstancePool) -> None:
+        now_s = trio.current_time()
+        if now_s < self._expire_due_s.get(work.group, now_s):
+            return
+        self._expire_due_s[work.group] = now_s + EXPIRE_INTERVAL_S
+        self._nursery.start_soon(self._expire, work.organisation, connections)
+
+    async def _expire(self, organisation: str, connections: pool.InstancePool) -> None:
+        deadline_s = trio.current_time() + EXPIRE_TIMEOUT_S
+        try:
+            pooled = await connections.acquire(organisation, deadline_s)
+        except verdicts.RefusedError:
+            return
+        try:
+            with trio.move_on_at(deadline_s):
+                await ledger.expire(pooled, self._get_unix_s())
+        except base.DriverError as error:
+            loguru.logger.warning("the ledger was not cleaned: {}", error)
+        finally:
+            await connections.release(pooled, trio.current_time())
 
     def _may_retry(
         self, refusal: verdicts.Refusal, statement: requests.Statement
@@ -188,12 +299,15 @@
 
 
 async def _write(
-    pooled: pool.PooledConnection, work: context.Work, statement: requests.Statement
+    pooled: pool.PooledConnection,
+    work: context.Work,
+    statement: requests.Statement,
+    unix_s: float,
 ) -> Written:
     """Commit a write and learn a position that covers it."""
     try:
         if statement.idempotency_key:
-            rows = await _write_once(pooled, work, statement)
+            rows = await _write_once(pooled, work, statement, unix_s)
         else:
             rows = await pooled.execute(statement.sql, statement.parameters)
     except base.DriverError as error:
@@ -207,29 +321,33 @@
 
 
 async def _write_once(
-    pooled: pool.PooledConnection, work: context.Work, statement: requests.Statement
+    pooled: pool.PooledConnection,
+    work: context.Work,
+    statement: requests.Statement,
+    unix_s: float,
 ) -> base.Rows:
     digest = ledger.build_digest(statement.sql, statement.parameters)
     request = ledger.RequestId(work.organisation, statement.idempotency_key, digest)
     try:
-        return await _run_claimed(pooled, request, statement)
+        return await _run_claimed(pooled, request, statement, unix_s)
     except base.DriverError as error:
         if error.sqlstate != ledger.UNDEFINED_TABLE or error.is_lost:
             raise
-    await pooled.execute(ledger.CREATE_SQL)
-    return await _run_claimed(pooled, request, statement)
+    await ledger.create_table(pooled)
+    return await _run_claimed(pooled, request, statement, unix_s)
 
 
 async def _run_claimed(
     pooled: pool.PooledConnection,
     request: ledger.RequestId,
     statement: requests.Statement,
+    unix_s: float,
 ) -> base.Rows:
     """Run a statement and its ledger row in one transaction."""
     await pooled.execute("BEGIN")
     is_committed = False
     try:
-        earlier = await ledger.claim(pooled, request)
+        earlier = await ledger.claim(pooled, request, unix_s)
         if earlier is not None:
             return earlier
         rows = await pooled.execute(statement.sql, statement.parameters)
