Do not let a frozen or superseded replica answer or hold up a read

Cause: acquiring a connection resets one of another organisation, for up to 2 s whatever the share of time a replica may take; and the timeline was checked before the read ran only, so that a replica on an abandoned timeline could answer after a failover. Change: acquiring counts against the replica's share; the timeline is checked again after the read. Also adds the measurement of routing policies.

--- /dev/null
+++ b/sedgeswitch/routing/tests/measure_policies.py
@@ -0,0 +1,159 @@
+"""Measure the delay of reads under each routing policy, in virtual time.
+
+Run as ``python -m sedgeswitch.routing.tests.measure_policies``.
+"""
+
+import random
+import statistics
+import sys
+import typing
+
+import trio
+import trio.testing
+
+from sedgeswitch.routing import policies
+from sedgeswitch.statements.tests import builders
+
+ZONES = ("koshi", "gandaki", "bagmati")
+SAME_ZONE_S = 0.001
+OTHER_ZONE_S = 0.02
+CONNECT_S = 0.01
+SERVICE_S = 0.005
+SLOTS = 3
+CAPACITY = 20
+RUN_S = 60.0
+DEADLINE_S = 5.0
+P99_INDEX = 98
+
+
+class Scenario(typing.NamedTuple):
+    """A load on a group.
+
+    Attributes
+    ----------
+    name : str
+    rate_per_s : float
+        Reads of each entry host.
+    slow_factor : float
+        How much longer one of the two replicas takes.
+    """
+
+    name: str
+    rate_per_s: float
+    slow_factor: float = 1.0
+
+
+SCENARIOS = (
+    Scenario("light", 50.0),
+    Scenario("heavy", 170.0),
+    Scenario("slow replica", 100.0, 8.0),
+)
+
+
+class Outcome(typing.NamedTuple):
+    """What the reads of one run have come to."""
+
+    mean_ms: float
+    p99_ms: float
+    replica_share: float
+
+
+class ZoneConnection(builders.Connection):
+    """A connection whose server is some way off and has few slots."""
+
+    def __init__(self, instance, distance_s):
+        super().__init__(instance)
+        self._distance_s = distance_s
+
+    async def execute(self, sql, parameters=()):
+        """Run a statement after the way there, in a slot."""
+        await trio.sleep(self._distance_s)
+        if sql == builders.READ_SQL:
+            async with self.instance.slots:
+                await trio.sleep(self.instance.draw_service_s())
+        return await super().execute(sql, parameters)
+
+
+class ZoneDriver(typing.NamedTuple):
+    """Connects from one availability zone."""
+
+    group: builders.Group
+    zone: str
+
+    async def connect(self, target, timeout_s):  # noqa: ARG002
+        """Open a connection."""
+        instance = self.group.instances[target.port]
+        is_near = instance.zone == self.zone
+        distance_s = SAME_ZONE_S if is_near else OTHER_ZONE_S
+        await trio.sleep(distance_s + CONNECT_S)
+        return ZoneConnection(instance, distance_s)
+
+
+class ZoneGroup(builders.Group):
+    """A group with one instance in each availability zone."""
+
+    def __init__(self, slow_factor, rng):
+        super().__init__()
+        for instance, zone in zip(self.instances, ZONES, strict=True):
+            factor = slow_factor if zone == ZONES[1] else 1.0
+            instance.zone = zone
+            instance.latency_s = 0.0
+            instance.slots = trio.Semaphore(SLOTS)
+            instance.draw_service_s = lambda mean_s=SERVICE_S * factor: rng.expovariate(
+                1 / mean_s
+            )
+
+    def build_driver(self, zone):
+        """Return the driver of an entry host in a zone."""
+        return ZoneDriver(self, zone)
+
+
+def measure(policy, scenario, seed=1):
+    """Return the outcome of a run."""
+    answers = []
+
+    async def read(host):
+        started_s = trio.current_time()
+        answer = await host.read(deadline_s=DEADLINE_S)
+        answers.append((trio.current_time() - started_s, answer.replica))
+
+    async def run():
+        rng = random.Random(seed)
+        group = ZoneGroup(scenario.slow_factor, rng)
+        hosts = [
+            builders.Host(group, CAPACITY, seed, zone, policy=policy) for zone in ZONES
+        ]
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end_s:
+                rate_per_s = scenario.rate_per_s * len(hosts)
+                await trio.sleep(rng.expovariate(rate_per_s))
+                nursery.start_soon(read, rng.choice(hosts))
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    end_s = clock.current_time() + RUN_S
+    trio.run(run, clock=clock)
+    delays_ms = [1000 * delay_s for delay_s, _ in answers]
+    replicas = sum(is_replica for _, is_replica in answers)
+    p99_ms = statistics.quantiles(delays_ms, n=100)[P99_INDEX]
+    return Outcome(statistics.fmean(delays_ms), p99_ms, replicas / len(answers))
+
+
+def main():
+    """Write a table of all policies and scenarios."""
+    names = ("load", "policy", "mean ms", "p99 ms", "by replicas")
+    write_row(names)
+    write_row(["---"] * len(names))
+    for scenario in SCENARIOS:
+        for policy in policies.list_policies():
+            outcome = measure(policy, scenario)
+            delays = [f"{outcome.mean_ms:.1f}", f"{outcome.p99_ms:.1f}"]
+            write_row([scenario.name, policy, *delays, f"{outcome.replica_share:.0%}"])
+
+
+def write_row(cells):
+    """Write one row of a table."""
+    sys.stdout.write("| " + " | ".join(cells) + " |\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -107,27 +107,41 @@
         # A replica that has just frozen must leave time for another.
         now_s = trio.current_time()
         until_s = now_s + (statement.deadline_s - now_s) * REPLICA_TIME_SHARE
-        rows = None
-        try:
-            pooled = await connections.acquire(work.organisation, until_s)
-        except verdicts.RefusedError:
-            return None
+        rows = pooled = None
         try:
             with trio.move_on_at(until_s):
+                pooled = await connections.acquire(work.organisation, until_s)
                 if await _has_reached(pooled, required):
                     rows = await pooled.execute(statement.sql, statement.parameters)
+        except verdicts.RefusedError:
+            return None
         except base.DriverError as error:
-            if error.is_lost:
+            if error.is_lost or not error.sqlstate:
                 return None
             raise refusals.build_driver_refusal(error) from error
         finally:
-            await connections.release(pooled, trio.current_time())
-        # The data have aged while the statement waited and ran.
-        view = self._get_views(work.group).get(server.instance)
-        if rows is None or not _is_fresh(view, statement.max_age_ms):
+            if pooled is not None:
+                await connections.release(pooled, trio.current_time())
+        if rows is None or not self._may_answer(work, statement, pooled, server):
             return None
         return requests.Answer(*rows, server.instance, True)
 
+    def _may_answer(
+        self,
+        work: context.Work,
+        statement: requests.Statement,
+        pooled: pool.PooledConnection,
+        server: directory.BackendServer,
+    ) -> bool:
+        """Return whether a replica's answer still holds, after it has run.
+
+        The data have aged meanwhile, and the group may have left the timeline.
+        """
+        view = self._get_views(work.group).get(server.instance)
+        timeline = self._parts.groups.get_group(work.group).timeline
+        is_current = pooled.position.timeline >= timeline
+        return is_current and _is_fresh(view, statement.max_age_ms)
+
     async def _run_on_primary(
         self, work: context.Work, statement: requests.Statement
     ) -> requests.Answer:
@@ -156,13 +170,18 @@
     ) -> base.Rows | None:
         """Return the rows, None if the permit's term has ended meanwhile."""
         connections = self._parts.backends.get_pool(server, work.database)
-        pooled = await connections.acquire(work.organisation, statement.deadline_s)
+        pooled = None
         try:
+            # A frozen primary holds up connecting as well as statements.
             with self._interrupter.interruptible(permit):
+                pooled = await connections.acquire(
+                    work.organisation, statement.deadline_s
+                )
                 return await _execute_read_only(pooled, statement)
             return None
         finally:
-            await connections.release(pooled, trio.current_time())
+            if pooled is not None:
+                await connections.release(pooled, trio.current_time())
 
 
 async def _execute_read_only(
