Keep pools within a share from the moment that it shrinks

Causes, each with a test: - a smaller share reached the pools up to 0.1 s later, and the host could report to keep within it before that, so that another host got the room while this one still opened connections (test_shares); - a share that shrank and then grew a little was reported as kept although open connections were still beyond it (test_shares); - a request that had its slot before the pool shrank still opened a connection afterwards (test_pool.ShrinkTest). Change: pools are limited inside receive_answer, surplus idle connections are closed by the maintenance task as before; the host reports the larger share until its connections fit; a request without room for a connection queues again. Proof besides: 25 random histories with cancellation at any point (slots, open count, sessions); 6 histories of lost hosts, answers, leases and leaders over real hearts and registrars.

--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -295,7 +295,7 @@
             }
             if not self.heart.is_lease_valid(trio.current_time()):
                 self.backends.share.drop()
-            await self.backends.follow_share()
+            await self.backends.close_surplus()
             await self.backends.close_idle(left_alone, trio.current_time())
             self._metrics.flush()
             await trio.sleep(MAINTENANCE_INTERVAL_S)
--- a/sedgeswitch/membership/tests/builders.py
+++ b/sedgeswitch/membership/tests/builders.py
@@ -80,6 +80,7 @@
     def __init__(self, seed, entry_count=4, control_count=2, loss=0.1):
         self.rng = random.Random(seed)
         self.loss = loss
+        self.delays_s = [0.001, 0.01, 0.05, 0.4, 1.5]
         self.members = machine.MembersMachine()
         self.logs = [FakeLog(self.members, self.rng) for _ in range(control_count)]
         self.registrars = [
@@ -102,8 +103,14 @@
         self.leader = (self.leader + 1) % len(self.logs)
         self.logs[self.leader].term = term + 1
 
+    def calm_down(self):
+        """Lose and delay nothing any more."""
+        self.cut = set()
+        self.loss = 0.0
+        self.delays_s = [0.001, 0.01]
+
     def get_delay_s(self):
-        return self.rng.choice([0.001, 0.01, 0.05, 0.4, 1.5])
+        return self.rng.choice(self.delays_s)
 
     async def run(self, duration_s, check, step=None):
         """Run for a while, with a check every 20 ms and a random event a second."""
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -134,11 +134,18 @@
         """How many connections are open or being opened."""
         return self._open
 
-    async def set_capacity(self, capacity: int) -> None:
-        """Change how many connections may be open; idle ones beyond are closed."""
+    def set_capacity(self, capacity: int) -> None:
+        """Change how many connections may be open, from now on.
+
+        Idle ones beyond it stay until `close_surplus`, busy ones until they
+        are released.
+        """
         self._capacity = capacity
         self._slots.set_slots(capacity, trio.current_time())
-        while self._idle and self._open > capacity:
+
+    async def close_surplus(self) -> None:
+        """Close idle connections beyond the capacity."""
+        while self._idle and self._open > self._capacity:
             await self._close(self._idle.pop(0))
 
     @property
@@ -167,13 +174,15 @@
         verdicts.RefusedError
             Not run, if there is none in time.
         """
-        now_s = trio.current_time()
-        ticket = await self._slots.acquire(organisation, deadline_s, now_s)
-        try:
-            pooled = await self._prepare(organisation, deadline_s)
-        except BaseException:
-            self._slots.release(ticket, trio.current_time())
-            raise
+        pooled = None
+        while pooled is None:
+            now_s = trio.current_time()
+            ticket = await self._slots.acquire(organisation, deadline_s, now_s)
+            try:
+                pooled = await self._prepare(organisation, deadline_s)
+            finally:
+                if pooled is None:
+                    self._slots.release(ticket, trio.current_time(), is_observed=False)
         pooled.organisation = organisation
         pooled.ticket = ticket
         return pooled
@@ -213,7 +222,10 @@
         for pooled in idle:
             await self._close(pooled)
 
-    async def _prepare(self, organisation: str, deadline_s: float) -> PooledConnection:
+    async def _prepare(
+        self, organisation: str, deadline_s: float
+    ) -> PooledConnection | None:
+        """Return a clean connection, None if the pool has shrunk meanwhile."""
         while self._idle:
             pooled = self._pop_idle(organisation)
             if not pooled.is_usable:
@@ -222,6 +234,8 @@
             is_foreign = pooled.organisation != organisation
             if not (is_foreign or pooled.is_dirty) or await self._reset(pooled):
                 return pooled
+        if self._open >= self._capacity:
+            return None
         return await self._connect(deadline_s)
 
     def _pop_idle(self, organisation: str) -> PooledConnection:
--- a/sedgeswitch/pools/shares.py
+++ b/sedgeswitch/pools/shares.py
@@ -39,6 +39,9 @@
     fits : callable
         ``fits(divisor)`` tells whether the open connections to each instance
         are within a share.
+    limit : callable
+        ``limit(divisor)`` lets no more connections be opened than a share
+        allows, before it returns.
 
     Attributes
     ----------
@@ -46,15 +49,20 @@
         Share that new connections must keep to.
     """
 
-    def __init__(self, fits: collections.abc.Callable[[int], bool]):
+    def __init__(
+        self,
+        fits: collections.abc.Callable[[int], bool],
+        limit: collections.abc.Callable[[int], None],
+    ):
         self._fits = fits
+        self._limit = limit
         self._held = 0
         self.divisor = 0
 
     def drop(self) -> None:
         """Give the share up, as after a lease that ran out."""
         self._held = 0
-        self.divisor = 0
+        self._change(0)
 
     def build_report(self, now_s: float) -> bytes:  # noqa: ARG002
         """Return the share that this host keeps within already."""
@@ -65,9 +73,17 @@
     def receive_answer(self, body: bytes, now_s: float) -> None:  # noqa: ARG002
         """Keep to the share that the leader gives from now on."""
         answer = catalog.decode_struct(messages.ShareAnswer, body)
-        if self.divisor == 0 or answer.divisor < self.divisor:
+        is_larger = 0 < answer.divisor < self._held
+        if self._held == 0 or is_larger:
             self._held = answer.divisor
-        self.divisor = answer.divisor
+        self._change(answer.divisor)
+
+    def _change(self, divisor: int) -> None:
+        if divisor == self.divisor:
+            return
+        self.divisor = divisor
+        # At once: a report may follow that counts on it.
+        self._limit(divisor)
 
 
 class ControlShares:
--- /dev/null
+++ b/sedgeswitch/pools/tests/builders.py
@@ -0,0 +1,125 @@
+"""A database server in memory, and pools to it."""
+
+import random
+
+import trio
+import trio.testing
+
+from sedgeswitch import verdicts
+from sedgeswitch.admission import fair_queue
+from sedgeswitch.drivers import base
+from sedgeswitch.pools import pool
+from sedgeswitch.pools import transactions
+
+TARGET = base.Target("10.0.0.1", 5432, "lots")
+
+
+def run_virtual(function, *arguments):
+    """Run an async function in virtual time."""
+    return trio.run(
+        function, *arguments, clock=trio.testing.MockClock(autojump_threshold=0)
+    )
+
+
+def build_lost():
+    return base.DriverError("", "lost", verdicts.Verdict.MAY_HAVE_RUN, is_lost=True)
+
+
+class FakeServer:
+    """Counts connections, and records what it ran, as (connection, sql)."""
+
+    def __init__(self, rng=None, failure_share=0.0):
+        self.rng = rng or random.Random(0)
+        self.failure_share = failure_share
+        self.open = 0
+        self.most_open = 0
+        self.ran = []
+        self.mixed = []
+        self.delay_s = 0.01
+
+    async def connect(self, target, timeout_s):  # noqa: ARG002
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        connection = None
+        try:
+            await trio.sleep(self.delay_s * self.rng.random())
+            if self.rng.random() < self.failure_share:
+                raise base.DriverError("", "no", verdicts.Verdict.NOT_RUN, is_lost=True)
+            connection = FakeConnection(self)
+        finally:
+            if connection is None:
+                self.open -= 1
+        return connection
+
+
+class FakeConnection:
+    """A connection; `user` is who left session state on it."""
+
+    def __init__(self, server):
+        self.server = server
+        self.is_open = True
+        self.in_transaction = False
+        self.is_failed = False
+        self.is_executing = False
+        self.user = None
+
+    @property
+    def is_usable(self):
+        return self.is_open and not self.in_transaction
+
+    async def execute(self, sql, parameters=()):
+        server = self.server
+        if not self.is_open:
+            raise build_lost()
+        if self.is_executing:
+            server.mixed.append(sql)
+        self.is_executing = True
+        is_finished = False
+        try:
+            await trio.sleep(server.delay_s * server.rng.random())
+            if server.rng.random() < server.failure_share:
+                raise build_lost()
+            is_finished = True
+        finally:
+            self.is_executing = False
+            if not is_finished:
+                await self.close()
+        return self._run(sql, parameters)
+
+    def _run(self, sql, parameters):
+        self.server.ran.append((self, sql))
+        if sql.startswith("FAIL"):
+            self.is_failed = self.in_transaction
+            raise base.DriverError("23505", "no", verdicts.Verdict.NOT_RUN, False)
+        status = sql.split()[0]
+        if sql == pool.RESET_SQL:
+            self.user = None
+        elif sql == "BEGIN":
+            self.in_transaction = True
+        elif sql in ("COMMIT", "ROLLBACK"):
+            status = "ROLLBACK" if self.is_failed else sql
+            self.in_transaction = self.is_failed = False
+        elif sql == "SET":
+            self.user = parameters[0]
+        return base.Rows((), [], status)
+
+    async def close(self):
+        if self.is_open:
+            self.is_open = False
+            self.server.open -= 1
+
+
+def build_pool(server, capacity=3, queue=100):
+    slots = fair_queue.FairQueue(max(capacity, 1), queue)
+    return pool.InstancePool(server, TARGET, slots, capacity, pool.PoolSettings())
+
+
+def build_table(rng=None):
+    return transactions.TransactionTable("entry-0", rng or random.Random(0))
+
+
+async def begin(table, connections, organisation="ward-4", lifetime_s=10.0):
+    """Open a transaction on a connection of a pool."""
+    now_s = trio.current_time()
+    pooled = await connections.acquire(organisation, now_s + 5.0)
+    return await table.begin(connections, pooled, None, now_s + lifetime_s)
--- /dev/null
+++ b/sedgeswitch/pools/tests/test_pool.py
@@ -0,0 +1,146 @@
+"""Tests of connection pools."""
+
+import random
+import unittest
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.drivers import base
+from sedgeswitch.pools.tests import builders
+
+ORGANISATIONS = ("ward-4", "ward-7", "")
+
+
+class RandomCancellationTest(unittest.TestCase):
+    def test_slots_and_open_count_survive_cancellation_anywhere(self):
+        for seed in range(25):
+            with self.subTest(seed=seed):
+                builders.run_virtual(self._run_faults, seed)
+
+    async def _run_faults(self, seed):
+        rng = random.Random(seed)
+        server = builders.FakeServer(rng, failure_share=0.05)
+        connections = builders.build_pool(server)
+        table = builders.build_table(rng)
+
+        async def use(organisation, patience_s):
+            with trio.move_on_after(patience_s):
+                try:
+                    if rng.random() < 0.3:
+                        await self._use_transaction(table, connections, organisation)
+                    else:
+                        await self._use_once(connections, organisation)
+                except (verdicts.RefusedError, base.DriverError):
+                    pass
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(table.run)
+            for _ in range(300):
+                organisation = rng.choice(ORGANISATIONS)
+                nursery.start_soon(use, organisation, rng.choice([0.002, 0.02, 1.0]))
+                await trio.sleep(0.004 * rng.random())
+                if rng.random() < 0.1:
+                    connections.set_capacity(rng.randrange(4))
+                if rng.random() < 0.1:
+                    await connections.close_surplus()
+                self.assertEqual(connections.open_count, server.open)
+            connections.set_capacity(3)
+            await trio.sleep(20.0)
+            nursery.cancel_scope.cancel()
+        load = connections.load
+        self.assertEqual((load.in_use, load.waiting), (0, 0))
+        self.assertEqual(table.open_count, 0)
+        self.assertEqual((server.open, connections.open_count), (load.idle, load.idle))
+        self.assertLessEqual(server.most_open, 3)
+        self.assertEqual(server.mixed, [])
+
+    async def _use_once(self, connections, organisation):
+        pooled = await connections.acquire(organisation, trio.current_time() + 0.5)
+        try:
+            inner = pooled._connection
+            self.assertIn(inner.user, (None, organisation))
+            self.assertFalse(inner.in_transaction)
+            await pooled.execute("SET", [organisation])
+        finally:
+            await connections.release(pooled, trio.current_time())
+
+    async def _use_transaction(self, table, connections, organisation):
+        transaction = await builders.begin(table, connections, organisation, 0.3)
+        await table.execute(transaction, "SET", [organisation])
+        if random.Random(transaction.transaction_id).random() < 0.5:
+            return
+        try:
+            await table.commit(transaction)
+        finally:
+            await table.close(transaction)
+
+
+class ReuseTest(unittest.TestCase):
+    def _run(self, sqls, organisations):
+        """Return whether two users in turn got the same connection, and its log."""
+
+        async def run():
+            server = builders.FakeServer()
+            connections = builders.build_pool(server)
+            used = []
+            for organisation in organisations:
+                pooled = await connections.acquire(organisation, 5.0)
+                used.append(pooled._connection)
+                for sql in sqls:
+                    with trio.move_on_after(1.0 if sql != "SLOW" else 0.0):
+                        await pooled.execute(sql, [organisation])
+                await connections.release(pooled, trio.current_time())
+            return used, [sql for _, sql in server.ran]
+
+        return builders.run_virtual(run)
+
+    def test_same_organisation_gets_connection_without_reset(self):
+        used, ran = self._run(["SET"], ["ward-4", "ward-4"])
+        self.assertIs(used[0], used[1])
+        self.assertEqual(ran, ["SET", "SET"])
+
+    def test_other_organisation_gets_connection_after_reset(self):
+        used, ran = self._run(["SET"], ["ward-4", "ward-7"])
+        self.assertIs(used[0], used[1])
+        self.assertEqual(ran, ["SET", "DISCARD ALL", "SET"])
+
+    def test_cancelled_statement_closes_connection(self):
+        used, _ = self._run(["SLOW"], ["ward-4", "ward-4"])
+        self.assertIsNot(used[0], used[1])
+        self.assertFalse(used[0].is_open)
+
+    def test_open_transaction_closes_connection(self):
+        used, _ = self._run(["BEGIN"], ["ward-4", "ward-4"])
+        self.assertIsNot(used[0], used[1])
+        self.assertFalse(used[0].is_open)
+
+
+class ShrinkTest(unittest.TestCase):
+    def test_slot_granted_before_shrinking_opens_nothing_beyond(self):
+        async def run():
+            server = builders.FakeServer()
+            connections = builders.build_pool(server, capacity=2)
+            held = await connections.acquire("ward-4", 60.0)
+            got = []
+
+            async def wait():
+                got.append(await connections.acquire("ward-7", 60.0))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait)
+                # The slot is granted, but its task has not gone on.
+                while connections.load.in_use < 2:
+                    await trio.lowlevel.checkpoint()
+                connections.set_capacity(1)
+                self.assertEqual(connections.open_count, 1)
+                await trio.sleep(1.0)
+                self.assertEqual((server.most_open, got), (1, []))
+                await connections.release(held, trio.current_time())
+            self.assertEqual(server.most_open, 1)
+
+        builders.run_virtual(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sedgeswitch/pools/tests/test_shares.py
@@ -0,0 +1,126 @@
+"""Tests of the shares of an instance's connections."""
+
+import random
+import unittest
+
+import trio
+
+from sedgeswitch.membership.tests import builders
+from sedgeswitch.pools import messages
+from sedgeswitch.pools import shares
+from sedgeswitch.transport import catalog
+
+MAX_CONNECTIONS = 30
+SHARED = MAX_CONNECTIONS - shares.RESERVED_CONNECTIONS
+
+
+class FakePools:
+    """An entry host's connections: opened at once, closed with a delay."""
+
+    def __init__(self, item, rng):
+        self.heart = item
+        self.rng = rng
+        self.capacity = 0
+        self.open = 0
+        self.share = shares.EntryShare(self._fits, self._limit)
+        item.register_section("shares", self.share)
+        item.register_lapse_listener(self.drop)
+
+    def _fits(self, divisor):
+        return self.open <= shares.get_capacity(MAX_CONNECTIONS, divisor)
+
+    def _limit(self, divisor):
+        self.capacity = shares.get_capacity(MAX_CONNECTIONS, divisor)
+
+    def drop(self):
+        self.share.drop()
+        self.open = 0
+
+    async def run(self):
+        while True:
+            await trio.sleep(self.rng.choice([0.01, 0.1, 1.0]))
+            if not self.heart.is_lease_valid(trio.current_time()):
+                self.drop()
+            elif self.open < self.capacity:
+                self.open = self.rng.randint(self.open, self.capacity)
+            else:
+                self.open = self.capacity
+
+
+def build_fleet(seed, entry_count, loss=0.1):
+    fleet = builders.Fleet(seed, entry_count, loss=loss)
+    for serving in fleet.registrars:
+        section = shares.ControlShares(
+            lambda now_s, table=serving.leases: [
+                member.host_id for member in table.get_holders(now_s)
+            ]
+        )
+        serving.register_section("shares", section)
+    pools = [FakePools(item, fleet.rng) for item in fleet.hearts]
+    return fleet, pools
+
+
+class ShareTest(unittest.TestCase):
+    def test_random_histories_never_exceed_an_instances_connections(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                builders.run_virtual(self._run_faults, seed)
+
+    async def _run_faults(self, seed):
+        fleet, pools = build_fleet(seed, random.Random(seed).randint(2, 6))
+        most = 0
+
+        def step():
+            event = fleet.rng.random()
+            if event < 0.1:
+                fleet.change_leader()
+            elif event < 0.4:
+                size = fleet.rng.randint(0, len(pools))
+                fleet.cut = set(fleet.rng.sample(range(len(pools)), size))
+            elif event < 0.7:
+                fleet.cut = set()
+
+        def check(now_s):
+            nonlocal most
+            holding = [
+                max(item.open, item.capacity)
+                for item in pools
+                if item.heart.is_lease_valid(now_s)
+            ]
+            most = max(most, sum(holding))
+            self.assertLessEqual(sum(holding), SHARED, f"at {now_s}")
+
+        async with trio.open_nursery() as nursery:
+            for item in pools:
+                nursery.start_soon(item.run)
+            await fleet.run(80.0, check, step)
+            fleet.calm_down()
+            await fleet.run(20.0, check)
+            nursery.cancel_scope.cancel()
+        self.assertGreater(most, SHARED // 2)
+        self.assertEqual({item.share.divisor for item in pools}, {len(pools)})
+
+    def test_share_that_grows_again_is_not_reported_before_it_fits(self):
+        is_within = {2: True, 3: False, 4: False}
+        share = shares.EntryShare(is_within.__getitem__, lambda _: None)
+        for divisor in (2, 4, 3):
+            answer = catalog.encode_struct(messages.ShareAnswer(divisor))
+            share.receive_answer(answer, 0.0)
+        report = catalog.decode_struct(messages.ShareReport, share.build_report(0.0))
+        self.assertEqual(report.divisor, 2)
+
+    def test_smaller_share_limits_before_it_is_reported(self):
+        limits = []
+        share = shares.EntryShare(lambda _: True, limits.append)
+        for divisor in (2, 4):
+            answer = catalog.encode_struct(messages.ShareAnswer(divisor))
+            share.receive_answer(answer, 0.0)
+        self.assertEqual(limits, [2, 4])
+
+    def test_more_hosts_than_connections_leaves_none(self):
+        self.assertEqual(shares.get_capacity(10, 6), 0)
+        self.assertEqual(shares.get_capacity(10, 5), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -76,7 +76,7 @@
         self._options = options
         self._rng = rng
         self._pools: dict[base.Target, _Kept] = {}
-        self.share = shares.EntryShare(self._fits)
+        self.share = shares.EntryShare(self._fits, self._limit)
 
     def get_servers(self, group: str) -> list[directory.BackendServer]:
         """Return the announced instances of a group."""
@@ -104,12 +104,10 @@
             kept = self._pools[target] = _Kept(connections, server.max_connections)
         return kept.connections
 
-    async def follow_share(self) -> None:
-        """Keep every pool within this host's share of its instance."""
+    async def close_surplus(self) -> None:
+        """Close idle connections beyond this host's share of an instance."""
         for kept in list(self._pools.values()):
-            capacity = self._get_capacity(kept.max_connections, self.share.divisor)
-            if capacity != kept.connections.load.capacity:
-                await kept.connections.set_capacity(capacity)
+            await kept.connections.close_surplus()
 
     def order_replicas(
         self, servers: list[directory.BackendServer], primary: str, database: str
@@ -158,6 +156,11 @@
         shared = shares.get_capacity(max_connections, divisor)
         return min(self._options.connections_per_instance, shared)
 
+    def _limit(self, divisor: int) -> None:
+        for kept in self._pools.values():
+            capacity = self._get_capacity(kept.max_connections, divisor)
+            kept.connections.set_capacity(capacity)
+
     def _fits(self, divisor: int) -> bool:
         return all(
             kept.connections.open_count
