Keep a transaction's connection to one user, and its verdicts true

Causes, each with a test that failed before: - a rollback left the transaction free for others meanwhile, so a second rollback, a statement or the expiry could use the connection at once; - expired transactions were rolled back one after another, so one server that hangs kept the connections of all others; - a statement that ends the transaction in disguise (a comment before COMMIT) left later statements to commit one by one, told as not run; - a commit that a restarted owner does not know was told as not run, though the owner may have committed it before; - a begin that waited for admission used the back ends chosen before, so it could open work on an instance that was drained and told idle since; - an Idempotency-Key on a begin was ignored; it is refused now. Not covered here: the same wait in single reads and writes, and requests.check_sql, which a comment still gets past.

--- a/sedgeswitch/pools/tests/test_shares.py
+++ b/sedgeswitch/pools/tests/test_shares.py
@@ -117,6 +117,16 @@
             share.receive_answer(answer, 0.0)
         self.assertEqual(limits, [2, 4])
 
+    def test_new_leader_gives_no_room_before_every_holder_has_reported(self):
+        section = shares.ControlShares(lambda _: ["entry-0", "entry-1"])
+        section.start_leadership(0.0)
+        given = []
+        for host_id, held in (("entry-0", 0), ("entry-1", 2), ("entry-0", 0)):
+            report = catalog.encode_struct(messages.ShareReport(held))
+            body = section.answer_report(host_id, report, 0.0)
+            given.append(catalog.decode_struct(messages.ShareAnswer, body).divisor)
+        self.assertEqual(given, [0, 2, 2])
+
     def test_more_hosts_than_connections_leaves_none(self):
         self.assertEqual(shares.get_capacity(10, 6), 0)
         self.assertEqual(shares.get_capacity(10, 5), 1)
--- /dev/null
+++ b/sedgeswitch/pools/tests/test_transactions.py
@@ -0,0 +1,123 @@
+"""Tests of the transactions that a host owns."""
+
+import unittest
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.drivers import base
+from sedgeswitch.pools import transactions
+from sedgeswitch.pools.tests import builders
+
+
+class TransactionTableTest(unittest.TestCase):
+    def _run(self, body, capacity=3):
+        async def run():
+            server = builders.FakeServer()
+            connections = builders.build_pool(server, capacity)
+            table = builders.build_table()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(table.run)
+                await body(server, connections, table)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(server.mixed, [])
+            self.assertEqual(connections.open_count, server.open)
+
+        builders.run_virtual(run)
+
+    def test_statements_of_two_transactions_keep_to_their_connections(self):
+        async def body(server, connections, table):
+            first = await builders.begin(table, connections)
+            second = await builders.begin(table, connections)
+            for place in range(3):
+                await table.execute(first, f"first {place}")
+                await table.execute(second, f"second {place}")
+            users = {}
+            for connection, sql in server.ran:
+                users.setdefault(connection, set()).add(sql.split()[0])
+            expected = [{"BEGIN", "first"}, {"BEGIN", "second"}]
+            self.assertEqual(list(users.values()), expected)
+
+        self._run(body)
+
+    def test_rollback_sent_twice_uses_connection_once(self):
+        async def body(server, connections, table):  # noqa: ARG001
+            transaction = await builders.begin(table, connections)
+            server.delay_s = 0.5
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(table.close, transaction)
+                await trio.sleep(0.001)
+                with self.assertRaises(verdicts.RefusedError) as caught:
+                    table.get(transaction.transaction_id, "ward-4")
+                self.assertEqual(caught.exception.refusal.status, 409)
+            self.assertEqual(connections.load.in_use, 0)
+
+        self._run(body)
+
+    def test_expired_transactions_are_rolled_back_though_one_server_hangs(self):
+        async def body(server, connections, table):
+            begun = [
+                await builders.begin(table, connections, lifetime_s=1.0)
+                for _ in range(3)
+            ]
+            server.delay_s = 1000.0
+            await trio.sleep(1.5 + transactions.ROLLBACK_TIMEOUT_S)
+            self.assertEqual(table.open_count, 0)
+            ending = table.get_ending(begun[0].transaction_id, "ward-4")
+            self.assertIs(ending, transactions.Ending.ROLLED_BACK)
+
+        self._run(body)
+
+    def test_statement_that_ends_the_transaction_closes_it_as_unknown(self):
+        async def body(server, connections, table):  # noqa: ARG001
+            transaction = await builders.begin(table, connections)
+            with self.assertRaises(base.DriverError) as caught:
+                await table.execute(transaction, "COMMIT")
+            self.assertIs(caught.exception.verdict, verdicts.Verdict.MAY_HAVE_RUN)
+            ending = table.get_ending(transaction.transaction_id, "ward-4")
+            self.assertIs(ending, transactions.Ending.UNKNOWN)
+            self.assertEqual(table.open_count, 0)
+
+        self._run(body)
+
+    def test_commit_of_failed_transaction_is_not_run(self):
+        async def body(server, connections, table):  # noqa: ARG001
+            transaction = await builders.begin(table, connections)
+            with self.assertRaises(base.DriverError):
+                await table.execute(transaction, "FAIL")
+            with self.assertRaises(base.DriverError) as caught:
+                await table.commit(transaction)
+            await table.close(transaction)
+            self.assertIs(caught.exception.verdict, verdicts.Verdict.NOT_RUN)
+
+        self._run(body)
+
+    def test_cancelled_commit_is_unknown_and_closes_connection(self):
+        async def body(server, connections, table):
+            transaction = await builders.begin(table, connections)
+            server.delay_s = 10.0
+            with trio.move_on_after(0.01):
+                try:
+                    await table.commit(transaction)
+                finally:
+                    await table.close(transaction)
+            ending = table.get_ending(transaction.transaction_id, "ward-4")
+            self.assertIs(ending, transactions.Ending.UNKNOWN)
+            self.assertEqual(server.open, 0)
+
+        self._run(body)
+
+    def test_transaction_dirties_connection_for_its_own_organisation(self):
+        async def body(server, connections, table):
+            for _ in range(2):
+                transaction = await builders.begin(table, connections)
+                await table.close(transaction)
+            ran = [sql for _, sql in server.ran]
+            expected = ["BEGIN", "ROLLBACK", "DISCARD ALL", "BEGIN", "ROLLBACK"]
+            self.assertEqual(ran, expected)
+
+        self._run(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sedgeswitch/pools/transactions.py
+++ b/sedgeswitch/pools/transactions.py
@@ -147,22 +147,29 @@
         Raises
         ------
         base.DriverError
-            If the server refuses or is lost; lost work is rolled back.
+            If the server refuses or is lost; lost work is rolled back. Also
+            if the statement ended the transaction itself, by a procedure or
+            disguised transaction control; its work may have run.
         """
         held = self._open[transaction.transaction_id]
         transaction.is_busy = True
         is_done = False
+        ending = Ending.ROLLED_BACK
         try:
             rows = await held.pooled.execute(sql, parameters)
+            # Later statements would run, and commit, one by one.
+            if held.pooled.is_usable:
+                ending = Ending.UNKNOWN
+                raise _build_ended_by_statement()
             is_done = True
             return rows
         except base.DriverError as error:
-            is_done = not error.is_lost
+            is_done = not error.is_lost and not held.pooled.is_usable
             raise
         finally:
             transaction.is_busy = False
             if not is_done:
-                await self._finish(held, Ending.ROLLED_BACK)
+                await self._finish(held, ending)
 
     async def commit(self, transaction: Transaction) -> pool.PooledConnection:
         """Commit, and return the connection, still held, for one more question.
@@ -202,6 +209,8 @@
         held = self._open.get(transaction.transaction_id)
         if held is None:
             return
+        # Nobody else may use the connection while it is rolled back.
+        transaction.is_busy = True
         with trio.CancelScope(shield=True):
             if not held.pooled.is_usable:
                 await _roll_back(held.pooled)
@@ -210,14 +219,15 @@
 
     async def run(self) -> None:
         """Roll back what has expired, until cancelled."""
-        while True:
-            now_s = trio.current_time()
-            for held in list(self._open.values()):
-                transaction = held.transaction
-                if transaction.expires_s <= now_s and not transaction.is_busy:
-                    transaction.is_busy = True
-                    await self.close(transaction)
-            await trio.sleep(REAP_INTERVAL_S)
+        async with trio.open_nursery() as nursery:
+            while True:
+                now_s = trio.current_time()
+                for held in self._open.values():
+                    transaction = held.transaction
+                    if transaction.expires_s <= now_s and not transaction.is_busy:
+                        transaction.is_busy = True
+                        nursery.start_soon(self.close, transaction)
+                await trio.sleep(REAP_INTERVAL_S)
 
     async def wait_idle(self) -> None:
         """Wait until no transaction is open."""
@@ -258,6 +268,15 @@
     return transaction_id.rpartition(OWNER_SEPARATOR)[0]
 
 
+def _build_ended_by_statement() -> base.DriverError:
+    return base.DriverError(
+        "2D000",
+        "the statement ended the transaction, which only commit and rollback may",
+        verdicts.Verdict.MAY_HAVE_RUN,
+        is_lost=False,
+    )
+
+
 async def _roll_back(pooled: pool.PooledConnection) -> None:
     with trio.move_on_after(ROLLBACK_TIMEOUT_S):
         try:
--- /dev/null
+++ b/sedgeswitch/statements/tests/test_transactions.py
@@ -0,0 +1,149 @@
+"""Tests of callers' transactions on two entry hosts."""
+
+import unittest
+
+import trio
+
+from sedgeswitch.statements import transactions
+from sedgeswitch.statements.tests import transaction_builders as builders
+
+INSERT = {"sql": "INSERT"}
+
+
+class TransactionTest(unittest.TestCase):
+    def test_forwarded_commit_is_answered_and_key_stays_behind(self):
+        async def body(fleet, path):
+            other = fleet.hosts["entry-1"]
+            status, _ = await other.send(f"{path}/statements", INSERT)
+            self.assertEqual(status, 200)
+            status, answer = await other.send(f"{path}/commit")
+            self.assertEqual((status, answer["ending"]), (200, "committed"))
+            owner = fleet.hosts["entry-0"]
+            self.assertEqual(len(owner.calls), 2)
+            self.assertNotIn("sedge-key", repr(owner.calls))
+
+        builders.run(body)
+
+    def test_other_organisation_finds_no_transaction_whatever_it_claims(self):
+        async def body(fleet, path):
+            for host in fleet.hosts.values():
+                status, problem = await host.send(
+                    f"{path}/statements",
+                    INSERT,
+                    key="Bearer sedge-key-7",
+                    sedge_organisation="ward-4",
+                )
+                self.assertEqual((status, problem["verdict"]), (404, "not_run"))
+
+        builders.run(body)
+
+    def test_second_statement_meanwhile_is_refused_as_busy(self):
+        async def body(fleet, path):
+            answers = []
+
+            async def send(host):
+                answers.append(await host.send(f"{path}/statements", INSERT))
+
+            async with trio.open_nursery() as nursery:
+                for host in fleet.hosts.values():
+                    nursery.start_soon(send, host)
+            self.assertEqual(sorted(status for status, _ in answers), [200, 409])
+            self.assertEqual(fleet.server.mixed, [])
+
+        builders.run(body)
+
+    def test_lost_owner_is_told_with_a_true_verdict(self):
+        async def body(fleet, path):
+            fleet.dead.add("entry-0")
+            other = fleet.hosts["entry-1"]
+            for kind, verdict in (
+                ("statements", "not_run"),
+                ("commit", "may_have_run"),
+            ):
+                status, problem = await other.send(f"{path}/{kind}", INSERT)
+                self.assertEqual((status, problem["verdict"]), (410, verdict))
+                self.assertEqual(problem["code"], "transaction_lost")
+
+        builders.run(body)
+
+    def test_commit_that_a_restarted_owner_does_not_know_may_have_run(self):
+        async def body(fleet, path):
+            fleet.hosts["entry-0"] = builders.Host(fleet, "entry-0")
+            for host in fleet.hosts.values():
+                status, problem = await host.send(f"{path}/commit")
+                self.assertEqual((status, problem["verdict"]), (404, "may_have_run"))
+
+        builders.run(body)
+
+    def test_commit_sent_again_is_not_called_not_run(self):
+        async def body(fleet, path):
+            host = fleet.hosts["entry-0"]
+            await host.send(f"{path}/commit")
+            status, problem = await host.send(f"{path}/commit")
+            self.assertEqual((status, problem["verdict"]), (409, "may_have_run"))
+
+        builders.run(body)
+
+    def test_commit_under_ended_term_rolls_back(self):
+        async def body(fleet, path):
+            host = fleet.hosts["entry-0"]
+            host.set_term(2)
+            for expected in (503, 410):
+                status, problem = await host.send(f"{path}/commit")
+                self.assertEqual((status, problem["verdict"]), (expected, "not_run"))
+            self.assertEqual([sql for _, sql in fleet.server.ran][-1], "ROLLBACK")
+
+        builders.run(body)
+
+    def test_commit_after_failed_statement_is_not_run(self):
+        async def body(fleet, path):
+            host = fleet.hosts["entry-0"]
+            status, _ = await host.send(f"{path}/statements", {"sql": "FAIL"})
+            self.assertEqual(status, 409)
+            for _ in range(2):
+                _, problem = await host.send(f"{path}/commit")
+                self.assertEqual(problem["verdict"], "not_run")
+
+        builders.run(body)
+
+    def test_statement_past_expiry_is_rolled_back(self):
+        async def body(fleet, path):
+            host = fleet.hosts["entry-0"]
+            fleet.server.delay_s = 1000.0
+            status, problem = await host.send(f"{path}/statements", INSERT)
+            self.assertEqual((status, problem["verdict"]), (504, "not_run"))
+            self.assertEqual((fleet.server.open, host.owned.open_count), (0, 0))
+
+        builders.run(body)
+
+    def test_begin_with_idempotency_key_is_refused(self):
+        async def body(fleet, path):  # noqa: ARG001
+            status, problem = await fleet.hosts["entry-0"].send(
+                transactions.PATH, builders.BEGIN, idempotency_key="slip-9"
+            )
+            self.assertEqual((status, problem["verdict"]), (400, "not_run"))
+            self.assertIn("idempotency-key", problem["detail"])
+
+        builders.run(body)
+
+    def test_begin_that_waited_while_its_instance_was_drained_goes_nowhere(self):
+        async def body(fleet, path):  # noqa: ARG001
+            host = fleet.hosts["entry-1"]
+            host.fakes.admission_s = 0.5
+            statuses = []
+
+            async def begin():
+                answer = await host.send(transactions.PATH, builders.BEGIN)
+                statuses.append(answer[0])
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(begin)
+                await trio.sleep(0.1)
+                host.fakes.servers = []
+            self.assertEqual((statuses, host.owned.open_count), ([503], 0))
+
+        builders.run(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sedgeswitch/statements/tests/transaction_builders.py
@@ -0,0 +1,157 @@
+"""Two entry hosts with transactions on one instance, and their callers."""
+
+import contextlib
+import json
+import random
+import typing
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.callers import http
+from sedgeswitch.callers import routes
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import table
+from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.observability import traces
+from sedgeswitch.pools import transactions as pool_transactions
+from sedgeswitch.pools.tests import builders as pool_builders
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import context
+from sedgeswitch.statements import forwarding
+from sedgeswitch.statements import transactions
+from sedgeswitch.transport import failures
+
+KEYS = {"Bearer sedge-key-4": "ward-4", "Bearer sedge-key-7": "ward-7"}
+
+
+class Server(typing.NamedTuple):
+    instance: str = "lots-0"
+
+
+class FakeParts:
+    """Stands for the authoriser, admission, back ends and writer of a host."""
+
+    def __init__(self, connections):
+        self.connections = connections
+        self.servers = [Server()]
+        self.admission_s = 0.0
+
+    def check_caller(self, authorization, now_s):  # noqa: ARG002
+        return KEYS[authorization]
+
+    def get_work(self, organisation, purpose):
+        if not self.servers:
+            raise verdicts.build_not_run(503, "no_backend_server", "drained")
+        return context.Work(
+            organisation, purpose.group, "lots", self.servers, True, 2, 1.0
+        )
+
+    async def admit(self, organisation, deadline_s):  # noqa: ARG002
+        await trio.sleep(self.admission_s)
+
+    def get_pool(self, server, database):  # noqa: ARG002
+        return self.connections
+
+    async def acknowledge(self, *arguments):
+        pass
+
+
+class Host:
+    """One entry host; `calls` records what others forward to it."""
+
+    def __init__(self, fleet, host_id):
+        rng = random.Random(host_id)
+        self.fleet = fleet
+        self.calls = []
+        self.fakes = FakeParts(pool_builders.build_pool(fleet.server))
+        self.groups = table.GroupTable()
+        self.groups.set_lease(1e9)
+        self.set_term(1)
+        self.owned = pool_transactions.TransactionTable(host_id, rng)
+        forwarder = forwarding.Forwarder(host_id, fleet.call)
+        self.forwarder = forwarder
+        parts = context.Parts(self.groups, None, self.fakes, None, None)
+        service = transactions.TransactionService(
+            self.fakes,
+            self.fakes,
+            parts,
+            self.fakes,
+            self.owned,
+            forwarder,
+            traces.Tracer(host_id, None, 0.0, rng),
+        )
+        self.router = routes.Router()
+        service.register_routes(self.router)
+        service.register_owned_routes(forwarder.router)
+
+    def set_term(self, term):
+        group = ttypes.Group(
+            group="lots",
+            term=term,
+            primary="lots-0",
+            phase=ttypes.GroupPhase.SERVING,
+            timeline=term,
+            instances=["lots-0"],
+            leaving=[],
+            version=term,
+        )
+        self.groups.apply_changes(term, [group])
+
+    async def send(self, path, body=None, key="Bearer sedge-key-4", **headers):
+        """Return the status and the JSON body of a caller's request."""
+        given = {"authorization": key}
+        given |= {name.replace("_", "-"): value for name, value in headers.items()}
+        payload = json.dumps(body or {}).encode()
+        request = http.Request("POST", path, given, payload)
+        try:
+            response = await self.router.handle(request)
+        except verdicts.RefusedError as error:
+            response = http.build_problem(error.refusal)
+        return response.status, json.loads(response.body)
+
+
+class Fleet:
+    def __init__(self):
+        self.server = pool_builders.FakeServer()
+        self.dead = set()
+        self.hosts = {name: Host(self, name) for name in ("entry-0", "entry-1")}
+
+    async def call(self, host_id, message, timeout_s):  # noqa: ARG002
+        if host_id in self.dead or host_id not in self.hosts:
+            raise failures.CallError("unreachable", "", verdicts.Verdict.NOT_RUN)
+        host = self.hosts[host_id]
+        host.calls.append(message)
+        return await host.forwarder.answer(message)
+
+
+@contextlib.contextmanager
+def known_position():
+    """Let every instance tell one log position."""
+
+    async def read_position(pooled):
+        await pooled.execute("STATE")
+        return positions.Position(1, 80)
+
+    original, backends.read_position = backends.read_position, read_position
+    try:
+        yield
+    finally:
+        backends.read_position = original
+
+
+def run(body):
+    """Run a test's body with a fleet and an open transaction's path."""
+
+    async def main():
+        fleet = Fleet()
+        first = fleet.hosts["entry-0"]
+        status, begun = await first.send(transactions.PATH, BEGIN)
+        assert status == 200, begun
+        await body(fleet, f"{transactions.PATH}/{begun['transaction']}")
+
+    with known_position():
+        pool_builders.run_virtual(main)
+
+
+BEGIN = {"group": "lots", "work": "draw"}
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -30,6 +30,7 @@
 ROLLBACK_PATH = PATH + "/{transaction}/rollback"
 DEFAULT_LIFETIME_MS = 10_000
 COMMIT_TIMEOUT_S = 5.0
+UNKNOWN_STATUS = 404
 
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 _Lifetime = typing.Annotated[int, msgspec.Meta(ge=100, le=30_000)]
@@ -164,31 +165,33 @@
         values: tuple[str, ...],  # noqa: ARG002
     ) -> http.Response:
         organisation = self._check_caller(request)
+        if requests.IDEMPOTENCY_HEADER in request.headers:
+            raise requests.build_bad_request(
+                f"{requests.IDEMPOTENCY_HEADER}: expected none, got one for a"
+                " transaction, which is not repeated safely by it"
+            )
         body = requests.decode_fields(request.body, _BEGIN_FIELDS, _BeginBody)
         seen = requests.decode_position_token(request)
         session = requests.get_session(request)
         lifetime_s = body.get("lifetime_ms", DEFAULT_LIFETIME_MS) / 1000
         expires_s = trio.current_time() + lifetime_s
         purpose = authorisation.Purpose(body["group"], body["work"], requests.WRITE)
-        work = self._authoriser.get_work(organisation or None, purpose)
+        self._authoriser.get_work(organisation or None, purpose)
         with self._start_span("entry.begin", request):
             await self._admit(organisation, expires_s)
-            transaction = await self._open(work, session, seen, expires_s)
+            permit = await self._parts.groups.wait_serving(body["group"], expires_s)
+            # The configuration may have changed while this request waited.
+            work = self._authoriser.get_work(organisation or None, purpose)
+            kept = _Context(permit, work, session, seen)
+            transaction = await self._open(kept, expires_s)
         begun = Begun(transaction.transaction_id, transaction.context.permit.primary)
         return http.build_json(begun)
 
-    async def _open(
-        self,
-        work: context.Work,
-        session: str,
-        seen: dict[str, positions.Position],
-        expires_s: float,
-    ) -> transactions.Transaction:
-        permit = await self._parts.groups.wait_serving(work.group, expires_s)
-        server = primaries.get_primary(permit, work)
+    async def _open(self, kept: _Context, expires_s: float) -> transactions.Transaction:
+        work = kept.work
+        server = primaries.get_primary(kept.permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
         pooled = await connections.acquire(work.organisation, expires_s)
-        kept = _Context(permit, work, session, seen)
         try:
             return await self._owned.begin(connections, pooled, kept, expires_s)
         except base.DriverError as error:
@@ -208,6 +211,9 @@
             with trio.move_on_at(transaction.expires_s) as scope:
                 rows = await self._owned.execute(transaction, body["sql"], parameters)
         except base.DriverError as error:
+            ending = self._owned.get_ending(transaction_id, organisation)
+            if ending is transactions.Ending.UNKNOWN:
+                raise refusals.build_driver_refusal(error) from error
             raise refusals.build_undone(error) from error
         if scope.cancelled_caught:
             # Its connection is closed, so the server rolls the work back.
@@ -224,7 +230,7 @@
         ending = self._owned.get_ending(transaction_id, organisation)
         if ending is not None:
             return _answer_again(transaction_id, ending)
-        transaction = self._owned.get(transaction_id, organisation)
+        transaction = self._get_for_commit(transaction_id, organisation)
         kept = transaction.context
         if not self._parts.groups.is_permit_valid(kept.permit, trio.current_time()):
             await self._owned.close(transaction)
@@ -241,6 +247,18 @@
         headers = (("Sedge-Position", tokens.encode_token(seen)),)
         return http.build_json(ended, headers)
 
+    def _get_for_commit(
+        self, transaction_id: str, organisation: str
+    ) -> transactions.Transaction:
+        try:
+            return self._owned.get(transaction_id, organisation)
+        except verdicts.RefusedError as error:
+            if error.refusal.status != UNKNOWN_STATUS:
+                raise
+            # An earlier commit may have reached this host before it restarted.
+            refusal = error.refusal._replace(verdict=verdicts.Verdict.MAY_HAVE_RUN)
+            raise verdicts.RefusedError(refusal) from error
+
     async def _commit_and_read(
         self, transaction: transactions.Transaction
     ) -> positions.Position:
