Answer every request of a misbehaving peer once, and outlive it

Causes, each with a test that failed before: - a peer that was gone when its connection was refused for being one too many raised out of the server and ended the daemon; - a HEAD request got a body, which its caller would take for the start of the next answer; - a malformed or refused request took the answers of the requests before it in the same read; - the rest of a request behind an answered one had the idle timeout, 75 s, not the request timeout; - a graceful shutdown cut requests that were half received; - Expect: 100-continue was not answered, so peers waited; - a header with a line break could add headers to a response. Also: a refused peer's further bytes are read for up to 1 s, because closing with unread data resets the connection and may lose the refusal.

--- a/sedgeswitch/callers/http.py
+++ b/sedgeswitch/callers/http.py
@@ -19,6 +19,10 @@
 from sedgeswitch.utils import records
 
 RECEIVE_BYTES = 64 * 1024
+# How long a peer may go on sending after the last response.
+LINGER_S = 1.0
+_LINE_BREAKS = frozenset("\r\n\0")
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 
@@ -127,8 +131,32 @@
     return "Unknown"
 
 
-def encode_response(response: Response, is_closing: bool) -> bytes:
-    """Return the bytes of a response."""
+def check_headers(response: Response) -> Response:
+    """Return a response whose headers can't be taken for more of them.
+
+    Raises
+    ------
+    ValueError
+        If a header holds a line break or a zero byte.
+    """
+    for name, value in (*response.headers, ("Content-Type", response.content_type)):
+        if not _LINE_BREAKS.isdisjoint(name + value):
+            raise ValueError(f"headers: expected no line break, got one in {name!r}")
+    return response
+
+
+def encode_response(
+    response: Response, is_closing: bool, has_body: bool = True
+) -> bytes:
+    """Return the bytes of a response.
+
+    Parameters
+    ----------
+    response : Response
+    is_closing : bool
+    has_body : bool, optional
+        False for the answer to a HEAD request.
+    """
     lines = [
         f"HTTP/1.1 {response.status} {_get_phrase(response.status)}",
         f"Content-Type: {response.content_type}",
@@ -137,7 +165,8 @@
     lines += [f"{name}: {value}" for name, value in response.headers]
     if is_closing:
         lines.append("Connection: close")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + response.body
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    return head + response.body if has_body else head
 
 
 class _RequestBuilder:
@@ -156,6 +185,7 @@
         self._headers: dict[str, str] = {}
         self._header_bytes = 0
         self._body = bytearray()
+        self.awaits_continue = False
 
     def on_message_begin(self) -> None:
         self.is_started = True
@@ -169,6 +199,10 @@
         self._count_header(len(name) + len(value))
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        expected = self._headers.get("expect", "").lower()
+        self.awaits_continue = expected == "100-continue"
+
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > self._limits.max_body_bytes:
             self.refusal = verdicts.build_not_run(
@@ -181,6 +215,9 @@
 
     def on_message_complete(self) -> None:
         self.is_started = False
+        self.awaits_continue = False
+        if self.refusal is not None:
+            return
         url = httptools.parse_url(self._url)
         request = Request(
             self.parser.get_method().decode(),
@@ -227,7 +264,13 @@
         self._limits = limits
         self._is_draining = is_draining
         self._builder = _RequestBuilder(limits)
-        self.is_busy = False
+        self._is_answering = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is arriving or being answered."""
+        is_waiting = self._builder.is_started or bool(self._builder.finished)
+        return self._is_answering or is_waiting
 
     async def run(self) -> None:
         """Serve until the peer closes, breaks a limit or the host drains."""
@@ -241,20 +284,22 @@
             is_open = await self._receive()
         except verdicts.RefusedError as error:
             await self._send(build_problem(error.refusal), is_closing=True)
+            await discard_rest(self._stream)
             return False
         if not is_open:
             return False
         request, is_kept_alive = self._builder.finished.popleft()
-        self.is_busy = True
+        self._is_answering = True
         response = await self._answer(request)
         is_closing = not is_kept_alive or self._is_draining()
-        is_sent = await self._send(response, is_closing)
-        self.is_busy = False
+        has_body = request.method != "HEAD"
+        is_sent = await self._send(response, is_closing, has_body)
+        self._is_answering = False
         return is_sent and not is_closing
 
     async def _answer(self, request: Request) -> Response:
         try:
-            return await self._handler(request)
+            return check_headers(await self._handler(request))
         except verdicts.RefusedError as error:
             return build_problem(error.refusal)
         except Exception:
@@ -264,24 +309,31 @@
             )
             return build_problem(refusal)
 
-    async def _send(self, response: Response, is_closing: bool) -> bool:
+    async def _send(
+        self, response: Response, is_closing: bool, has_body: bool = True
+    ) -> bool:
+        data = encode_response(response, is_closing, has_body)
         with trio.move_on_after(self._limits.send_timeout_s):
-            await self._stream.send_all(encode_response(response, is_closing))
+            await self._stream.send_all(data)
             return True
         return False
 
     async def _receive(self) -> bool:
         """Wait for a whole request; False when the peer closed between two."""
-        if self._builder.finished:
-            return True
-        with trio.CancelScope() as scope:
-            scope.deadline = trio.current_time() + self._limits.idle_timeout_s
-            is_timed = False
+        # The rest of a request may follow one that is answered.
+        is_timed = self._builder.is_started
+        timeout_s = self._limits.idle_timeout_s
+        if is_timed:
+            timeout_s = self._limits.request_timeout_s
+        with trio.move_on_after(timeout_s) as scope:
             while not self._builder.finished:
+                if self._builder.refusal is not None:
+                    raise self._builder.refusal
                 data = await self._stream.receive_some(RECEIVE_BYTES)
                 if not data:
                     return False
                 self._feed(data)
+                await self._continue()
                 if not is_timed:
                     is_timed = True
                     timeout_s = self._limits.request_timeout_s
@@ -293,16 +345,38 @@
             )
         return False
 
+    async def _continue(self) -> None:
+        """Let a peer send the body that it holds back."""
+        builder = self._builder
+        if builder.awaits_continue and builder.refusal is None:
+            builder.awaits_continue = False
+            await self._stream.send_all(CONTINUE)
+
     def _feed(self, data: bytes) -> None:
+        """Parse; a refusal waits until the requests before it are answered."""
+        builder = self._builder
         try:
-            self._builder.parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise verdicts.build_not_run(
+            builder.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Raised after the request that asks for it is whole.
+            if builder.finished:
+                builder.finished.pop()
+            builder.refusal = builder.refusal or verdicts.build_not_run(
                 400, "upgrade_refused", "upgrade: expected none"
-            ) from error
+            )
         except httptools.HttpParserError as error:
-            raise verdicts.build_not_run(
+            builder.refusal = builder.refusal or verdicts.build_not_run(
                 400, "malformed_http", f"malformed HTTP/1.1: {error}"
-            ) from error
-        if self._builder.refusal is not None:
-            raise self._builder.refusal
+            )
+
+
+async def discard_rest(stream: trio.abc.Stream) -> None:
+    """Read what a refused peer still sends, so that it can read the refusal.
+
+    Closing a TCP connection with unread data resets it.
+    """
+    with trio.move_on_after(LINGER_S):
+        if isinstance(stream, trio.abc.HalfCloseableStream):
+            await stream.send_eof()
+        while await stream.receive_some(RECEIVE_BYTES):
+            pass
--- a/sedgeswitch/callers/routes.py
+++ b/sedgeswitch/callers/routes.py
@@ -1,6 +1,7 @@
 """Routes of the HTTP edge, and the server that dispatches to them."""
 
 import collections.abc
+import contextlib
 import typing
 
 import trio
@@ -180,6 +181,10 @@
         verdicts.Verdict.NOT_RUN, 503, "too_many_connections", detail, 1000
     )
     response = http.encode_response(http.build_problem(refusal), is_closing=True)
-    with trio.move_on_after(1.0):
+    with (
+        trio.move_on_after(2 * http.LINGER_S),
+        contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError),
+    ):
         async with stream:
             await stream.send_all(response)
+            await http.discard_rest(stream)
--- /dev/null
+++ b/sedgeswitch/callers/tests/builders.py
@@ -0,0 +1,61 @@
+"""An HTTP connection over a stream in memory."""
+
+import contextlib
+import re
+
+import trio
+import trio.testing
+
+from sedgeswitch.callers import http
+
+LIMITS = http.Limits(max_header_bytes=1000, max_body_bytes=1000)
+GET = b"GET /echo HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+async def echo(request):
+    """Answer with what the request says."""
+    text = f"{request.method} {request.path} {len(request.body)}"
+    return http.Response(200, text.encode(), "text/plain")
+
+
+def build_post(body):
+    return b"POST /p HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def run_virtual(function, *arguments):
+    """Run an async function in virtual time."""
+    return trio.run(
+        function, *arguments, clock=trio.testing.MockClock(autojump_threshold=0)
+    )
+
+
+def exchange(*chunks, handler=echo, is_ending=True, is_draining=False):
+    """Return everything that a connection answers to some bytes."""
+
+    async def run():
+        ours, theirs = trio.testing.memory_stream_pair()
+        connection = http.HttpConnection(ours, handler, LIMITS, lambda: is_draining)
+        received = bytearray()
+
+        async def collect():
+            while data := await theirs.receive_some(1000):
+                received.extend(data)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            nursery.start_soon(collect)
+            # The connection may be closed already, as after HTTP/1.0.
+            with contextlib.suppress(trio.BrokenResourceError):
+                for chunk in chunks:
+                    await theirs.send_all(chunk)
+                    await trio.sleep(0.1)
+                if is_ending:
+                    await theirs.send_eof()
+        return bytes(received)
+
+    return run_virtual(run)
+
+
+def get_statuses(data):
+    """Return the status codes of responses in order."""
+    return [int(code) for code in re.findall(rb"HTTP/1.1 (\d+) ", data)]
