Send no text that the protocol cuts, and trust no ended session

Causes, each with a test that failed before: - a zero byte ended a parameter or a statement early on the wire: another value was written than the caller gave, another statement run. Such text is refused as not run (22021), and the connection stays; - after a FATAL answer the connection looked usable until the server's close was seen, and the verdict depended on that race. The session counts as lost, and the statement as may have run. Ruled out: calling a FATAL 57P01 not run. It holds without synchronous replication, but the driver can't know how a group replicates.

--- a/sedgeswitch/drivers/postgres.py
+++ b/sedgeswitch/drivers/postgres.py
@@ -12,6 +12,9 @@
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
 
+# What PostgreSQL answers to text that it cannot store.
+_BAD_TEXT = "22021"
+_SESSION_ENDED = (b"FATAL", b"PANIC")
 _COMMAND_FAILED = (pq.ExecStatus.FATAL_ERROR, pq.ExecStatus.BAD_RESPONSE)
 
 
@@ -98,6 +101,7 @@
             If the server refused it (its work is undone, so it counts as not
             run) or the connection was lost (it may have run).
         """
+        _check_text(sql, parameters)
         values = [None if value is None else value.encode() for value in parameters]
         is_finished = False
         try:
@@ -137,6 +141,10 @@
         message = (
             result.error_field(pq.DiagnosticField.MESSAGE_PRIMARY) or b""
         ).decode()
+        severity = result.error_field(pq.DiagnosticField.SEVERITY_NONLOCALIZED)
+        if severity in _SESSION_ENDED:
+            # The server closes its side next, seen here sooner or later.
+            self._pgconn.finish()
         is_lost = self._pgconn.status != pq.ConnStatus.OK
         verdict = verdicts.Verdict.NOT_RUN
         if is_lost or not sqlstate:
@@ -144,6 +152,17 @@
         return base.DriverError(sqlstate, message, verdict, is_lost)
 
 
+def _check_text(sql: str, parameters: collections.abc.Sequence[str | None]) -> None:
+    """Raise if the protocol, whose texts end at a zero byte, would cut one."""
+    if any("\0" in text for text in (sql, *parameters) if text is not None):
+        raise base.DriverError(
+            _BAD_TEXT,
+            "sql and parameters: expected no zero byte",
+            verdicts.Verdict.NOT_RUN,
+            is_lost=False,
+        )
+
+
 @base.register_driver("postgres")
 class PostgresDriver:
     """Opens `PostgresConnection` objects."""
