Report a failure frame that holds another message as a failed call

Cause: the frame's kind was trusted, so such a frame raised AttributeError out of every caller, the heartbeat among them. Before/after (test_calls): 1 failed, 0 now.

--- a/sedgeswitch/transport/failures.py
+++ b/sedgeswitch/transport/failures.py
@@ -4,7 +4,7 @@
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport.generated import ttypes
 
-catalog.register_message(1, ttypes.Failure)
+FAILURE_TYPE = catalog.register_message(1, ttypes.Failure)
 
 
 class CallError(Exception):
--- a/sedgeswitch/transport/peer.py
+++ b/sedgeswitch/transport/peer.py
@@ -148,9 +148,13 @@
             raise failures.CallError(
                 code, str(self.address), verdicts.Verdict.MAY_HAVE_RUN
             )
-        if frame.kind == frames.KIND_FAILURE:
-            raise failures.build_call_error(frame.message)
-        return frame.message
+        if frame.kind == frames.KIND_REPLY:
+            return frame.message
+        if not isinstance(frame.message, failures.FAILURE_TYPE):
+            raise failures.CallError(
+                "malformed_answer", str(self.address), verdicts.Verdict.MAY_HAVE_RUN
+            )
+        raise failures.build_call_error(frame.message)
 
     async def _receive(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
--- a/sedgeswitch/transport/tests/test_calls.py
+++ b/sedgeswitch/transport/tests/test_calls.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from sedgeswitch import verdicts
+from sedgeswitch.membership import messages as membership_messages
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
 from sedgeswitch.transport import frames
@@ -63,6 +64,27 @@
 
         trio.run(_run_against, _echo_slowest_first, body)
 
+    def test_failure_frame_with_another_message_fails_as_may_have_run(self):
+        async def answer_badly(stream):
+            frame = await frames.FrameReader(stream).read()
+            message = membership_messages.WatchAnswer(True)
+            answer = frames.Frame(frames.KIND_FAILURE, frame.request_id, message)
+            await stream.send_all(frames.encode_frame(answer))
+
+        async def body():
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, answer_badly, 0)
+                port = listeners[0].socket.getsockname()[1]
+                calling = peer.Peer(peer.Address("127.0.0.1", port))
+                nursery.start_soon(calling.run)
+                await calling.wait_connected()
+                with self.assertRaises(failures.CallError) as caught:
+                    await calling.call(ttypes.Failure("x", "0", False), 5.0)
+                self.assertIs(caught.exception.verdict, verdicts.Verdict.MAY_HAVE_RUN)
+                nursery.cancel_scope.cancel()
+
+        trio.run(body)
+
     def test_unreachable_peer_fails_as_not_run(self):
         async def body():
             with self.assertRaises(failures.CallError) as caught:
