Redact fields instead of JSON, and ignore a malformed traceparent

Causes, each with a test that failed before: - redaction ran over a log line's JSON and could take a backslash of an escape along with the key: the line was no JSON any more; - span fields were not redacted, and a caller chooses the group's name; - a request with a malformed traceparent was never sampled; it counts as the first hop now. One that says not sampled is also passed on to the owner of a transaction.

--- a/sedgeswitch/daemon/daemon.py
+++ b/sedgeswitch/daemon/daemon.py
@@ -14,6 +14,7 @@
 from sedgeswitch.daemon import entry
 from sedgeswitch.drivers import base
 from sedgeswitch.drivers import postgres
+from sedgeswitch.keys import plain
 from sedgeswitch.observability import metrics
 from sedgeswitch.observability import traces
 from sedgeswitch.transport import server
@@ -143,4 +144,6 @@
         folder = pathlib.Path(settings.data_folder)
         folder.mkdir(parents=True, exist_ok=True)
         path = folder / TRACE_FILE
-    return traces.Tracer(settings.host_id, path, settings.trace_sample_share, rng)
+    return traces.Tracer(
+        settings.host_id, path, settings.trace_sample_share, rng, plain.redact
+    )
--- a/sedgeswitch/observability/logs.py
+++ b/sedgeswitch/observability/logs.py
@@ -33,14 +33,15 @@
             "level": record["level"].name,
             "host_id": self._host_id,
             "module": record["name"],
-            "message": record["message"],
+            "message": self._redact(record["message"]),
         }
         if record["extra"]:
-            line["fields"] = {name: str(item) for name, item in record["extra"].items()}
+            line["fields"] = {
+                name: self._redact(str(item)) for name, item in record["extra"].items()
+            }
         if record["exception"] is not None:
-            line["exception"] = str(message)
-        text = msgspec.json.encode(line).decode()
-        self._stream.write(self._redact(text) + "\n")
+            line["exception"] = self._redact(str(message))
+        self._stream.write(msgspec.json.encode(line).decode() + "\n")
 
 
 def configure_logs(
@@ -60,7 +61,8 @@
     stream : text stream, optional
         Standard error by default.
     redact : callable
-        Removes caller keys from a line.
+        Removes caller keys from a text. It sees each text before it is
+        encoded, because a key's end can't be told from an escape in JSON.
     """
     loguru.logger.remove()
     sink = _Sink(stream or sys.stderr, host_id, redact)
--- /dev/null
+++ b/sedgeswitch/observability/tests/test_observability.py
@@ -0,0 +1,125 @@
+"""Tests of logs, metrics and traces."""
+
+import io
+import json
+import pathlib
+import random
+import tempfile
+import unittest
+
+import loguru
+
+from sedgeswitch.keys import plain
+from sedgeswitch.observability import logs
+from sedgeswitch.observability import metrics
+from sedgeswitch.observability import traces
+
+TRACE_ID = "0af7651916cd43dd8448eb211c80319c"
+SAMPLED = f"00-{TRACE_ID}-b7ad6b7169203331-01"
+NOT_SAMPLED = f"00-{TRACE_ID}-b7ad6b7169203331-00"
+MALFORMED = (
+    "x",
+    "00-0-0-01",
+    f"00-{'0' * 32}-b7ad6b7169203331-01",
+    "\u00e9",
+    "-" * 999,
+)
+
+
+class TraceTest(unittest.TestCase):
+    def _trace(self, body, sample_share=1.0):
+        """Return the spans that `body` records with a tracer."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "traces.jsonl"
+            rng = random.Random(0)
+            body(traces.Tracer("entry-0", path, sample_share, rng, plain.redact))
+            return [json.loads(line) for line in path.read_text().splitlines()]
+
+    def test_hop_continues_the_callers_trace(self):
+        def body(tracer):
+            with traces.ending(tracer.start_span("entry", SAMPLED)) as span:
+                self.assertIn(TRACE_ID, span.traceparent)
+                with traces.ending(tracer.start_span("owner", span.traceparent)):
+                    pass
+
+        owner, entry = self._trace(body, sample_share=0.0)
+        self.assertEqual(entry["context"]["trace_id"], f"0x{TRACE_ID}")
+        self.assertEqual(entry["parent_id"], "0xb7ad6b7169203331")
+        self.assertEqual(owner["parent_id"], entry["context"]["span_id"])
+
+    def test_caller_that_does_not_sample_is_followed(self):
+        spans = self._trace(lambda tracer: tracer.start_span("a", NOT_SAMPLED).end())
+        self.assertEqual(spans, [])
+
+    def test_malformed_traceparent_is_ignored(self):
+        def body(tracer):
+            for traceparent in MALFORMED:
+                tracer.start_span("entry", traceparent).end()
+
+        spans = self._trace(body)
+        self.assertEqual(len(spans), len(MALFORMED))
+        self.assertEqual({span["parent_id"] for span in spans}, {None})
+
+    def test_key_in_a_field_is_redacted(self):
+        key = plain.generate_key(random.Random(1).randbytes).plain
+
+        def body(tracer):
+            with traces.ending(tracer.start_span("entry")) as span:
+                span.set_field("group", key)
+
+        (span,) = self._trace(body)
+        self.assertNotIn(key, json.dumps(span))
+
+
+class LogTest(unittest.TestCase):
+    def test_lines_are_json_without_keys(self):
+        key = plain.generate_key(random.Random(1).randbytes).plain
+        stream = io.StringIO()
+        self.addCleanup(loguru.logger.remove)
+        logs.configure_logs("entry-0", "DEBUG", stream, plain.redact)
+        loguru.logger.bind(given=key).info("got {}", key)
+        try:
+            raise ValueError(f"Bearer {key}")
+        except ValueError:
+            loguru.logger.exception("failed with {}", key)
+        lines = stream.getvalue().splitlines()
+        self.assertEqual(len([json.loads(line) for line in lines]), 2)
+        self.assertNotIn(key[4:], stream.getvalue())
+
+
+class FakeClient:
+    """Records what goes to statsd; its own pipeline."""
+
+    def __init__(self):
+        self.sent = []
+
+    def pipeline(self):
+        return self
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exception):
+        pass
+
+    def incr(self, name, count):
+        self.sent.append((name, count))
+
+    def gauge(self, name, value):
+        self.sent.append((name, value))
+
+
+class MetricTest(unittest.TestCase):
+    def test_counts_are_summed_and_sent_once(self):
+        client = FakeClient()
+        counted = metrics.Metrics(client)
+        counted.count("refusals.overloaded")
+        counted.count("refusals.overloaded", 2)
+        counted.set_gauge("open", 4.0)
+        counted.flush()
+        counted.flush()
+        self.assertEqual(client.sent, [("refusals.overloaded", 3), ("open", 4.0)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sedgeswitch/observability/traces.py
+++ b/sedgeswitch/observability/traces.py
@@ -1,5 +1,6 @@
 """Traces: one span for each hop, sampled at the first hop."""
 
+import collections.abc
 import contextlib
 import pathlib
 import random
@@ -12,6 +13,8 @@
 from opentelemetry.trace import propagation
 from opentelemetry.trace.propagation import tracecontext
 
+Redact = collections.abc.Callable[[str], str]
+
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 
 
@@ -19,6 +22,10 @@
     return span.to_json(indent=None) + "\n"
 
 
+def _redact_nothing(text: str) -> str:
+    return text
+
+
 class Span:
     """One hop of a sampled request.
 
@@ -26,11 +33,16 @@
     ----------
     span : opentelemetry.trace.Span
     tracer : opentelemetry.trace.Tracer
+    redact : callable, optional
+        Removes caller keys from a field.
     """
 
-    def __init__(self, span: trace.Span, tracer: trace.Tracer):
+    def __init__(
+        self, span: trace.Span, tracer: trace.Tracer, redact: Redact = _redact_nothing
+    ):
         self._span = span
         self._tracer = tracer
+        self._redact = redact
 
     @property
     def traceparent(self) -> str:
@@ -41,6 +53,8 @@
 
     def set_field(self, name: str, value: str | int | float | bool) -> None:
         """Record a fact about the hop."""
+        if isinstance(value, str):
+            value = self._redact(value)
         self._span.set_attribute(name, value)
 
     @contextlib.contextmanager
@@ -49,7 +63,7 @@
         context = trace.set_span_in_context(self._span)
         child = self._tracer.start_span(name, context)
         try:
-            yield Span(child, self._tracer)
+            yield Span(child, self._tracer, self._redact)
         finally:
             child.end()
 
@@ -104,6 +118,8 @@
     sample_share : float
         Share of requests, from 0 to 1, that are sampled at their first hop.
     rng : random.Random
+    redact : callable, optional
+        Removes caller keys from a field.
     """
 
     def __init__(
@@ -112,9 +128,11 @@
         path: pathlib.Path | None,
         sample_share: float,
         rng: random.Random,
+        redact: Redact = _redact_nothing,
     ):
         self._sample_share = sample_share if path is not None else 0.0
         self._rng = rng
+        self._redact = redact
         self._tracer: trace.Tracer | None = None
         if path is not None:
             resource = resources.Resource({"service.instance.id": host_id})
@@ -132,16 +150,21 @@
         ----------
         name : str
         traceparent : str
-            W3C header of the previous hop, or empty at the first hop.
+            W3C header of the previous hop, or empty at the first hop. A
+            malformed one is ignored.
         """
         if self._tracer is None:
             return NO_SPAN
-        if not traceparent:
+        context = _PROPAGATOR.extract({"traceparent": traceparent})
+        parent = propagation.get_current_span(context).get_span_context()
+        if not parent.is_valid:
             if self._rng.random() >= self._sample_share:
                 return NO_SPAN
-            return Span(self._tracer.start_span(name), self._tracer)
-        context = _PROPAGATOR.extract({"traceparent": traceparent})
-        parent = propagation.get_current_span(context)
-        if not parent.get_span_context().trace_flags.sampled:
+            return self._build_span(name, None)
+        if not parent.trace_flags.sampled:
             return NO_SPAN
-        return Span(self._tracer.start_span(name, context), self._tracer)
+        return self._build_span(name, context)
+
+    def _build_span(self, name: str, parent: typing.Any) -> Span:
+        span = self._tracer.start_span(name, parent)
+        return Span(span, self._tracer, self._redact)
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -129,7 +129,8 @@
             with self._start_span("entry.transaction", request) as span:
                 if self._forwarder.is_local(transactions.get_owner(values[0])):
                     return await endpoint(request, values[0], organisation)
-                traceparent = span.traceparent
+                given = request.headers.get("traceparent", "")
+                traceparent = span.traceparent or given
                 return await self._forwarder.forward(
                     request, values[0], organisation, traceparent
                 )
