Count every member as a lease holder from a leadership's first moment

Cause: the registrar notices a new leadership of its host within 10 ms. The drain status and a change of primary ask the log themselves, so in between they could see the holders of the leadership before, whose leases were all over: idle too early, or a promotion that waits for nobody. Change: asking for the holders looks at the log first. Before/after (test_leases): no holder counted, one counted.

--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -204,17 +204,17 @@
                 self.registrar.leases.get_until(member.host_id),
                 self.groups_section.get_acknowledged_version(member.host_id),
             )
-            for member in self.registrar.leases.get_holders(now_s)
+            for member in self.registrar.get_holders(now_s)
         }
 
     def _get_holder_ids(self, now_s: float) -> list[str]:
-        holders = self.registrar.leases.get_holders(now_s)
+        holders = self.registrar.get_holders(now_s)
         return [member.host_id for member in holders]
 
     def _get_live_hosts(self, now_s: float) -> list[assignment.EntryHost]:
         return [
             assignment.EntryHost(member.host_id, member.availability_zone)
-            for member in self.registrar.leases.get_holders(now_s)
+            for member in self.registrar.get_holders(now_s)
         ]
 
     def _get_rank(self, group: str, instance: str) -> tuple:  # noqa: ARG002
--- a/sedgeswitch/membership/registrar.py
+++ b/sedgeswitch/membership/registrar.py
@@ -88,6 +88,14 @@
                 next_maintenance_s = now_s + MAINTENANCE_INTERVAL_S
             await trio.sleep(POLL_INTERVAL_S)
 
+    def get_holders(self, now_s: float) -> list[machine.Member]:
+        """Return the hosts whose lease may not be over, while this host leads.
+
+        A leadership that `run` has not noticed yet counts from now on.
+        """
+        self._follow_term(self._log.get_leadership(now_s), now_s)
+        return self.leases.get_holders(now_s)
+
     def check_leading(self) -> None:
         """Return if this host leads, confirmed by a quorum.
 
@@ -147,16 +155,18 @@
 
     def _follow(self, now_s: float) -> None:
         leadership = self._log.get_leadership(now_s)
-        term = -1 if leadership is None else leadership.term
-        if term not in (-1, self._led_term):
-            self._led_term = term
-            self._start_leadership(now_s)
+        self._follow_term(leadership, now_s)
         versions = self._get_versions()
         if versions != self._versions or leadership is None:
             self._versions = versions
             self._changed.set()
             self._changed = trio.Event()
 
+    def _follow_term(self, leadership: typing.Any, now_s: float) -> None:
+        if leadership is not None and leadership.term != self._led_term:
+            self._led_term = leadership.term
+            self._start_leadership(now_s)
+
     def _start_leadership(self, now_s: float) -> None:
         loguru.logger.info("leading in term {}", self._led_term)
         self._latest = {}
--- a/sedgeswitch/membership/tests/test_leases.py
+++ b/sedgeswitch/membership/tests/test_leases.py
@@ -97,6 +97,18 @@
 
         builders.run_virtual(run)
 
+    def test_holders_of_a_leadership_that_has_just_begun_are_all_members(self):
+        async def run():
+            log, serving = build_registrar()
+            await serving.answer_heartbeat(builders.build_heartbeat("entry-0"))
+            log.term = 0
+            await trio.sleep(2 * builders.LEASE_S)
+            log.term = 3
+            # Before `run` has looked at the log again.
+            self.assertEqual(len(serving.get_holders(trio.current_time())), 1)
+
+        builders.run_virtual(run)
+
     def test_late_heartbeat_is_refused(self):
         async def run():
             _, serving = build_registrar()
