Move the primaries of drained groups side by side

Cause: moves ran one after another, so one group that can't move held up all others (test_draining, failed before). Tests besides, which held before: idle is told only after every lease holder has reported under the draining version to this leader, and for a primary only after it has moved.

--- a/sedgeswitch/draining/mover.py
+++ b/sedgeswitch/draining/mover.py
@@ -49,15 +49,23 @@
         self._find_moves = find_moves
         self._move_primary = move_primary
         self._retry_at_s: dict[str, float] = {}
+        self._moving: set[str] = set()
 
     async def run(self) -> None:
         """Move primaries until cancelled."""
-        while True:
-            now_s = trio.current_time()
-            for move in self._find_moves(now_s):
-                if now_s >= self._retry_at_s.get(move.group, 0.0):
-                    await self._move(move)
-            await trio.sleep(INTERVAL_S)
+        async with trio.open_nursery() as nursery:
+            while True:
+                now_s = trio.current_time()
+                for move in self._find_moves(now_s):
+                    if self._is_due(move.group, now_s):
+                        self._moving.add(move.group)
+                        nursery.start_soon(self._move, move)
+                await trio.sleep(INTERVAL_S)
+
+    def _is_due(self, group: str, now_s: float) -> bool:
+        if group in self._moving:
+            return False
+        return now_s >= self._retry_at_s.get(group, 0.0)
 
     async def _move(self, move: Move) -> None:
         try:
@@ -65,3 +73,5 @@
         except verdicts.RefusedError as error:
             loguru.logger.warning("primary of {} stays: {}", move.group, error)
             self._retry_at_s[move.group] = trio.current_time() + RETRY_S
+        finally:
+            self._moving.discard(move.group)
--- /dev/null
+++ b/sedgeswitch/draining/tests/test_draining.py
@@ -0,0 +1,127 @@
+"""Tests of when a drained instance is idle, and of moves of its primary."""
+
+import types
+import unittest
+
+import loguru
+import trio
+import trio.testing
+
+from sedgeswitch import verdicts
+from sedgeswitch.daemon import adapters
+from sedgeswitch.daemon import status
+from sedgeswitch.draining import mover
+from sedgeswitch.draining import sections
+from sedgeswitch.membership.tests import builders as membership_builders
+
+DRAINED = 7
+
+
+loguru.logger.disable("sedgeswitch.draining")
+
+
+class Hosts:
+    """Entry hosts that report to one leader's section."""
+
+    def __init__(self, *host_ids):
+        self.holders = list(host_ids)
+        self.control = sections.ControlSection(lambda _: self.holders)
+        self.control.start_leadership(0.0)
+
+    def report(self, host_id, version, **in_use):
+        entry = sections.EntrySection(lambda: version, lambda: in_use)
+        self.control.answer_report(host_id, entry.build_report(0.0), 0.0)
+
+    def count(self):
+        return self.control.count_in_use("lots0", DRAINED, 0.0)
+
+
+class IdleTest(unittest.TestCase):
+    def test_host_that_follows_an_older_configuration_keeps_it_from_idle(self):
+        hosts = Hosts("entry-0", "entry-1")
+        hosts.report("entry-0", DRAINED)
+        hosts.report("entry-1", DRAINED - 1)
+        self.assertIsNone(hosts.count())
+        hosts.report("entry-1", DRAINED + 1)
+        self.assertEqual(hosts.count(), 0)
+
+    def test_silent_host_keeps_it_from_idle_until_its_lease_is_over(self):
+        hosts = Hosts("entry-0", "entry-1")
+        hosts.report("entry-0", DRAINED)
+        self.assertIsNone(hosts.count())
+        hosts.holders.remove("entry-1")
+        self.assertEqual(hosts.count(), 0)
+
+    def test_running_requests_are_summed(self):
+        hosts = Hosts("entry-0", "entry-1")
+        hosts.report("entry-0", DRAINED, lots0=2, lots1=5)
+        hosts.report("entry-1", DRAINED, lots0=1)
+        self.assertEqual(hosts.count(), 3)
+
+    def test_new_leader_waits_for_reports_of_its_own(self):
+        hosts = Hosts("entry-0")
+        hosts.report("entry-0", DRAINED)
+        hosts.control.start_leadership(1.0)
+        self.assertIsNone(hosts.count())
+
+    def test_restarted_host_on_an_older_configuration_keeps_it_from_idle(self):
+        hosts = Hosts("entry-0")
+        hosts.report("entry-0", DRAINED)
+        hosts.report("entry-0", 0)
+        self.assertIsNone(hosts.count())
+
+    def test_drained_primary_is_not_idle_before_it_moves(self):
+        hosts = Hosts()
+        server = membership_builders.build_server("lots0")
+        group = types.SimpleNamespace(primary="lots0")
+        control = types.SimpleNamespace(
+            groups=types.SimpleNamespace(get_group=lambda _: group),
+            configuration=types.SimpleNamespace(document=None, version=DRAINED),
+            draining=hosts.control,
+        )
+        originals = adapters.is_drained, status.selectors.merge_labels
+        adapters.is_drained = lambda *_: True
+        status.selectors.merge_labels = lambda *_: {}
+        try:
+            self.assertFalse(status._build_backend(control, server, 0.0).is_idle)
+            group.primary = "lots1"
+            self.assertTrue(status._build_backend(control, server, 0.0).is_idle)
+        finally:
+            adapters.is_drained, status.selectors.merge_labels = originals
+
+
+class MoverTest(unittest.TestCase):
+    def _run(self, move_primary, groups=("lots", "visits")):
+        """Return the groups in the order in which their moves were tried."""
+        tried = []
+
+        async def move(group, instance):  # noqa: ARG001
+            tried.append((group, trio.current_time()))
+            await move_primary(group)
+
+        async def run():
+            moves = [mover.Move(group, f"{group}-1") for group in groups]
+            started_s = trio.current_time()
+            with trio.move_on_after(5.0):
+                await mover.Mover(lambda _: moves, move).run()
+            return [(group, round(at_s - started_s, 1)) for group, at_s in tried]
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(run, clock=clock)
+
+    def test_slow_move_delays_no_other_group_and_is_not_doubled(self):
+        async def hang(group):  # noqa: ARG001
+            await trio.sleep_forever()
+
+        self.assertEqual(sorted(self._run(hang)), [("lots", 0.0), ("visits", 0.0)])
+
+    def test_refused_move_is_tried_again_later(self):
+        async def refuse(group):  # noqa: ARG001
+            raise verdicts.build_not_run(409, "busy", "the group is changing")
+
+        (_, first_s), (_, second_s), *_ = self._run(refuse, ["lots"])
+        self.assertGreaterEqual(second_s - first_s, mover.RETRY_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
