--- a/sedgeswitch/transport/peer.py
+++ b/sedgeswitch/transport/peer.py
@@ -79,13 +79,14 @@
                 with trio.fail_after(CONNECT_TIMEOUT_S):
                     stream = await trio.open_tcp_stream(*self.address)
             except (OSError, trio.TooSlowError):
-                with trio.move_on_after(delay_s):
-                    await self._wake.wait()
-                self._wake = trio.Event()
                 delay_s = min(delay_s * 2, RECONNECT_MAX_S)
-                continue
-            delay_s = RECONNECT_MIN_S
-            await self._receive(stream)
+            else:
+                await self._receive(stream)
+                delay_s = RECONNECT_MIN_S
+            # Also after a connection: a peer may close each one at once.
+            with trio.move_on_after(delay_s):
+                await self._wake.wait()
+            self._wake = trio.Event()
 
     async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
         """Send a request and return its reply.
--- a/sedgeswitch/transport/tests/test_calls.py
+++ b/sedgeswitch/transport/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 import hypothesis
 import trio
@@ -85,6 +86,23 @@
 
         trio.run(body)
 
+    def test_peer_that_closes_each_connection_is_not_flooded(self):
+        opened = []
+
+        async def open_closed(host, port):  # noqa: ARG001
+            ours, theirs = trio.testing.memory_stream_pair()
+            opened.append(trio.current_time())
+            await theirs.aclose()
+            return ours
+
+        async def body():
+            with trio.move_on_after(1.0):
+                await peer.Peer(peer.Address("127.0.0.1", 1)).run()
+
+        with mock.patch.object(trio, "open_tcp_stream", open_closed):
+            trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertLessEqual(len(opened), 1.0 / peer.RECONNECT_MIN_S + 1)
+
     def test_unreachable_peer_fails_as_not_run(self):
         async def body():
             with self.assertRaises(failures.CallError) as caught:
