--- /dev/null
+++ b/examples/membership_embedded.py
@@ -0,0 +1,113 @@
+"""Lease hosts and a directory of servers in one program, without the daemon.
+
+    python -m examples.membership_embedded
+
+One leader, two hosts.  A program on many hosts gives a `heart.ControlPeers` as
+the connection and the replicated log of `sedgeswitch.agreement` as the log.
+"""
+
+import random
+import typing
+
+import trio
+
+from sedgeswitch.membership import directory
+from sedgeswitch.membership import heart
+from sedgeswitch.membership import machine
+from sedgeswitch.membership import registrar
+
+LEASE_S = 1.0
+HEARTBEAT_S = 0.2
+SECTION = "directory"
+
+
+class Leadership(typing.NamedTuple):
+    """The one leadership of this program."""
+
+    term: int = 1
+
+
+class LocalLog:
+    """Applies commands at once: this program is its own quorum."""
+
+    leader_id = "control-1"
+
+    def __init__(self, members: machine.MembersMachine):
+        self._members = members
+
+    def get_leadership(self, now_s: float) -> Leadership:  # noqa: ARG002
+        """Return the leadership, which never ends."""
+        return Leadership()
+
+    async def propose(self, slice_name: str, body: bytes, timeout_s: float) -> bytes:  # noqa: ARG002
+        """Apply a command."""
+        await trio.lowlevel.checkpoint()
+        return self._members.apply(0, body)
+
+
+class LocalControl:
+    """A host's connection to the leader."""
+
+    def __init__(self, leader: registrar.Registrar):
+        self._leader = leader
+
+    async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:  # noqa: ARG002
+        """Send a heartbeat or a watch."""
+        if isinstance(message, heart.messages.Heartbeat):
+            return await self._leader.answer_heartbeat(message)
+        return await self._leader.answer_watch(message)
+
+
+def build_host(
+    host_id: str, leader: registrar.Registrar
+) -> tuple[heart.Heart, directory.EntryDirectory]:
+    """Return a host's heart and its copy of the directory."""
+    identity = heart.HostIdentity(host_id, "run-1", "bagmati", "10.0.0.1", 7000)
+    item = heart.Heart(identity, LocalControl(leader), HEARTBEAT_S)
+    servers = directory.EntryDirectory()
+    item.register_section(SECTION, servers)
+    return item, servers
+
+
+def print_holders(leader: registrar.Registrar) -> None:
+    """Print the hosts that may hold a lease."""
+    holders = leader.get_holders(trio.current_time())
+    print("lease holders:", ", ".join(member.host_id for member in holders))
+
+
+async def main() -> None:
+    """Announce a server, then stop a host and wait until its lease is over."""
+    members = machine.MembersMachine()
+    leader = registrar.Registrar(LocalLog(members), members, LEASE_S)
+    leader.register_section(SECTION, directory.ControlDirectory(random.Random()))
+    first, first_servers = build_host("entry-1", leader)
+    second, second_servers = build_host("entry-2", leader)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(leader.run)
+        nursery.start_soon(first.run)
+        stopping = await nursery.start(run_until_stopped, second)
+        first_servers.record_announcement(
+            directory.BackendServer(
+                "lots-0", "lots", "10.0.1.1", 5432, "bagmati", {}, 3, 20
+            )
+        )
+        await trio.sleep(2 * HEARTBEAT_S)
+        print("entry-2 knows:", ", ".join(second_servers.servers))
+        print_holders(leader)
+        stopping.cancel()
+        await trio.sleep(1.2 * LEASE_S)
+        print_holders(leader)
+        nursery.cancel_scope.cancel()
+
+
+async def run_until_stopped(
+    item: heart.Heart, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Run a heart; reports the scope that stops it as started."""
+    with trio.CancelScope() as scope:
+        task_status.started(scope)
+        await item.run()
+
+
+if __name__ == "__main__":
+    trio.run(main)
--- /dev/null
+++ b/sedgeswitch/membership/tests/test_embedded.py
@@ -0,0 +1,36 @@
+"""Runs the examples that embed membership and write leases, in virtual time."""
+
+import contextlib
+import io
+import pathlib
+import runpy
+import unittest
+
+from sedgeswitch.membership.tests import builders
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
+
+def run_example(name):
+    """Return what an example prints."""
+    main = runpy.run_path(str(EXAMPLES / name))["main"]
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        builders.run_virtual(main)
+    return output.getvalue()
+
+
+class EmbeddedTest(unittest.TestCase):
+    def test_stopped_host_loses_its_lease_and_keeps_the_other(self):
+        output = run_example("membership_embedded.py")
+        self.assertIn("entry-2 knows: lots-0", output)
+        self.assertTrue(output.endswith("lease holders: entry-1\n"))
+
+    def test_write_begun_before_the_change_is_answered_by_nobody(self):
+        output = run_example("write_leases_embedded.py")
+        self.assertEqual(output.count("may answer the write as done: False"), 2)
+        self.assertIn("term=2, primary='lots-1'", output)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sedgeswitch/pools/tests/measure_shares.py
@@ -0,0 +1,78 @@
+"""Measures how soon entry hosts reach fair shares, in virtual time.
+
+    python -m sedgeswitch.pools.tests.measure_shares
+
+and the processor time of taking a pooled connection and giving it back.
+"""
+
+import statistics
+import time
+
+import trio
+
+from sedgeswitch.membership.tests import builders
+from sedgeswitch.pools.tests import builders as pool_builders
+from sedgeswitch.pools.tests import test_shares
+
+SEEDS = range(5)
+USES = 20_000
+GIVE_UP_S = 60.0
+
+
+def measure_change(entry_count, change, seed):
+    """Return the seconds from a change until every share is fair."""
+
+    async def run():
+        fleet, pools = test_shares.build_fleet(seed, entry_count)
+        fleet.calm_down()
+        async with trio.open_nursery() as nursery:
+            for item in (*fleet.registrars, *fleet.hearts, *pools):
+                nursery.start_soon(item.run)
+            await wait_fair(pools, entry_count)
+            await trio.sleep(fleet.rng.random())
+            started_s = trio.current_time()
+            if change == "new leader and lost host":
+                fleet.change_leader()
+            fleet.cut = {0}
+            await wait_fair(pools[1:], entry_count - 1)
+            if change == "host back":
+                started_s = trio.current_time()
+                fleet.cut = set()
+                await wait_fair(pools, entry_count)
+            passed_s = trio.current_time() - started_s
+            nursery.cancel_scope.cancel()
+        return passed_s
+
+    return builders.run_virtual(run)
+
+
+async def wait_fair(pools, divisor):
+    """Wait until every host has one share in `divisor`."""
+    with trio.fail_after(GIVE_UP_S):
+        while any(item.share.divisor != divisor for item in pools):
+            await trio.sleep(0.01)
+
+
+async def measure_use():
+    """Return the microseconds of one acquire and release."""
+    connections = pool_builders.build_pool(pool_builders.FakeServer())
+    started_s = time.process_time()
+    for _ in range(USES):
+        pooled = await connections.acquire("ward-4", trio.current_time() + 1.0)
+        await connections.release(pooled, trio.current_time())
+    return (time.process_time() - started_s) / USES * 1e6
+
+
+def main():
+    """Print the figures."""
+    for entry_count in (3, 7, 30):
+        for change in ("lost host", "new leader and lost host", "host back"):
+            times = [measure_change(entry_count, change, seed) for seed in SEEDS]
+            middle_s, most_s = statistics.median(times), max(times)
+            figures = f"{middle_s:.1f} s, at most {most_s:.1f} s"
+            print(f"{entry_count} hosts, {change}: {figures}")  # noqa: T201
+    print(f"acquire and release: {trio.run(measure_use):.0f} us")  # noqa: T201
+
+
+if __name__ == "__main__":
+    main()
