Follow the announced connections, and drop the share with the lease

Causes: a pool kept the connections that its instance had announced first, whatever it announced later (test_shares: 5 kept instead of 3); and a share was dropped up to 0.1 s after the lease, when the leader may have given it away already. The maintenance task now wakes at the end of the lease; that wake-up has no test of its own.

--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -293,12 +293,17 @@
                 for item in self.directory.servers.values()
                 if self._is_left_alone(item)
             }
-            if not self.heart.is_lease_valid(trio.current_time()):
+            now_s = trio.current_time()
+            next_s = now_s + MAINTENANCE_INTERVAL_S
+            if self.heart.is_lease_valid(now_s):
+                next_s = min(next_s, self.heart.lease_until_s)
+            else:
                 self.backends.share.drop()
             await self.backends.close_surplus()
             await self.backends.close_idle(left_alone, trio.current_time())
             self._metrics.flush()
-            await trio.sleep(MAINTENANCE_INTERVAL_S)
+            # The share is dropped as soon as the lease is over.
+            await trio.sleep_until(next_s)
 
 
 def build_not_ready() -> verdicts.RefusedError:
--- a/sedgeswitch/pools/tests/test_shares.py
+++ b/sedgeswitch/pools/tests/test_shares.py
@@ -5,9 +5,14 @@
 
 import trio
 
+from sedgeswitch.admission import fair_queue
+from sedgeswitch.membership import directory
 from sedgeswitch.membership.tests import builders
 from sedgeswitch.pools import messages
+from sedgeswitch.pools import pool
 from sedgeswitch.pools import shares
+from sedgeswitch.pools.tests import builders as pool_builders
+from sedgeswitch.statements import backends
 from sedgeswitch.transport import catalog
 
 MAX_CONNECTIONS = 30
@@ -127,6 +132,33 @@
             given.append(catalog.decode_struct(messages.ShareAnswer, body).divisor)
         self.assertEqual(given, [0, 2, 2])
 
+    def test_pools_follow_share_and_announced_connections_at_once(self):
+        async def run():
+            options = backends.BackendOptions(
+                "bagmati", 100, "any", pool.PoolSettings()
+            )
+            entry = backends.Backends(
+                directory.EntryDirectory(),
+                pool_builders.FakeServer(),
+                lambda capacity: fair_queue.FairQueue(capacity, 10),
+                options,
+                random.Random(0),
+            )
+            server = builders.build_server(max_connections=25)
+            connections = entry.get_pool(server, "lots")
+            capacities = [connections.load.capacity]
+            for divisor in (2, 4):
+                answer = catalog.encode_struct(messages.ShareAnswer(divisor))
+                entry.share.receive_answer(answer, 0.0)
+                capacities.append(connections.load.capacity)
+            entry.get_pool(server._replace(max_connections=17), "lots")
+            capacities.append(connections.load.capacity)
+            entry.share.drop()
+            capacities.append(connections.load.capacity)
+            self.assertEqual(capacities, [0, 10, 5, 3, 0])
+
+        builders.run_virtual(run)
+
     def test_more_hosts_than_connections_leaves_none(self):
         self.assertEqual(shares.get_capacity(10, 6), 0)
         self.assertEqual(shares.get_capacity(10, 5), 1)
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -102,6 +102,9 @@
                 self._options.pool,
             )
             kept = self._pools[target] = _Kept(connections, server.max_connections)
+        elif kept.max_connections != server.max_connections:
+            kept = self._pools[target] = _Kept(kept.connections, server.max_connections)
+            self._limit(self.share.divisor)
         return kept.connections
 
     async def close_surplus(self) -> None:
