--- a/sedgeswitch/membership/tests/builders.py
+++ b/sedgeswitch/membership/tests/builders.py
@@ -1,5 +1,6 @@
 """A small fleet of real registrars and hearts over a lossy network."""
 
+import collections
 import random
 import typing
 
@@ -87,6 +88,7 @@
             registrar.Registrar(log, self.members, LEASE_S) for log in self.logs
         ]
         self.hearts = [self._build_heart(index) for index in range(entry_count)]
+        self.sent = collections.Counter()
         self.cut = set()
         self.leader = 0
         self.logs[0].term = 1
@@ -134,6 +136,7 @@
 
     async def call(self, message, timeout_s):
         fleet = self.fleet
+        fleet.sent[type(message)] += 1
         error = failures.CallError("timeout", "", verdicts.Verdict.MAY_HAVE_RUN)
         replies = []
         with trio.move_on_after(timeout_s):
--- a/sedgeswitch/membership/tests/test_leases.py
+++ b/sedgeswitch/membership/tests/test_leases.py
@@ -6,6 +6,7 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.membership import directory
 from sedgeswitch.membership import heart
 from sedgeswitch.membership import leases
 from sedgeswitch.membership import machine
@@ -59,6 +60,33 @@
         await fleet.run(40.0, check, step)
         self.assertGreater(served, 100)
 
+    def test_renewed_announcements_wake_nobody(self):
+        async def run():
+            fleet = builders.Fleet(0)
+            fleet.calm_down()
+            copies = [directory.EntryDirectory() for _ in fleet.hearts]
+            for serving in fleet.registrars:
+                serving.register_section(
+                    "directory", directory.ControlDirectory(fleet.rng)
+                )
+            for item, copy in zip(fleet.hearts, copies, strict=True):
+                item.register_section("directory", copy)
+
+            def announce():
+                for place, copy in enumerate(copies):
+                    copy.record_announcement(builders.build_server(f"lots-{place}"))
+
+            await fleet.run(15.0, lambda _: None, announce)
+            fleet.sent.clear()
+            await fleet.run(20.0, lambda _: None, announce)
+            count = len(fleet.hearts)
+            beats = 20.0 / builders.HEARTBEAT_S
+            self.assertLessEqual(fleet.sent[messages.Heartbeat], (beats + 2) * count)
+            watches = 20.0 / heart.WATCH_TIMEOUT_S
+            self.assertLessEqual(fleet.sent[messages.Watch], (watches + 2) * count)
+
+        builders.run_virtual(run)
+
     def test_heartbeat_during_removal_keeps_host_registered(self):
         async def run():
             log, serving = build_registrar()
