--- a/sedgeswitch/membership/tests/test_leases.py
+++ b/sedgeswitch/membership/tests/test_leases.py
@@ -6,6 +6,7 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.membership import directory
 from sedgeswitch.membership import heart
 from sedgeswitch.membership import leases
 from sedgeswitch.membership import machine
@@ -59,6 +60,33 @@
         await fleet.run(40.0, check, step)
         self.assertGreater(served, 100)
 
+    def test_renewed_announcements_wake_nobody(self):
+        async def run():
+            fleet = builders.Fleet(0)
+            fleet.calm_down()
+            copies = [directory.EntryDirectory() for _ in fleet.hearts]
+            for serving in fleet.registrars:
+                serving.register_section(
+                    "directory", directory.ControlDirectory(fleet.rng)
+                )
+            for item, copy in zip(fleet.hearts, copies, strict=True):
+                item.register_section("directory", copy)
+
+            def announce():
+                for place, copy in enumerate(copies):
+                    copy.record_announcement(builders.build_server(f"lots-{place}"))
+
+            await fleet.run(15.0, lambda _: None, announce)
+            fleet.sent.clear()
+            await fleet.run(20.0, lambda _: None, announce)
+            count = len(fleet.hearts)
+            beats = 20.0 / builders.HEARTBEAT_S
+            self.assertLessEqual(fleet.sent[messages.Heartbeat], (beats + 2) * count)
+            watches = 20.0 / heart.WATCH_TIMEOUT_S
+            self.assertLessEqual(fleet.sent[messages.Watch], (watches + 2) * count)
+
+        builders.run_virtual(run)
+
     def test_heartbeat_during_removal_keeps_host_registered(self):
         async def run():
             log, serving = build_registrar()
@@ -97,6 +125,18 @@
 
         builders.run_virtual(run)
 
+    def test_holders_of_a_leadership_that_has_just_begun_are_all_members(self):
+        async def run():
+            log, serving = build_registrar()
+            await serving.answer_heartbeat(builders.build_heartbeat("entry-0"))
+            log.term = 0
+            await trio.sleep(2 * builders.LEASE_S)
+            log.term = 3
+            # Before `run` has looked at the log again.
+            self.assertEqual(len(serving.get_holders(trio.current_time())), 1)
+
+        builders.run_virtual(run)
+
     def test_late_heartbeat_is_refused(self):
         async def run():
             _, serving = build_registrar()
--- a/sedgeswitch/transport/peer.py
+++ b/sedgeswitch/transport/peer.py
@@ -83,13 +83,14 @@
                 with trio.fail_after(CONNECT_TIMEOUT_S):
                     stream = await trio.open_tcp_stream(*self.address)
             except (OSError, trio.TooSlowError):
-                with trio.move_on_after(delay_s):
-                    await self._wake.wait()
-                self._wake = trio.Event()
                 delay_s = min(delay_s * 2, RECONNECT_MAX_S)
-                continue
-            delay_s = RECONNECT_MIN_S
-            await self._receive(stream)
+            else:
+                await self._receive(stream)
+                delay_s = RECONNECT_MIN_S
+            # Also after a connection: a peer may close each one at once.
+            with trio.move_on_after(delay_s):
+                await self._wake.wait()
+            self._wake = trio.Event()
 
     async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
         """Send a request and return its reply.
@@ -158,9 +159,13 @@
             raise failures.CallError(
                 code, str(self.address), verdicts.Verdict.MAY_HAVE_RUN
             )
-        if frame.kind == frames.KIND_FAILURE:
-            raise failures.build_call_error(frame.message)
-        return frame.message
+        if frame.kind == frames.KIND_REPLY:
+            return frame.message
+        if not isinstance(frame.message, failures.FAILURE_TYPE):
+            raise failures.CallError(
+                "malformed_answer", str(self.address), verdicts.Verdict.MAY_HAVE_RUN
+            )
+        raise failures.build_call_error(frame.message)
 
     async def _receive(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
