Spare the leader work on every heartbeat that grows with the fleet

Change: watchers are assigned at most every 0.25 s (at once when the groups change), expiry is looked for every 0.25 s, and the whole directory is encoded once per version.

--- a/sedgeswitch/groups/sections.py
+++ b/sedgeswitch/groups/sections.py
@@ -18,6 +18,7 @@
 
 _MS_PER_S = 1000
 _USE_KEPT_S = 60.0
+_ASSIGN_INTERVAL_S = 0.25
 
 
 class ReplicaView(typing.NamedTuple):
@@ -206,12 +207,15 @@
         self._watchers: dict[str, list[str]] = {}
         self._watched: dict[str, list[str]] = {}
         self._assigned_for: tuple = ()
+        self._assigned_version = -1
+        self._next_assign_s = float("-inf")
 
     def start_leadership(self, now_s: float) -> None:  # noqa: ARG002
         """Forget what an earlier leadership knew."""
         self.board.clear()
         self._hosts.clear()
         self._assigned_for = ()
+        self._next_assign_s = float("-inf")
 
     def get_version(self) -> int:
         """Return the version of the agreed table."""
@@ -258,6 +262,12 @@
 
     def _assign(self, now_s: float) -> None:
         """Assign watchers anew if the live hosts or the groups have changed."""
+        # Every heartbeat comes here; to list all hosts each time is quadratic.
+        version = self._machine.get_version()
+        if version == self._assigned_version and now_s < self._next_assign_s:
+            return
+        self._assigned_version = version
+        self._next_assign_s = now_s + _ASSIGN_INTERVAL_S
         hosts = sorted(self._get_live_hosts(now_s))
         groups = [group.group for group in self._machine.get_groups()]
         basis = (hosts, groups)
--- a/sedgeswitch/membership/directory.py
+++ b/sedgeswitch/membership/directory.py
@@ -15,6 +15,7 @@
 
 ANNOUNCEMENT_LEASE_S = 10.0
 KEPT_CHANGES = 1000
+EXPIRE_INTERVAL_S = 0.25
 _EPOCH_BITS = 60
 
 
@@ -161,6 +162,8 @@
         self._started_s = 0.0
         self._entries: dict[str, _Entry] = {}
         self._changes: collections.deque[str] = collections.deque(maxlen=KEPT_CHANGES)
+        self._next_expire_s = 0.0
+        self._whole: tuple[int, int, bytes] = (-1, -1, b"")
 
     @property
     def servers(self) -> dict[str, BackendServer]:
@@ -192,7 +195,9 @@
 
     def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:  # noqa: ARG002
         """Record announcements and return the changes the host lacks."""
-        self.expire(now_s)
+        if now_s >= self._next_expire_s:
+            self.expire(now_s)
+            self._next_expire_s = now_s + EXPIRE_INTERVAL_S
         report = catalog.decode_struct(messages.DirectoryReport, body)
         for message in report.changed:
             self._renew(_build_server(message), now_s)
@@ -203,7 +208,7 @@
                 unknown.append(instance)
             else:
                 self._renew(entry.server, now_s)
-        return catalog.encode_struct(self._build_answer(report, unknown, now_s))
+        return self._encode_answer(report, unknown, now_s)
 
     def _renew(self, server: BackendServer, now_s: float) -> None:
         known = self._entries.get(server.instance)
@@ -215,9 +220,9 @@
         self._version += 1
         self._changes.append(instance)
 
-    def _build_answer(
+    def _encode_answer(
         self, report: messages.DirectoryReport, unknown: list[str], now_s: float
-    ) -> messages.DirectoryAnswer:
+    ) -> bytes:
         # A new leader knows too little to remove what the hosts still use. The
         # epoch moves on once announcements had time to arrive, and then every
         # host gets the whole directory.
@@ -225,16 +230,29 @@
         epoch = self._epoch + int(is_warm)
         missed = self._version - report.version
         if report.epoch != epoch or not 0 <= missed <= len(self._changes):
-            upserts = [_build_message(entry.server) for entry in self._entries.values()]
-            return messages.DirectoryAnswer(
-                epoch, self._version, is_warm, upserts, [], unknown
-            )
+            return self._encode_whole(epoch, is_warm, unknown)
         touched = set(list(self._changes)[len(self._changes) - missed :])
         present = sorted(touched & self._entries.keys())
         upserts = [
             _build_message(self._entries[instance].server) for instance in present
         ]
         removals = sorted(touched - self._entries.keys()) if is_warm else []
-        return messages.DirectoryAnswer(
-            epoch, self._version, False, upserts, removals, unknown
+        return catalog.encode_struct(
+            messages.DirectoryAnswer(
+                epoch, self._version, False, upserts, removals, unknown
+            )
+        )
+
+    def _encode_whole(self, epoch: int, is_warm: bool, unknown: list[str]) -> bytes:
+        # All hosts ask for the same bytes after a change of leader.
+        if not unknown and self._whole[:2] == (epoch, self._version):
+            return self._whole[2]
+        upserts = [_build_message(entry.server) for entry in self._entries.values()]
+        body = catalog.encode_struct(
+            messages.DirectoryAnswer(
+                epoch, self._version, is_warm, upserts, [], unknown
+            )
         )
+        if not unknown:
+            self._whole = (epoch, self._version, body)
+        return body
