--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -85,8 +85,8 @@
             self._popen.wait()
 
 
-def read_usage(pid: int) -> Usage:
-    """Return what a process has used, by its id."""
+def read_usage(pid: int | str) -> Usage:
+    """Return what a process has used, by its id; ``self`` for this one."""
     folder = pathlib.Path("/proc") / str(pid)
     fields = (folder / "stat").read_text().rpartition(")")[2].split()
     pages = int((folder / "statm").read_text().split()[1])
--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -65,8 +65,12 @@
         """Start everything and wait until a write is answered."""
         self.fleet.start_control()
         self.fleet.start_entry(self._entry_count)
-        self.fleet.change(self._build_operations(), "setup")
-        self._start_instances()
+        self.fleet.change(self.build_operations(), "setup")
+        self.start_instances()
+        self.wait_ready()
+
+    def wait_ready(self) -> None:
+        """Wait until a write is answered."""
         processes.wait_until(self._try_create, READY_TIMEOUT_S, "a first write")
 
     def stop(self) -> None:
@@ -95,7 +99,8 @@
         text = (self._folder / "callers" / f"{process.name}.log").read_text()
         return callers.Outcome(**json.loads(text.splitlines()[-1]))
 
-    def _build_operations(self) -> list[dict]:
+    def build_operations(self) -> list[dict]:
+        """Return the change that configures the organisation and the group."""
         group = {"database": DATABASE, "ack_instances": 2, "replicas_may_serve": True}
         selector = {
             "organisations": "*",
@@ -120,7 +125,8 @@
             {"operation": "set_selector", "name": "all", "selector": selector},
         ]
 
-    def _start_instances(self) -> None:
+    def start_instances(self) -> None:
+        """Start the stand-in instances; the first is the primary."""
         first = self._instance_port
         peers = [f"{fleet.HOST}:{first + 10 + n}" for n in range(INSTANCES)]
         for number in range(INSTANCES):
