--- a/sedgeswitch/callers/http.py
+++ b/sedgeswitch/callers/http.py
@@ -16,6 +16,7 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.transport import sockets
 from sedgeswitch.utils import records
 
 RECEIVE_BYTES = 8 * 1024
@@ -384,9 +385,12 @@
     async def _send(
         self, response: Response, is_closing: bool, has_body: bool = True
     ) -> None:
-        self._deadline_s = trio.current_time() + self._limits.send_timeout_s
+        data = encode_response(response, is_closing, has_body)
         self._is_sending = True
-        await self._stream.send_all(encode_response(response, is_closing, has_body))
+        sent_bytes = sockets.send_now(self._stream, data)
+        if sent_bytes < len(data):
+            self._deadline_s = trio.current_time() + self._limits.send_timeout_s
+            await self._stream.send_all(data[sent_bytes:])
         self._is_sending = False
 
     async def _receive(self) -> bool:
@@ -394,7 +398,10 @@
         builder = self._builder
         # The rest of a request may follow one that is answered.
         is_timed = builder.is_started
-        if not builder.finished:
+        if builder.finished:
+            # Requests sent ahead must not keep other connections waiting.
+            await trio.lowlevel.checkpoint()
+        else:
             self._set_deadline(is_timed)
         while not builder.finished:
             if builder.refusal is not None:
--- a/sedgeswitch/statements/tests/transaction_builders.py
+++ b/sedgeswitch/statements/tests/transaction_builders.py
@@ -54,8 +54,8 @@
     def get_pool(self, server, database):  # noqa: ARG002
         return self.connections
 
-    async def acknowledge(self, *arguments):
-        pass
+    async def acknowledge(self, permit, work, session, position, deadline_s):
+        return position
 
 
 class Host:
