Take only IP numbers in announcements, and quote connection settings

Cause: an announced host or a configured database with a space became further settings of the connection, such as another user. Not covered: announcements need no key, so whoever reaches the port can make a host connect to an address of theirs.

--- a/sedgeswitch/daemon/announcements.py
+++ b/sedgeswitch/daemon/announcements.py
@@ -1,5 +1,6 @@
 """The endpoint at which backend servers announce themselves."""
 
+import ipaddress
 import typing
 
 import msgspec
@@ -52,5 +53,15 @@
             400 if the announcement is not well formed.
         """
         body = requests.decode_fields(request.body, _FIELDS, _Body)
+        _check_ip(body["host"])
         self._servers.record_announcement(directory.BackendServer(**body))
         return http.Response(204, b"")
+
+
+def _check_ip(host: str) -> None:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise requests.build_bad_request(
+            f"host: expected an IP number, got {host!r}"
+        ) from error
--- a/sedgeswitch/drivers/postgres.py
+++ b/sedgeswitch/drivers/postgres.py
@@ -4,6 +4,7 @@
 import typing
 
 import trio
+from psycopg import conninfo
 from psycopg import errors
 from psycopg import generators
 from psycopg import pq
@@ -183,14 +184,18 @@
         base.DriverError
             If the instance cannot be reached or refuses; nothing has run.
         """
-        conninfo = (
-            f"host={target.host} port={target.port} dbname={target.database} "
-            f"user={target.user} sslmode=disable gssencmode=disable "
-            "application_name=sedgeswitch"
+        settings = conninfo.make_conninfo(
+            host=target.host,
+            port=target.port,
+            dbname=target.database,
+            user=target.user,
+            sslmode="disable",
+            gssencmode="disable",
+            application_name="sedgeswitch",
         )
         try:
             with trio.fail_after(timeout_s):
-                pgconn = await _step_connect(generators.connect(conninfo))
+                pgconn = await _step_connect(generators.connect(settings))
         except trio.TooSlowError as error:
             raise base.DriverError(
                 "", "connecting timed out", verdicts.Verdict.NOT_RUN, is_lost=True
--- a/sedgeswitch/drivers/tests/test_postgres.py
+++ b/sedgeswitch/drivers/tests/test_postgres.py
@@ -21,7 +21,7 @@
 
 
 class PostgresTest(unittest.TestCase):
-    def _run(self, body, *answers, is_closing=False):
+    def _run(self, body, *answers, is_closing=False, database="lots"):
         """Run `body` with a connection to a server that gives some answers."""
         received = []
 
@@ -44,7 +44,7 @@
             async with trio.open_nursery() as nursery:
                 listeners = await nursery.start(trio.serve_tcp, serve, 0)
                 port = listeners[0].socket.getsockname()[1]
-                target = base.Target("127.0.0.1", port, "lots")
+                target = base.Target("127.0.0.1", port, database)
                 connection = await postgres.PostgresDriver().connect(target, 5.0)
                 await body(connection)
                 await connection.close()
@@ -82,6 +82,15 @@
         (bind,) = [item for item in received if isinstance(item, wire.Bind)]
         self.assertEqual(bind.values, (None, b"x"))
 
+    def test_database_name_adds_no_setting(self):
+        async def body(connection):
+            pass
+
+        name = "lots user=postgres"
+        startup = self._run(body, database=name)[0]
+        self.assertEqual(startup.parameters["database"], name)
+        self.assertEqual(startup.parameters["user"], "sedgeswitch")
+
     def test_refused_statement_is_not_run_and_connection_stays(self):
         answer = wire.encode_error("23505", "twice", False) + wire.encode_ready(b"I")
         error, is_usable = self._get_error(answer)
