Keep a reply that cannot be encoded from ending the server

Cause: replies were encoded outside of the guard around handlers, so one bad reply ended the listener and with it the daemon.

--- a/sedgeswitch/transport/server.py
+++ b/sedgeswitch/transport/server.py
@@ -76,15 +76,18 @@
         frame: frames.Frame,
     ) -> None:
         try:
-            reply = await self._handle(frame.message)
-            answer = frames.Frame(frames.KIND_REPLY, frame.request_id, reply)
+            data = await self._handle(frame)
         except failures.CallError as error:
             failure = failures.build_failure(error)
-            answer = frames.Frame(frames.KIND_FAILURE, frame.request_id, failure)
+            data = frames.encode_frame(
+                frames.Frame(frames.KIND_FAILURE, frame.request_id, failure)
+            )
         async with send_lock:
-            await stream.send_all(frames.encode_frame(answer))
+            await stream.send_all(data)
 
-    async def _handle(self, message: typing.Any) -> typing.Any:
+    async def _handle(self, frame: frames.Frame) -> bytes:
+        """Return the encoded reply to a request."""
+        message = frame.message
         handler = self._handlers.get(type(message))
         if handler is None:
             name = type(message).__name__
@@ -92,7 +95,10 @@
                 "unhandled", f"no handler for {name}", verdicts.Verdict.NOT_RUN
             )
         try:
-            return await handler(message)
+            reply = await handler(message)
+            return frames.encode_frame(
+                frames.Frame(frames.KIND_REPLY, frame.request_id, reply)
+            )
         except failures.CallError:
             raise
         except Exception as error:
--- a/sedgeswitch/transport/tests/test_calls.py
+++ b/sedgeswitch/transport/tests/test_calls.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import hypothesis
+import loguru
 import trio
 import trio.testing
 from hypothesis import strategies
@@ -65,6 +66,20 @@
 
         trio.run(_run_against, _echo_slowest_first, body)
 
+    def test_reply_that_cannot_be_encoded_fails_only_its_call(self):
+        async def answer(request):
+            return ttypes.Failure("x", "0", False) if request.code == "good" else None
+
+        async def body(calling):
+            with self.assertRaises(failures.CallError) as caught:
+                await calling.call(ttypes.Failure("bad", "0", False), 5.0)
+            self.assertIs(caught.exception.verdict, verdicts.Verdict.MAY_HAVE_RUN)
+            await calling.call(ttypes.Failure("good", "0", False), 5.0)
+
+        loguru.logger.disable("sedgeswitch.transport")
+        self.addCleanup(loguru.logger.enable, "sedgeswitch.transport")
+        trio.run(_run_against, answer, body)
+
     def test_failure_frame_with_another_message_fails_as_may_have_run(self):
         async def answer_badly(stream):
             frame = await frames.FrameReader(stream).read()
