--- a/sedgeswitch/observability/tests/test_observability.py
+++ b/sedgeswitch/observability/tests/test_observability.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import logging
 import pathlib
 import random
 import tempfile
@@ -27,6 +28,11 @@
 
 
 class TraceTest(unittest.TestCase):
+    def setUp(self):
+        # The library warns of each malformed header.
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
     def _trace(self, body, sample_share=1.0):
         """Return the spans that `body` records with a tracer."""
         with tempfile.TemporaryDirectory() as folder:
