Run the tests in virtual time the same way each time

Cause: trio shuffles the order of tasks, so a seed did not repeat a run, and test_slot_granted_before_shrinking failed in 1 of 3 runs: its window was gone before the pool shrank. The window is now a connection that closes slowly.

--- a/sedgeswitch/callers/tests/builders.py
+++ b/sedgeswitch/callers/tests/builders.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from sedgeswitch.callers import http
+from sedgeswitch.utils.tests import virtual_time
 
 LIMITS = http.Limits(max_header_bytes=1000, max_body_bytes=1000)
 GET = b"GET /echo HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -22,13 +23,6 @@
     return b"POST /p HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
-def run_virtual(function, *arguments):
-    """Run an async function in virtual time."""
-    return trio.run(
-        function, *arguments, clock=trio.testing.MockClock(autojump_threshold=0)
-    )
-
-
 def exchange(*chunks, handler=echo, is_ending=True, is_draining=False):
     """Return everything that a connection answers to some bytes."""
 
@@ -53,7 +47,7 @@
                     await theirs.send_eof()
         return bytes(received)
 
-    return run_virtual(run)
+    return virtual_time.run(run)
 
 
 def get_statuses(data):
--- a/sedgeswitch/callers/tests/test_http.py
+++ b/sedgeswitch/callers/tests/test_http.py
@@ -12,6 +12,7 @@
 from sedgeswitch.callers import http
 from sedgeswitch.callers import routes
 from sedgeswitch.callers.tests import builders
+from sedgeswitch.utils.tests import virtual_time
 
 FRAGMENTS = [
     builders.GET,
@@ -74,7 +75,7 @@
             await connection.run()
             return trio.current_time()
 
-        passed_s = builders.run_virtual(run)
+        passed_s = virtual_time.run(run)
         limits = builders.LIMITS
         self.assertLess(passed_s, limits.request_timeout_s + 2 * http.LINGER_S)
 
--- a/sedgeswitch/draining/tests/test_draining.py
+++ b/sedgeswitch/draining/tests/test_draining.py
@@ -5,7 +5,6 @@
 
 import loguru
 import trio
-import trio.testing
 
 from sedgeswitch import verdicts
 from sedgeswitch.daemon import adapters
@@ -13,6 +12,7 @@
 from sedgeswitch.draining import mover
 from sedgeswitch.draining import sections
 from sedgeswitch.membership.tests import builders as membership_builders
+from sedgeswitch.utils.tests import virtual_time
 
 DRAINED = 7
 
@@ -106,8 +106,7 @@
                 await mover.Mover(lambda _: moves, move).run()
             return [(group, round(at_s - started_s, 1)) for group, at_s in tried]
 
-        clock = trio.testing.MockClock(autojump_threshold=0)
-        return trio.run(run, clock=clock)
+        return virtual_time.run(run)
 
     def test_slow_move_delays_no_other_group_and_is_not_doubled(self):
         async def hang(group):  # noqa: ARG001
--- a/sedgeswitch/membership/tests/builders.py
+++ b/sedgeswitch/membership/tests/builders.py
@@ -26,13 +26,6 @@
     term: int
 
 
-def run_virtual(function, *arguments):
-    """Run an async function in virtual time."""
-    return trio.run(
-        function, *arguments, clock=trio.testing.MockClock(autojump_threshold=0)
-    )
-
-
 def build_server(instance="lots-0", **changes):
     server = directory.BackendServer(
         instance, "lots", "10.0.0.1", 5432, "bagmati", {"rack": "a"}, 3, 20
--- a/sedgeswitch/membership/tests/test_embedded.py
+++ b/sedgeswitch/membership/tests/test_embedded.py
@@ -6,7 +6,7 @@
 import runpy
 import unittest
 
-from sedgeswitch.membership.tests import builders
+from sedgeswitch.utils.tests import virtual_time
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 
@@ -16,7 +16,7 @@
     main = runpy.run_path(str(EXAMPLES / name))["main"]
     output = io.StringIO()
     with contextlib.redirect_stdout(output):
-        builders.run_virtual(main)
+        virtual_time.run(main)
     return output.getvalue()
 
 
--- a/sedgeswitch/membership/tests/test_leases.py
+++ b/sedgeswitch/membership/tests/test_leases.py
@@ -15,6 +15,7 @@
 from sedgeswitch.membership.tests import builders
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
+from sedgeswitch.utils.tests import virtual_time
 
 
 def build_registrar():
@@ -28,7 +29,7 @@
     def test_random_faults_host_lease_ends_before_leaders_count(self):
         for seed in range(6):
             with self.subTest(seed=seed):
-                builders.run_virtual(self._run_faults, seed)
+                virtual_time.run(self._run_faults, seed)
 
     async def _run_faults(self, seed):
         fleet = builders.Fleet(seed)
@@ -85,7 +86,7 @@
             watches = 20.0 / heart.WATCH_TIMEOUT_S
             self.assertLessEqual(fleet.sent[messages.Watch], (watches + 2) * count)
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
     def test_heartbeat_during_removal_keeps_host_registered(self):
         async def run():
@@ -106,7 +107,7 @@
                 self.assertEqual(log.members.members.keys(), {"entry-0", "entry-1"})
                 nursery.cancel_scope.cancel()
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
     def test_removal_of_unknown_outcome_is_followed_by_registration(self):
         async def run():
@@ -123,7 +124,7 @@
                 await serving.answer_heartbeat(builders.build_heartbeat("entry-0", 2))
             self.assertEqual(len(serving.leases.get_holders(trio.current_time())), 1)
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
     def test_holders_of_a_leadership_that_has_just_begun_are_all_members(self):
         async def run():
@@ -135,7 +136,7 @@
             # Before `run` has looked at the log again.
             self.assertEqual(len(serving.get_holders(trio.current_time())), 1)
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
     def test_late_heartbeat_is_refused(self):
         async def run():
@@ -145,7 +146,7 @@
                 await serving.answer_heartbeat(builders.build_heartbeat("entry-0", 4))
             self.assertEqual(caught.exception.code, "superseded")
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
     def test_leaving_heartbeat_of_earlier_process_releases_nothing(self):
         async def run():
@@ -156,7 +157,7 @@
             await serving.answer_heartbeat(leaving)
             self.assertEqual(len(serving.leases.get_holders(trio.current_time())), 1)
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
 
 class FakeControl:
@@ -181,7 +182,7 @@
                 await item.run()
             return item.is_lease_valid(trio.current_time())
 
-        return builders.run_virtual(run)
+        return virtual_time.run(run)
 
     def test_malformed_section_renews_no_lease_and_heart_goes_on(self):
         answer = messages.HeartbeatAnswer(2000, {"members": b"\xff"}, {})
--- a/sedgeswitch/pools/tests/builders.py
+++ b/sedgeswitch/pools/tests/builders.py
@@ -14,13 +14,6 @@
 TARGET = base.Target("10.0.0.1", 5432, "lots")
 
 
-def run_virtual(function, *arguments):
-    """Run an async function in virtual time."""
-    return trio.run(
-        function, *arguments, clock=trio.testing.MockClock(autojump_threshold=0)
-    )
-
-
 def build_lost():
     return base.DriverError("", "lost", verdicts.Verdict.MAY_HAVE_RUN, is_lost=True)
 
@@ -36,6 +29,7 @@
         self.ran = []
         self.mixed = []
         self.delay_s = 0.01
+        self.close_s = 0.0
 
     async def connect(self, target, timeout_s):  # noqa: ARG002
         self.open += 1
@@ -107,6 +101,7 @@
         if self.is_open:
             self.is_open = False
             self.server.open -= 1
+        await trio.sleep(self.server.close_s)
 
 
 def build_pool(server, capacity=3, queue=100):
--- a/sedgeswitch/pools/tests/measure_shares.py
+++ b/sedgeswitch/pools/tests/measure_shares.py
@@ -10,9 +10,9 @@
 
 import trio
 
-from sedgeswitch.membership.tests import builders
 from sedgeswitch.pools.tests import builders as pool_builders
 from sedgeswitch.pools.tests import test_shares
+from sedgeswitch.utils.tests import virtual_time
 
 SEEDS = range(5)
 USES = 20_000
@@ -43,7 +43,7 @@
             nursery.cancel_scope.cancel()
         return passed_s
 
-    return builders.run_virtual(run)
+    return virtual_time.run(run)
 
 
 async def wait_fair(pools, divisor):
--- a/sedgeswitch/pools/tests/test_pool.py
+++ b/sedgeswitch/pools/tests/test_pool.py
@@ -8,6 +8,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
 from sedgeswitch.pools.tests import builders
+from sedgeswitch.utils.tests import virtual_time
 
 ORGANISATIONS = ("ward-4", "ward-7", "")
 
@@ -16,7 +17,7 @@
     def test_slots_and_open_count_survive_cancellation_anywhere(self):
         for seed in range(25):
             with self.subTest(seed=seed):
-                builders.run_virtual(self._run_faults, seed)
+                virtual_time.run(self._run_faults, seed)
 
     async def _run_faults(self, seed):
         rng = random.Random(seed)
@@ -93,7 +94,7 @@
                 await connections.release(pooled, trio.current_time())
             return used, [sql for _, sql in server.ran]
 
-        return builders.run_virtual(run)
+        return virtual_time.run(run)
 
     def test_same_organisation_gets_connection_without_reset(self):
         used, ran = self._run(["SET"], ["ward-4", "ward-4"])
@@ -122,6 +123,12 @@
             server = builders.FakeServer()
             connections = builders.build_pool(server, capacity=2)
             held = await connections.acquire("ward-4", 60.0)
+            other = await connections.acquire("ward-4", 60.0)
+            await connections.release(other, trio.current_time())
+            other._connection.is_open = False
+            server.open -= 1
+            server.most_open = server.open
+            server.close_s = 0.1
             got = []
 
             async def wait():
@@ -129,9 +136,8 @@
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(wait)
-                # The slot is granted, but its task has not gone on.
-                while connections.load.in_use < 2:
-                    await trio.lowlevel.checkpoint()
+                # It has a slot, and closes the lost connection before it opens one.
+                await trio.sleep(0.05)
                 connections.set_capacity(1)
                 self.assertEqual(connections.open_count, 1)
                 await trio.sleep(1.0)
@@ -139,7 +145,7 @@
                 await connections.release(held, trio.current_time())
             self.assertEqual(server.most_open, 1)
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
 
 if __name__ == "__main__":
--- a/sedgeswitch/pools/tests/test_shares.py
+++ b/sedgeswitch/pools/tests/test_shares.py
@@ -14,6 +14,7 @@
 from sedgeswitch.pools.tests import builders as pool_builders
 from sedgeswitch.statements import backends
 from sedgeswitch.transport import catalog
+from sedgeswitch.utils.tests import virtual_time
 
 MAX_CONNECTIONS = 30
 SHARED = MAX_CONNECTIONS - shares.RESERVED_CONNECTIONS
@@ -69,7 +70,7 @@
     def test_random_histories_never_exceed_an_instances_connections(self):
         for seed in range(6):
             with self.subTest(seed=seed):
-                builders.run_virtual(self._run_faults, seed)
+                virtual_time.run(self._run_faults, seed)
 
     async def _run_faults(self, seed):
         fleet, pools = build_fleet(seed, random.Random(seed).randint(2, 6))
@@ -157,7 +158,7 @@
             capacities.append(connections.load.capacity)
             self.assertEqual(capacities, [0, 10, 5, 3, 0])
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
     def test_more_hosts_than_connections_leaves_none(self):
         self.assertEqual(shares.get_capacity(10, 6), 0)
--- a/sedgeswitch/pools/tests/test_transactions.py
+++ b/sedgeswitch/pools/tests/test_transactions.py
@@ -8,6 +8,7 @@
 from sedgeswitch.drivers import base
 from sedgeswitch.pools import transactions
 from sedgeswitch.pools.tests import builders
+from sedgeswitch.utils.tests import virtual_time
 
 
 class TransactionTableTest(unittest.TestCase):
@@ -23,7 +24,7 @@
             self.assertEqual(server.mixed, [])
             self.assertEqual(connections.open_count, server.open)
 
-        builders.run_virtual(run)
+        virtual_time.run(run)
 
     def test_statements_of_two_transactions_keep_to_their_connections(self):
         async def body(server, connections, table):
--- a/sedgeswitch/statements/tests/transaction_builders.py
+++ b/sedgeswitch/statements/tests/transaction_builders.py
@@ -21,6 +21,7 @@
 from sedgeswitch.statements import forwarding
 from sedgeswitch.statements import transactions
 from sedgeswitch.transport import failures
+from sedgeswitch.utils.tests import virtual_time
 
 KEYS = {"Bearer sedge-key-4": "ward-4", "Bearer sedge-key-7": "ward-7"}
 
@@ -151,7 +152,7 @@
         await body(fleet, f"{transactions.PATH}/{begun['transaction']}")
 
     with known_position():
-        pool_builders.run_virtual(main)
+        virtual_time.run(main)
 
 
 BEGIN = {"group": "lots", "work": "draw"}
