Read repeated headers as one list

Cause: the last of two Authorization headers won, so a request with two keys ran for one of two organisations by its order. As a list they are no key. Before/after (test_http): 1 failed, 0 now.

--- a/sedgeswitch/callers/http.py
+++ b/sedgeswitch/callers/http.py
@@ -197,7 +197,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_header(len(name) + len(value))
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        # RFC 9110: repeated headers are one list, so two keys are no key.
+        given = self._headers.get(key)
+        self._headers[key] = text if given is None else f"{given}, {text}"
 
     def on_headers_complete(self) -> None:
         expected = self._headers.get("expect", "").lower()
--- a/sedgeswitch/callers/tests/test_http.py
+++ b/sedgeswitch/callers/tests/test_http.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP edge against peers that misbehave."""
 
+import random
 import unittest
 
 import hypothesis
@@ -12,6 +13,8 @@
 from sedgeswitch.callers import http
 from sedgeswitch.callers import routes
 from sedgeswitch.callers.tests import builders
+from sedgeswitch.keys import lookup
+from sedgeswitch.keys import plain
 from sedgeswitch.utils.tests import virtual_time
 
 FRAGMENTS = [
@@ -93,6 +96,21 @@
         data = builders.exchange(FRAGMENTS[3])
         self.assertTrue(data.endswith(b"POST /p 5"))
 
+    def test_two_keys_are_no_key(self):
+        rng = random.Random(0)
+        keys = [plain.generate_key(rng.randbytes).plain for _ in range(2)]
+        headers = "".join(f"Authorization: Bearer {key}\r\n" for key in keys)
+        seen = []
+
+        async def look(request):
+            presented = lookup.get_bearer(request.headers["authorization"])
+            seen.append(lookup.check_key({}, presented))
+            return http.Response(200, b"")
+
+        request = builders.GET[:-2] + headers.encode() + b"\r\n"
+        builders.exchange(request, handler=look)
+        self.assertEqual(seen, [lookup.KeyProblem.MALFORMED])
+
     def test_head_gets_no_body(self):
         data = builders.exchange(b"HEAD / HTTP/1.1\r\n\r\n" + builders.GET)
         self.assertTrue(data.split(b"\r\n\r\n")[1].startswith(b"HTTP/1.1 200"))
