--- a/sedgeswitch/membership/tests/test_incarnations.py
+++ b/sedgeswitch/membership/tests/test_incarnations.py
@@ -9,6 +9,7 @@
 from sedgeswitch.membership import registrar
 from sedgeswitch.membership.tests import builders
 from sedgeswitch.transport import failures
+from sedgeswitch.utils.tests import virtual_time
 
 LEASE_S = 2.0
 
@@ -48,7 +49,7 @@
             answer = await self.registrar.answer_heartbeat(build_heartbeat("second"))
             self.assertGreater(answer.lease_ms, 0)
 
-        builders.run_virtual(body)
+        virtual_time.run(body)
 
     def test_first_process_gets_no_lease_beside_the_second(self):
         async def body():
@@ -58,7 +59,7 @@
             with self.assertRaises(failures.CallError):
                 await self.registrar.answer_heartbeat(build_heartbeat("first"))
 
-        builders.run_virtual(body)
+        virtual_time.run(body)
 
 
 if __name__ == "__main__":
