Check again where a statement may run once it has a connection

Cause: the eligible servers were listed once, before admission and the queue, so that work which had waited, for up to its deadline, began on an instance that had been drained or deselected meanwhile; a retry never saw a new server. Change: eligibility is asked for at each try and after the wait.

--- a/sedgeswitch/statements/authorisation.py
+++ b/sedgeswitch/statements/authorisation.py
@@ -5,6 +5,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.configuration import follower
 from sedgeswitch.keys import lookup
+from sedgeswitch.membership import directory
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
 from sedgeswitch.statements import refusals
@@ -101,12 +102,10 @@
         )
         if not matched:
             raise _build_forbidden(organisation)
-        servers = [
-            server
-            for server in self._backends.get_servers(purpose.group)
-            if index.may_serve(matched, server.instance, server.labels)
-        ]
-        if not servers:
+        eligibility = _Eligibility(
+            self._configuration, self._backends, organisation, purpose
+        )
+        if not eligibility.list_servers():
             raise verdicts.build_not_run(
                 503,
                 "no_backend_server",
@@ -118,13 +117,36 @@
             organisation or "",
             purpose.group,
             group.database,
-            servers,
+            eligibility,
             group.replicas_may_serve,
             group.ack_instances,
             overload.max_wait_ms / 1000,
         )
 
 
+class _Eligibility(typing.NamedTuple):
+    """Where a caller's statement may run; see `context.Eligibility`."""
+
+    configuration: follower.Follower
+    backends: backends.Backends
+    organisation: str | None
+    purpose: Purpose
+
+    def list_servers(self) -> list[directory.BackendServer]:
+        servers = self.backends.get_servers(self.purpose.group)
+        return [server for server in servers if self._may_serve(server)]
+
+    def may_run_on(self, instance: str) -> bool:
+        server = self.backends.get_server(instance)
+        return server is not None and self._may_serve(server)
+
+    def _may_serve(self, server: directory.BackendServer) -> bool:
+        index = self.configuration.index
+        group, work, access = self.purpose
+        matched = index.get_selectors(self.organisation, work, access, group)
+        return index.may_serve(matched, server.instance, server.labels)
+
+
 def _build_unauthorised(problem: lookup.KeyProblem) -> verdicts.RefusedError:
     return verdicts.build_not_run(
         401, f"key_{problem.value}", _DETAIL_BY_PROBLEM[problem]
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -77,11 +77,16 @@
         self._options = options
         self._rng = rng
         self._pools: dict[base.Target, _Kept] = {}
+        self._by_group: dict[str, list[directory.BackendServer]] = {}
+        servers.register_listener(self._by_group.clear)
         self.share = shares.EntryShare(self._fits)
 
     def get_servers(self, group: str) -> list[directory.BackendServer]:
         """Return the announced instances of a group."""
-        return self._servers.get_group(group)
+        known = self._by_group.get(group)
+        if known is None:
+            known = self._by_group[group] = self._servers.get_group(group)
+        return known
 
     def get_server(self, instance: str) -> directory.BackendServer | None:
         """Return an announced instance by its id."""
--- a/sedgeswitch/statements/context.py
+++ b/sedgeswitch/statements/context.py
@@ -4,11 +4,25 @@
 
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import table
+from sedgeswitch.membership import directory
 from sedgeswitch.observability import metrics
 from sedgeswitch.sessions import floors
 from sedgeswitch.statements import backends
 
 
+class Eligibility(typing.Protocol):
+    """Where a statement may run at the moment.
+
+    Operators change it while the statement waits.
+    """
+
+    def list_servers(self) -> list[directory.BackendServer]:
+        """Return the servers that a selector allows and no drain covers."""
+
+    def may_run_on(self, instance: str) -> bool:
+        """Return whether an instance is one of them."""
+
+
 class Work(typing.NamedTuple):
     """An authorised statement's place to run.
 
@@ -18,8 +32,7 @@
         Empty on a route that is open to all.
     group : str
     database : str
-    servers : list of directory.BackendServer
-        Those that a selector allows and no drain covers.
+    eligibility : Eligibility
     replicas_may_serve : bool
     ack_instances : int
         Instances, the primary among them, that must hold a write before it is
@@ -31,7 +44,7 @@
     organisation: str
     group: str
     database: str
-    servers: list
+    eligibility: Eligibility
     replicas_may_serve: bool
     ack_instances: int
     max_wait_s: float
--- a/sedgeswitch/statements/primaries.py
+++ b/sedgeswitch/statements/primaries.py
@@ -31,10 +31,15 @@
     verdicts.RefusedError
         503, not run, if the work may not go there.
     """
-    for server in work.servers:
+    for server in work.eligibility.list_servers():
         if server.instance == permit.primary:
             return server
-    raise verdicts.build_not_run(
+    raise build_not_eligible()
+
+
+def build_not_eligible() -> verdicts.RefusedError:
+    """Return the refusal of work that may not go to the primary."""
+    return verdicts.build_not_run(
         503,
         NOT_ELIGIBLE,
         "no selector leads to the primary, or it is drained or unknown",
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -83,7 +83,7 @@
         views = self._get_views(work.group)
         eligible = [
             server
-            for server in work.servers
+            for server in work.eligibility.list_servers()
             if _is_fresh(views.get(server.instance), statement.max_age_ms)
         ]
         return self._parts.backends.order_replicas(
@@ -111,7 +111,9 @@
         try:
             with trio.move_on_at(until_s):
                 pooled = await connections.acquire(work.organisation, until_s)
-                if await _has_reached(pooled, required):
+                # The wait may have outlasted the server's eligibility.
+                may_run = work.eligibility.may_run_on(server.instance)
+                if may_run and await _has_reached(pooled, required):
                     rows = await pooled.execute(statement.sql, statement.parameters)
         except verdicts.RefusedError:
             return None
@@ -177,6 +179,8 @@
                 pooled = await connections.acquire(
                     work.organisation, statement.deadline_s
                 )
+                if not work.eligibility.may_run_on(server.instance):
+                    raise primaries.build_not_eligible()
                 return await _execute_read_only(pooled, statement)
             return None
         finally:
--- a/sedgeswitch/statements/tests/builders.py
+++ b/sedgeswitch/statements/tests/builders.py
@@ -304,6 +304,21 @@
         self.views = [view]
 
 
+class Eligibility(typing.NamedTuple):
+    """All instances, or the named ones, but for those that are drained."""
+
+    host: "Host"
+    names: list[str] | None
+
+    def list_servers(self):
+        servers = self.host.backends.get_servers(GROUP)
+        return [server for server in servers if self.may_run_on(server.instance)]
+
+    def may_run_on(self, instance):
+        is_named = self.names is None or instance in self.names
+        return is_named and instance not in self.host.drained
+
+
 class Host:
     """The statement path of one entry host."""
 
@@ -326,6 +341,7 @@
         )
         self.backends.share.divisor = 1
         self.observations = Observations()
+        self.drained = set()
         self.floors = floors.LocalFloors()
         self.parts = context.Parts(
             self.table,
@@ -347,12 +363,8 @@
         self.table._lease_until_s = trio.current_time()
 
     def build_work(self, names=None, organisation="ward-4"):
-        servers = [
-            server
-            for server in self.backends.get_servers(GROUP)
-            if names is None or server.instance in names
-        ]
-        return context.Work(organisation, GROUP, "db", servers, True, 2, 1.0)
+        eligibility = Eligibility(self, names)
+        return context.Work(organisation, GROUP, "db", eligibility, True, 2, 1.0)
 
     async def write(self, sql="lot 1", deadline_s=2.0, key="", **work):
         statement = build_statement(sql, deadline_s, requests.WRITE, key)
--- a/sedgeswitch/statements/tests/test_reads.py
+++ b/sedgeswitch/statements/tests/test_reads.py
@@ -38,6 +38,21 @@
 
         self.assertEqual(builders.run_group(scenario), {"draw-2"})
 
+    def test_server_that_is_drained_while_a_read_waits_does_not_answer(self):
+        async def scenario(group, host):
+            group.instances[1].latency_s = 0.2
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(host.read, builders.KNOWN_EMPTY, 9.0, None)
+                host.drained = {"draw-2"}
+                await trio.sleep(0.05)
+                nursery.start_soon(
+                    test_writes.run_later, 0.1, host.drained.add, "draw-1"
+                )
+                return await host.read(deadline_s=9.0)
+
+        self.assertFalse(builders.run_group(scenario, capacity=1).replica)
+
     def test_group_that_moves_on_while_a_replica_reads_leaves_its_answer(self):
         async def scenario(group, host):
             old = group.instances[2]
--- a/sedgeswitch/statements/tests/test_writes.py
+++ b/sedgeswitch/statements/tests/test_writes.py
@@ -167,6 +167,20 @@
         self.assertEqual(answer.instance, "draw-1")
         self.assertLess(elapsed_s, 0.5)
 
+    def test_primary_that_is_drained_while_a_write_waits_gets_no_more(self):
+        async def scenario(group, host):
+            group.primary.latency_s = 0.2
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(try_write, host, "lot 1", 9.0)
+                nursery.start_soon(run_later, 0.1, host.drained.add, "draw-0")
+                await trio.sleep(0.05)
+                refusal = await try_write(host, "lot 2", 1.5)
+            return refusal, group.primary.values
+
+        refusal, values = builders.run_group(scenario, capacity=1)
+        self.assertIs(refusal.verdict, NOT_RUN)
+        self.assertEqual(values, ["lot 1"])
+
 
 class IdempotencyTest(unittest.TestCase):
     def test_lost_answer_with_a_key_gives_the_first_answer(self):
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -209,6 +209,8 @@
                 # The wait for a connection may have outlasted the lease.
                 if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
                     raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+                if not work.eligibility.may_run_on(server.instance):
+                    raise primaries.build_not_eligible()
                 tries.note_sending()
                 unix_s = self._get_unix_s()
                 written = await _write(pooled, work, statement, unix_s)
