--- /dev/null
+++ b/sedgeswitch/idempotency/tests/measure_ledger.py
@@ -0,0 +1,42 @@
+"""Measure what the ledger adds to a write, in virtual time.
+
+Run as ``python -m sedgeswitch.idempotency.tests.measure_ledger``.
+"""
+
+import statistics
+import sys
+
+import trio
+
+from sedgeswitch.statements.tests import builders
+
+WRITES = 200
+ROUND_TRIPS_S = (0.001, 0.006, 0.02)
+
+
+def measure(round_trip_s, is_identified):
+    """Return the median delay of a write, in seconds."""
+
+    async def scenario(group, host):
+        for instance in group.instances:
+            instance.latency_s = round_trip_s
+        delays_s = []
+        for place in range(WRITES):
+            started_s = trio.current_time()
+            await host.write(key=f"k{place}" if is_identified else "")
+            delays_s.append(trio.current_time() - started_s)
+        return statistics.median(delays_s)
+
+    return builders.run_group(scenario)
+
+
+def main():
+    """Write one row for each way to the primary."""
+    for round_trip_s in ROUND_TRIPS_S:
+        delays_ms = [1000 * measure(round_trip_s, flag) for flag in (False, True)]
+        cells = [f"{1000 * round_trip_s:.0f}", *(f"{item:.1f}" for item in delays_ms)]
+        sys.stdout.write("| " + " | ".join(cells) + " |\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sedgeswitch/sessions/tests/measure_floors.py
@@ -0,0 +1,104 @@
+"""Measure how often floors are known and what asking and recording them costs.
+
+Run as ``python -m sedgeswitch.sessions.tests.measure_floors [SEEDS]``.
+"""
+
+import statistics
+import sys
+
+import trio
+
+from sedgeswitch.sessions.tests import builders
+from sedgeswitch.sessions.tests import test_homes
+
+WARM_UP_S = 3.0
+RUN_S = 60.0
+PAUSE_S = 0.1
+P99_INDEX = 98
+
+
+async def leave_alone(fleet, nursery):
+    """Let every host run."""
+
+
+async def stop_one(fleet, nursery):  # noqa: ARG001
+    """Stop one host for good."""
+    fleet.stop_host("e0")
+
+
+async def restart_often(fleet, nursery):
+    """Restart one host after the other."""
+    while True:
+        host_id = f"e{fleet.rng.randrange(test_homes.HOST_COUNT)}"
+        fleet.stop_host(host_id)
+        await trio.sleep(1.0)
+        fleet.start_host(nursery, host_id)
+        await trio.sleep(9.0)
+
+
+FAULTS = {
+    "none": leave_alone,
+    "one host dead": stop_one,
+    "a restart every 10 s": restart_often,
+    "cuts, restarts, failovers": test_homes.disturb,
+}
+
+
+class Counts:
+    """What the calls of all runs have come to."""
+
+    def __init__(self):
+        self.read_s = []
+        self.record_s = []
+        self.known = 0
+        self.wrong = 0
+
+
+async def run(seed, fault, counts):
+    """Read and write on every host while a fault lasts."""
+    fleet = builders.Fleet(seed)
+
+    async def call(host_id):
+        while True:
+            await trio.sleep(fleet.rng.uniform(0.0, PAUSE_S))
+            host = fleet.hosts.get(host_id)
+            if host is None or not host.is_leased(trio.current_time()):
+                continue
+            key = fleet.rng.choice(test_homes.KEYS)
+            started_s = trio.current_time()
+            floor = await fleet.read(host, key)
+            counts.read_s.append(trio.current_time() - started_s)
+            counts.known += floor.is_known
+            started_s = trio.current_time()
+            if await fleet.write(host, key):
+                counts.record_s.append(trio.current_time() - started_s)
+
+    with trio.move_on_after(WARM_UP_S + RUN_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.remove_silent)
+            for place in range(test_homes.HOST_COUNT):
+                fleet.start_host(nursery, f"e{place}")
+            await trio.sleep(WARM_UP_S)
+            nursery.start_soon(fault, fleet, nursery)
+            for place in range(test_homes.HOST_COUNT):
+                nursery.start_soon(call, f"e{place}")
+    counts.wrong += len(fleet.wrong)
+
+
+def main():
+    """Write one row for each fault."""
+    seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 3
+    for name, fault in FAULTS.items():
+        counts = Counts()
+        for seed in range(seeds):
+            test_homes.run_virtual(run, seed, fault, counts)
+        cells = [name, f"{counts.known / len(counts.read_s):.1%}", str(counts.wrong)]
+        for delays_s in (counts.read_s, counts.record_s):
+            quantiles = statistics.quantiles(delays_s, n=100)
+            cells.append(f"{1000 * statistics.median(delays_s):.0f}")
+            cells.append(f"{1000 * quantiles[P99_INDEX]:.0f}")
+        sys.stdout.write("| " + " | ".join(cells) + " |\n")
+
+
+if __name__ == "__main__":
+    main()
