Reset a connection after a statement that may leave session state

Cause: the next statement of the same organisation reused the connection with the settings, locks and temporary tables that one such as SET had left. Ruled out: a reset after each statement, which costs a round trip.

--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -16,6 +16,7 @@
 from sedgeswitch.pools import shares
 from sedgeswitch.routing import candidates
 from sedgeswitch.routing import policies
+from sedgeswitch.statements import requests
 from sedgeswitch.utils import checks
 
 SAME_ZONE_DISTANCE_S = 0.0005
@@ -180,6 +181,21 @@
         return candidates.Candidate(server, False, load, distance_s)
 
 
+async def run_statement(
+    pooled: pool.PooledConnection, statement: requests.Statement
+) -> base.Rows:
+    """Run a caller's statement; what it leaves on the connection is reset.
+
+    Raises
+    ------
+    base.DriverError
+        If the server refuses or is lost.
+    """
+    if requests.may_leave_state(statement.sql):
+        pooled.is_dirty = True
+    return await pooled.execute(statement.sql, statement.parameters)
+
+
 async def read_position(pooled: pool.PooledConnection) -> positions.Position:
     """Return the log position of the instance behind a connection.
 
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -114,7 +114,7 @@
                 # The wait may have outlasted the server's eligibility.
                 may_run = work.eligibility.may_run_on(server.instance)
                 if may_run and await _has_reached(pooled, required):
-                    rows = await pooled.execute(statement.sql, statement.parameters)
+                    rows = await backends.run_statement(pooled, statement)
         except verdicts.RefusedError:
             return None
         except base.DriverError as error:
@@ -194,7 +194,7 @@
     """Run a read so that a write that is sent as one fails as on a replica."""
     try:
         await pooled.execute(_BEGIN_READ_ONLY)
-        rows = await pooled.execute(statement.sql, statement.parameters)
+        rows = await backends.run_statement(pooled, statement)
         await pooled.execute(_COMMIT)
         return rows
     except base.DriverError as error:
--- a/sedgeswitch/statements/requests.py
+++ b/sedgeswitch/statements/requests.py
@@ -32,6 +32,8 @@
     ]
 )
 
+# Statements of any other kind may leave settings, locks or temporary tables.
+_STATELESS_WORDS = frozenset(["delete", "insert", "select", "update", "values", "with"])
 # What the server skips: blanks, empty statements and `--` comments. A `/*`
 # comment nests, so that no pattern finds its end.
 _SKIPPED = re.compile(r"(?:[\s;]|--[^\r\n]*)+")
@@ -206,6 +208,11 @@
     return sql
 
 
+def may_leave_state(sql: str) -> bool:
+    """Return whether a statement may change its database session."""
+    return _WORD.match(_skip_comments(sql)).group().lower() not in _STATELESS_WORDS
+
+
 def decode_position_token(request: http.Request) -> dict[str, positions.Position]:
     """Return the positions that a caller says it has seen.
 
--- a/sedgeswitch/statements/tests/builders.py
+++ b/sedgeswitch/statements/tests/builders.py
@@ -26,7 +26,7 @@
 from sedgeswitch.statements import writes
 
 GROUP = "draw"
-READ_SQL = "READ"
+READ_SQL = "SELECT value"
 REPLICATION_STEP_S = 0.005
 LATENCY_S = 0.001
 UNIX_S = 1.7e9
@@ -66,6 +66,7 @@
         self.committed = trio.Event()
         self.open_claims = {}
         self.expired = None
+        self.resets = 0
 
     @property
     def position(self):
@@ -159,6 +160,7 @@
             self.instance.commit(entries)
             self._forget()
         elif sql in ("ROLLBACK", pool.RESET_SQL):
+            self.instance.resets += sql == pool.RESET_SQL
             self._forget()
         else:
             return self._write(sql)
--- a/sedgeswitch/statements/tests/test_reads.py
+++ b/sedgeswitch/statements/tests/test_reads.py
@@ -161,3 +161,16 @@
         with self.assertRaises(verdicts.RefusedError) as caught:
             await host.read(builders.UNKNOWN, deadline_s=0.6)
         return caught.exception.refusal
+
+
+class SessionStateTest(unittest.TestCase):
+    def test_settings_of_one_statement_do_not_reach_the_next(self):
+        for sql, resets in (("SET role x", 1), ("/* x */ SELECT 1", 0)):
+            with self.subTest(sql=sql):
+
+                async def scenario(group, host, sql=sql):
+                    await host.write(sql)
+                    await host.write("INSERT 1")
+                    return group.primary.resets
+
+                self.assertEqual(builders.run_group(scenario), resets)
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -311,7 +311,7 @@
         if statement.idempotency_key:
             rows = await _write_once(pooled, work, statement, unix_s)
         else:
-            rows = await pooled.execute(statement.sql, statement.parameters)
+            rows = await backends.run_statement(pooled, statement)
     except base.DriverError as error:
         raise _build_refusal(error) from error
     try:
@@ -352,7 +352,7 @@
         earlier = await ledger.claim(pooled, request, unix_s)
         if earlier is not None:
             return earlier
-        rows = await pooled.execute(statement.sql, statement.parameters)
+        rows = await backends.run_statement(pooled, statement)
         await ledger.settle(pooled, request, rows)
         await pooled.execute("COMMIT")
         is_committed = True
