Bound what waits for a home that does not answer

Cause: a batch takes up to 0.5 s to fail, and what came meanwhile was kept without a bound. Before: the new test fails, nothing is turned away; after: it passes.

--- a/sedgeswitch/sessions/batching.py
+++ b/sedgeswitch/sessions/batching.py
@@ -10,6 +10,7 @@
 
 CALL_TIMEOUT_S = 0.5
 MAX_BATCH = 500
+MAX_WAITING = 5000
 
 SendBatch = collections.abc.Callable[
     [list], collections.abc.Awaitable[list[typing.Any]]
@@ -44,8 +45,12 @@
         ----------
         request : object
         on_done : callable
-            Gets the answer, or None if there is none.
+            Gets the answer, or None if there is none; at once if too many
+            wait, as for a home that does not answer.
         """
+        if len(self._items) >= MAX_WAITING:
+            on_done(None)
+            return
         self._items.append(_Item(request, on_done))
         self._wake.set()
 
--- a/sedgeswitch/sessions/tests/test_homes.py
+++ b/sedgeswitch/sessions/tests/test_homes.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from sedgeswitch.sessions import batching
 from sedgeswitch.sessions import homes
 from sedgeswitch.sessions import keeper
 from sedgeswitch.sessions import messages
@@ -204,6 +205,18 @@
         self.assertEqual(len(unclear), placement.BUCKET_COUNT)
 
 
+class BatcherTest(unittest.TestCase):
+    def test_home_that_does_not_answer_holds_up_a_bounded_number(self):
+        async def run():
+            answers = []
+            batcher = batching.Batcher(trio.sleep_forever)
+            for place in range(batching.MAX_WAITING + 3):
+                batcher.submit(place, answers.append)
+            return answers
+
+        self.assertEqual(run_virtual(run), [None] * 3)
+
+
 class TokensTest(unittest.TestCase):
     def test_merged_floor_is_at_least_as_high_as_both(self):
         merged = tokens.merge_floor(
