--- a/sedgeswitch/sessions/homes.py
+++ b/sedgeswitch/sessions/homes.py
@@ -180,6 +180,7 @@
         bucket = placement.get_bucket(session)
         while True:
             await self._wait_clear(bucket)
+            await self._wait_leased()
             placed = self._placed
             tallies = [
                 self._submit_record(homes, record)
@@ -193,6 +194,10 @@
                 return
             await trio.sleep(RETRY_DELAY_S)
 
+    async def _wait_leased(self) -> None:
+        while not self._is_lease_valid(trio.current_time()):
+            await trio.sleep(RETRY_DELAY_S)
+
     def _is_current(self, placed: placement.Placement, now_s: float) -> bool:
         # A lease renewed meanwhile says nothing for the homes of before.
         return placed is self._placed and self._is_lease_valid(now_s)
--- a/sedgeswitch/sessions/tests/test_homes.py
+++ b/sedgeswitch/sessions/tests/test_homes.py
@@ -162,6 +162,48 @@
         self.assertTrue(is_acked)
         self.assertGreater(waited_s, builders.SETTLE_S - 0.2)
 
+    def test_record_without_a_lease_is_not_done(self):
+        async def run():
+            quiet = Quiet()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(quiet.home.floors.run)
+                quiet.follow(quiet.home.member)
+                await trio.sleep(2 * builders.SETTLE_S)
+                deadline_s = trio.current_time() + 1.0
+                position = quiet.fleet.commit()
+                record = quiet.home.floors.record
+                lapsed = await record(KEYS[1], position, deadline_s)
+                quiet.home.lease_until_s = deadline_s + 1.0
+                leased = await record(KEYS[1], position, deadline_s + 1.0)
+                nursery.cancel_scope.cancel()
+            return lapsed, leased
+
+        self.assertEqual(run_virtual(run), (False, True))
+
+    def test_answers_of_homes_of_before_are_not_enough(self):
+        async def run(is_changed):
+            quiet = Quiet()
+            query = batching.LocalHome.query
+
+            async def answer(home, queries):
+                answers = await query(home, queries)
+                if is_changed:
+                    quiet.follow(builders.build_member("e2"))
+                return answers
+
+            with unittest.mock.patch.object(batching.LocalHome, "query", answer):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(quiet.home.floors.run)
+                    quiet.follow(quiet.home.member)
+                    await trio.sleep(builders.SETTLE_S)
+                    quiet.home.lease_until_s = deadline_s = trio.current_time() + 1.0
+                    floor = await quiet.home.floors.get_floor(KEYS[1], deadline_s)
+                    nursery.cancel_scope.cancel()
+            return floor.is_known
+
+        self.assertTrue(run_virtual(run, False))
+        self.assertFalse(run_virtual(run, True))
+
     def test_dropped_entry_is_covered_by_its_bucket(self):
         async def run():
             quiet = Quiet()
--- /dev/null
+++ b/sedgeswitch/statements/tests/test_authorisation.py
@@ -0,0 +1,80 @@
+"""Who a request runs for and where it may run, as operators change it."""
+
+import types
+import unittest
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.configuration import indexes
+from sedgeswitch.configuration.tests import builders as configuration_builders
+from sedgeswitch.statements import authorisation
+from sedgeswitch.statements.tests import builders
+
+PURPOSE = authorisation.Purpose(builders.GROUP, "lookup", "read")
+FRESHNESS_BOUND_S = 5.0
+
+
+def build_index(**parts):
+    groups = {builders.GROUP: {"database": "draw"}}
+    selectors = {"desk": {"organisations": ["ward-4"], "groups": [builders.GROUP]}}
+    parts = {"groups": groups, "selectors": selectors, **parts}
+    return indexes.Index(configuration_builders.build_document(**parts))
+
+
+class AuthorisationTest(unittest.TestCase):
+    def run_authorised(self, scenario):
+        async def run(group, host):  # noqa: ARG001
+            configuration = types.SimpleNamespace(
+                index=build_index(), get_age_s=lambda now_s: now_s
+            )
+            authoriser = authorisation.Authoriser(
+                configuration, host.backends, FRESHNESS_BOUND_S
+            )
+            await trio.lowlevel.checkpoint()
+            return scenario(authoriser, configuration)
+
+        return builders.run_group(run)
+
+    def refuse(self, function, *arguments):
+        with self.assertRaises(verdicts.RefusedError) as caught:
+            function(*arguments)
+        self.assertIs(caught.exception.refusal.verdict, verdicts.Verdict.NOT_RUN)
+        return caught.exception.refusal.status
+
+    def test_drain_holds_for_work_that_was_authorised_before(self):
+        def scenario(authoriser, configuration):
+            eligibility = authoriser.get_work("ward-4", PURPOSE).eligibility
+            before = eligibility.may_run_on("draw-1")
+            configuration.index = build_index(
+                backend_servers={"draw-1": {"labels": {"cleaning": "monday"}}},
+                drains={"monday": {"labels": {"cleaning": "monday"}}},
+            )
+            names = [server.instance for server in eligibility.list_servers()]
+            return before, eligibility.may_run_on("draw-1"), names
+
+        found = self.run_authorised(scenario)
+        self.assertEqual(found, (True, False, ["draw-0", "draw-2"]))
+
+    def test_work_outside_the_selectors_is_refused(self):
+        def scenario(authoriser, configuration):  # noqa: ARG001
+            unknown = PURPOSE._replace(group="other")
+            return [
+                self.refuse(authoriser.get_work, "ward-5", PURPOSE),
+                self.refuse(authoriser.get_work, None, PURPOSE),
+                self.refuse(authoriser.get_work, "ward-4", unknown),
+            ]
+
+        self.assertEqual(self.run_authorised(scenario), [403, 401, 404])
+
+    def test_key_and_age_of_the_configuration_are_checked(self):
+        def scenario(authoriser, configuration):  # noqa: ARG001
+            check = authoriser.check_caller
+            self.assertIsNone(check(None, 1.0))
+            return [
+                self.refuse(check, "Bearer unknown", 1.0),
+                self.refuse(check, "Basic a", 1.0),
+                self.refuse(check, None, FRESHNESS_BOUND_S + 1.0),
+            ]
+
+        self.assertEqual(self.run_authorised(scenario), [401, 401, 503])
