Check the key again once a waiting statement has a connection

Cause: the key was checked on arrival only; a statement that waited for its rate, a slot or a primary ran after its key had been withdrawn, until its deadline (up to 600 s). The digest is kept for the wait, not the key.

--- a/sedgeswitch/statements/authorisation.py
+++ b/sedgeswitch/statements/authorisation.py
@@ -5,6 +5,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.configuration import follower
 from sedgeswitch.keys import lookup
+from sedgeswitch.keys import plain
 from sedgeswitch.membership import directory
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
@@ -80,9 +81,22 @@
             raise _build_unauthorised(holder)
         return holder.organisation
 
-    def get_work(self, organisation: str | None, purpose: Purpose) -> context.Work:
+    def get_work(
+        self,
+        organisation: str | None,
+        purpose: Purpose,
+        authorization: str | None = None,
+    ) -> context.Work:
         """Return where a request may run.
 
+        Parameters
+        ----------
+        organisation : str or None
+        purpose : Purpose
+        authorization : str or None, optional
+            The caller's header, if its key is to be checked again after the
+            request has waited.
+
         Raises
         ------
         verdicts.RefusedError
@@ -102,8 +116,11 @@
         )
         if not matched:
             raise _build_forbidden(organisation)
+        presented = lookup.get_bearer(authorization)
+        # A digest, since what waits may end up in a traceback.
+        digest = None if presented is None else plain.get_digest(presented)
         eligibility = _Eligibility(
-            self._configuration, self._backends, organisation, purpose
+            self._configuration, self._backends, organisation, purpose, digest
         )
         if not eligibility.list_servers():
             raise verdicts.build_not_run(
@@ -131,15 +148,27 @@
     backends: backends.Backends
     organisation: str | None
     purpose: Purpose
+    key_digest: str | None
 
     def list_servers(self) -> list[directory.BackendServer]:
+        self._check_key()
         servers = self.backends.get_servers(self.purpose.group)
         return [server for server in servers if self._may_serve(server)]
 
     def may_run_on(self, instance: str) -> bool:
+        self._check_key()
         server = self.backends.get_server(instance)
         return server is not None and self._may_serve(server)
 
+    def _check_key(self) -> None:
+        if self.key_digest is None:
+            return
+        indexed = self.configuration.index.keys.get(self.key_digest)
+        if indexed is None:
+            raise _build_unauthorised(lookup.KeyProblem.UNKNOWN)
+        if indexed.withdrawn:
+            raise _build_unauthorised(lookup.KeyProblem.WITHDRAWN)
+
     def _may_serve(self, server: directory.BackendServer) -> bool:
         index = self.configuration.index
         group, work, access = self.purpose
--- a/sedgeswitch/statements/context.py
+++ b/sedgeswitch/statements/context.py
@@ -13,7 +13,8 @@
 class Eligibility(typing.Protocol):
     """Where a statement may run at the moment.
 
-    Operators change it while the statement waits.
+    Operators change it while the statement waits. Each function raises
+    `verdicts.RefusedError` (401, not run) if the caller's key no longer works.
     """
 
     def list_servers(self) -> list[directory.BackendServer]:
--- a/sedgeswitch/statements/service.py
+++ b/sedgeswitch/statements/service.py
@@ -71,7 +71,8 @@
         span = self._tracer.start_span("entry.statement", statement.traceparent)
         try:
             span.set_field("group", statement.group)
-            return await self._run(organisation, statement, span)
+            work = self._get_work(organisation, authorization, statement)
+            return await self._run(organisation, work, statement, span)
         except verdicts.RefusedError as error:
             span.set_field("refusal", error.refusal.code)
             self._parts.metrics.count(f"refusals.{error.refusal.code}")
@@ -79,16 +80,24 @@
         finally:
             span.end()
 
-    async def _run(
+    def _get_work(
         self,
         organisation: str | None,
+        authorization: str | None,
         statement: requests.Statement,
-        span: traces.Span | traces.NoSpan,
-    ) -> http.Response:
+    ) -> context.Work:
         purpose = authorisation.Purpose(
             statement.group, statement.work, statement.access
         )
-        work = self._authoriser.get_work(organisation, purpose)
+        return self._authoriser.get_work(organisation, purpose, authorization)
+
+    async def _run(
+        self,
+        organisation: str | None,
+        work: context.Work,
+        statement: requests.Statement,
+        span: traces.Span | traces.NoSpan,
+    ) -> http.Response:
         seen = statement.seen
         if organisation is not None:
             with span.start_child("entry.admission"):
--- a/sedgeswitch/statements/tests/test_authorisation.py
+++ b/sedgeswitch/statements/tests/test_authorisation.py
@@ -1,5 +1,6 @@
 """Who a request runs for and where it may run, as operators change it."""
 
+import random
 import types
 import unittest
 
@@ -8,6 +9,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.configuration import indexes
 from sedgeswitch.configuration.tests import builders as configuration_builders
+from sedgeswitch.keys import plain
 from sedgeswitch.statements import authorisation
 from sedgeswitch.statements.tests import builders
 
@@ -56,6 +58,28 @@
         found = self.run_authorised(scenario)
         self.assertEqual(found, (True, False, ["draw-0", "draw-2"]))
 
+    def test_key_that_is_withdrawn_while_a_request_waits_stops_it(self):
+        key = plain.generate_key(random.Random(1).randbytes)
+
+        def build_keyed(withdrawn):
+            keys = {key.key_id: {"digest": key.digest, "withdrawn": withdrawn}}
+            ward = {"rate_per_s": 10, "burst": 20, "keys": keys}
+            return build_index(organisations={"ward-4": ward})
+
+        def scenario(authoriser, configuration):
+            configuration.index = build_keyed(withdrawn=False)
+            header = f"Bearer {key.plain}"
+            self.assertEqual(authoriser.check_caller(header, 1.0), "ward-4")
+            eligibility = authoriser.get_work("ward-4", PURPOSE, header).eligibility
+            self.assertTrue(eligibility.may_run_on("draw-1"))
+            configuration.index = build_keyed(withdrawn=True)
+            return [
+                self.refuse(eligibility.may_run_on, "draw-1"),
+                self.refuse(eligibility.list_servers),
+            ]
+
+        self.assertEqual(self.run_authorised(scenario), [401, 401])
+
     def test_work_outside_the_selectors_is_refused(self):
         def scenario(authoriser, configuration):  # noqa: ARG001
             unknown = PURPOSE._replace(group="other")
