Give up waiting for replicas when the term of a write has ended

Cause: a committed write waited for replicas of the old timeline until its deadline, though it could not be answered as done any more; with a key it could have been tried again on the new primary at once.

--- a/sedgeswitch/statements/interruption.py
+++ b/sedgeswitch/statements/interruption.py
@@ -36,6 +36,8 @@
         """
         with trio.CancelScope() as scope:
             self._running[scope] = permit
+            if self._groups.is_term_over(permit):
+                scope.cancel()
             try:
                 yield scope
             finally:
--- a/sedgeswitch/statements/tests/test_writes.py
+++ b/sedgeswitch/statements/tests/test_writes.py
@@ -244,6 +244,29 @@
                 self.assertEqual(answer.instance, "draw-1")
                 self.assertEqual(values, ["first", "lot 1"])
 
+    def test_write_that_replicates_when_its_primary_is_replaced_goes_on(self):
+        async def scenario(group, host):
+            await host.write("first", key="k0")
+            for replica in group.instances[1:]:
+                replica.lag_s = 1000.0
+
+            def fail_over():
+                group.primary.is_frozen = True
+                group.instances[2].lag_s = 0.01
+                group.promote(1)
+                host.follow()
+
+            started_s = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(run_later, 0.3, fail_over)
+                answer = await try_write(host, deadline_s=10.0, key="k1")
+            return answer, group.primary.values, trio.current_time() - started_s
+
+        answer, values, elapsed_s = builders.run_group(scenario)
+        self.assertEqual(answer.instance, "draw-1")
+        self.assertEqual(values, ["first", "lot 1"])
+        self.assertLess(elapsed_s, 0.6)
+
     def test_key_of_another_statement_is_refused(self):
         async def scenario(group, host):
             await host.write("lot 1", key="k1")
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -182,8 +182,13 @@
         position = positions.Position(permit.timeline, position.lsn)
         key = floors.SessionKey(work.organisation, session, work.group)
         is_safe = False
-        with trio.move_on_at(deadline_s):
+        with (
+            trio.move_on_at(deadline_s),
+            self._interrupter.interruptible(permit) as scope,
+        ):
             is_safe = await self._make_safe(work, key, position, deadline_s)
+        if scope.cancelled_caught:
+            raise refusals.build_lease_lost(verdicts.Verdict.MAY_HAVE_RUN)
         if not is_safe:
             raise refusals.build_not_replicated()
         if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
