--- a/sedgeswitch/statements/authorisation.py
+++ b/sedgeswitch/statements/authorisation.py
@@ -5,6 +5,8 @@
 from sedgeswitch import verdicts
 from sedgeswitch.configuration import follower
 from sedgeswitch.keys import lookup
+from sedgeswitch.keys import plain
+from sedgeswitch.membership import directory
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
 from sedgeswitch.statements import refusals
@@ -79,9 +81,22 @@
             raise _build_unauthorised(holder)
         return holder.organisation
 
-    def get_work(self, organisation: str | None, purpose: Purpose) -> context.Work:
+    def get_work(
+        self,
+        organisation: str | None,
+        purpose: Purpose,
+        authorization: str | None = None,
+    ) -> context.Work:
         """Return where a request may run.
 
+        Parameters
+        ----------
+        organisation : str or None
+        purpose : Purpose
+        authorization : str or None, optional
+            The caller's header, if its key is to be checked again after the
+            request has waited.
+
         Raises
         ------
         verdicts.RefusedError
@@ -101,12 +116,13 @@
         )
         if not matched:
             raise _build_forbidden(organisation)
-        servers = [
-            server
-            for server in self._backends.get_servers(purpose.group)
-            if index.may_serve(matched, server.instance, server.labels)
-        ]
-        if not servers:
+        presented = lookup.get_bearer(authorization)
+        # A digest, since what waits may end up in a traceback.
+        digest = None if presented is None else plain.get_digest(presented)
+        eligibility = _Eligibility(
+            self._configuration, self._backends, organisation, purpose, digest
+        )
+        if not eligibility.list_servers():
             raise verdicts.build_not_run(
                 503,
                 "no_backend_server",
@@ -118,13 +134,48 @@
             organisation or "",
             purpose.group,
             group.database,
-            servers,
+            eligibility,
             group.replicas_may_serve,
             group.ack_instances,
             overload.max_wait_ms / 1000,
         )
 
 
+class _Eligibility(typing.NamedTuple):
+    """Where a caller's statement may run; see `context.Eligibility`."""
+
+    configuration: follower.Follower
+    backends: backends.Backends
+    organisation: str | None
+    purpose: Purpose
+    key_digest: str | None
+
+    def list_servers(self) -> list[directory.BackendServer]:
+        self._check_key()
+        servers = self.backends.get_servers(self.purpose.group)
+        return [server for server in servers if self._may_serve(server)]
+
+    def may_run_on(self, instance: str) -> bool:
+        self._check_key()
+        server = self.backends.get_server(instance)
+        return server is not None and self._may_serve(server)
+
+    def _check_key(self) -> None:
+        if self.key_digest is None:
+            return
+        indexed = self.configuration.index.keys.get(self.key_digest)
+        if indexed is None:
+            raise _build_unauthorised(lookup.KeyProblem.UNKNOWN)
+        if indexed.withdrawn:
+            raise _build_unauthorised(lookup.KeyProblem.WITHDRAWN)
+
+    def _may_serve(self, server: directory.BackendServer) -> bool:
+        index = self.configuration.index
+        group, work, access = self.purpose
+        matched = index.get_selectors(self.organisation, work, access, group)
+        return index.may_serve(matched, server.instance, server.labels)
+
+
 def _build_unauthorised(problem: lookup.KeyProblem) -> verdicts.RefusedError:
     return verdicts.build_not_run(
         401, f"key_{problem.value}", _DETAIL_BY_PROBLEM[problem]
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -83,7 +83,7 @@
         views = self._get_views(work.group)
         eligible = [
             server
-            for server in work.servers
+            for server in work.eligibility.list_servers()
             if _is_fresh(views.get(server.instance), statement.max_age_ms)
         ]
         return self._parts.backends.order_replicas(
@@ -112,8 +112,10 @@
             with trio.move_on_at(until_s):
                 queue_until_s = context.get_queue_deadline(work, until_s, now_s)
                 pooled = await connections.acquire(work.organisation, queue_until_s)
-                if await _has_reached(pooled, required):
-                    rows = await pooled.execute(statement.sql, statement.parameters)
+                # The wait may have outlasted the server's eligibility.
+                may_run = work.eligibility.may_run_on(server.instance)
+                if may_run and await _has_reached(pooled, required):
+                    rows = await backends.run_statement(pooled, statement)
         except verdicts.RefusedError:
             return None
         except base.DriverError as error:
@@ -178,6 +180,8 @@
                 now_s = trio.current_time()
                 until_s = context.get_queue_deadline(work, statement.deadline_s, now_s)
                 pooled = await connections.acquire(work.organisation, until_s)
+                if not work.eligibility.may_run_on(server.instance):
+                    raise primaries.build_not_eligible()
                 return await _execute_read_only(pooled, statement)
             return None
         finally:
@@ -191,7 +195,7 @@
     """Run a read so that a write that is sent as one fails as on a replica."""
     try:
         await pooled.execute(_BEGIN_READ_ONLY)
-        rows = await pooled.execute(statement.sql, statement.parameters)
+        rows = await backends.run_statement(pooled, statement)
         await pooled.execute(_COMMIT)
         return rows
     except base.DriverError as error:
--- a/sedgeswitch/statements/tests/transaction_builders.py
+++ b/sedgeswitch/statements/tests/transaction_builders.py
@@ -46,9 +46,15 @@
         if not self.servers:
             raise verdicts.build_not_run(503, "no_backend_server", "drained")
         return context.Work(
-            organisation, purpose.group, "lots", self.servers, True, 2, 1.0
+            organisation, purpose.group, "lots", self, True, 2, 30.0
         )
 
+    def list_servers(self):
+        return self.servers
+
+    def may_run_on(self, instance):
+        return any(server.instance == instance for server in self.servers)
+
     async def admit(self, organisation, deadline_s):  # noqa: ARG002
         await trio.sleep(self.admission_s)
 
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -182,8 +182,13 @@
         position = positions.Position(permit.timeline, position.lsn)
         key = floors.SessionKey(work.organisation, session, work.group)
         is_safe = False
-        with trio.move_on_at(deadline_s):
+        with (
+            trio.move_on_at(deadline_s),
+            self._interrupter.interruptible(permit) as scope,
+        ):
             is_safe = await self._make_safe(work, key, position, deadline_s)
+        if scope.cancelled_caught:
+            raise refusals.build_lease_lost(verdicts.Verdict.MAY_HAVE_RUN)
         if not is_safe:
             raise refusals.build_not_replicated()
         if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
@@ -209,6 +214,8 @@
                 # The wait for a connection may have outlasted the lease.
                 if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
                     raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+                if not work.eligibility.may_run_on(server.instance):
+                    raise primaries.build_not_eligible()
                 tries.note_sending()
                 unix_s = self._get_unix_s()
                 written = await _write(pooled, work, statement, unix_s)
@@ -315,7 +322,7 @@
         if statement.idempotency_key:
             rows = await _write_once(pooled, work, statement, unix_s)
         else:
-            rows = await pooled.execute(statement.sql, statement.parameters)
+            rows = await backends.run_statement(pooled, statement)
     except base.DriverError as error:
         raise _build_refusal(error) from error
     try:
@@ -356,7 +363,7 @@
         earlier = await ledger.claim(pooled, request, unix_s)
         if earlier is not None:
             return earlier
-        rows = await pooled.execute(statement.sql, statement.parameters)
+        rows = await backends.run_statement(pooled, statement)
         await ledger.settle(pooled, request, rows)
         await pooled.execute("COMMIT")
         is_committed = True
