--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,10 @@
 quickstart: $(VENV)/installed
 	bash examples/quickstart.sh
 
+benchmark: $(VENV)/installed
+	$(PYTHON) -m benchmarks.deployments --deployment daura-lots --check
+	$(PYTHON) -m benchmarks.deployments --deployment rijeka --check
+
 # Needs the Debian package thrift-compiler; the generated code is committed.
 generate:
 	for file in sedgeswitch/*/*.thrift; do thrift --gen py:slots -out . $$file; done
