End permits with a lease that is given up, and close connections first

Cause: the table only ever extended the lease, so a host that left could still acknowledge work of the lease that it had released; its idle connections outlived its share. Change: minus infinity ends the lease; idle connections close before the farewell.

--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -151,13 +151,14 @@
     async def leave(self) -> None:
         """Give up the lease, after the last request and transaction have ended."""
         await self.transactions.wait_idle()
+        # The share of connections goes to others with the lease.
+        await self.backends.close()
         with trio.move_on_after(heart.CALL_TIMEOUT_S):
             try:
                 await self.heart.leave()
             except failures.CallError as error:
                 # The lease runs out by itself.
                 loguru.logger.info("no control host took the farewell: {}", error)
-        await self.backends.close()
 
     def _build_heart(self) -> heart.Heart:
         settings = self._settings
--- a/sedgeswitch/groups/table.py
+++ b/sedgeswitch/groups/table.py
@@ -62,7 +62,12 @@
         return self._groups.get(group)
 
     def set_lease(self, until_s: float) -> None:
-        """Extend the lease of this host to `until_s`, on this host's clock."""
+        """Extend the lease of this host to `until_s`, on this host's clock.
+
+        Minus infinity gives the lease up: no permit holds from then on.
+        """
+        if until_s == float("-inf"):
+            self._lease_until_s = until_s
         self._lease_until_s = max(self._lease_until_s, until_s)
         self._wake_waiters()
 
--- a/sedgeswitch/groups/tests/test_rules.py
+++ b/sedgeswitch/groups/tests/test_rules.py
@@ -145,6 +145,11 @@
         permit = self.table.check_write("g", 9.99)
         self.assertFalse(self.table.is_permit_valid(permit, 10.0))
 
+    def test_lease_that_is_given_up_ends_permits(self):
+        permit = self.table.check_write("g", 1.0)
+        self.table.set_lease(float("-inf"))
+        self.assertFalse(self.table.is_permit_valid(permit, 1.0))
+
     def test_older_table_is_ignored(self):
         self.fence()
         older = build_machine()
--- a/sedgeswitch/statements/tests/transaction_builders.py
+++ b/sedgeswitch/statements/tests/transaction_builders.py
@@ -45,9 +45,7 @@
     def get_work(self, organisation, purpose):
         if not self.servers:
             raise verdicts.build_not_run(503, "no_backend_server", "drained")
-        return context.Work(
-            organisation, purpose.group, "lots", self, True, 2, 30.0
-        )
+        return context.Work(organisation, purpose.group, "lots", self, True, 2, 30.0)
 
     def list_servers(self):
         return self.servers
