--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -55,6 +55,7 @@
 
     def start_control(self) -> None:
         """Start the control hosts and wait for a leader."""
+        processes.exit_on_sigterm()
         for host in self.control_hosts:
             plain = self._build_settings(host.host_id, ("control",), ZONES[0])
             plain["callers"]["port"] = host.http_port
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -94,6 +94,11 @@
     return Usage(cpu_ticks / TICKS_PER_S, pages * PAGE_BYTES)
 
 
+def exit_on_sigterm() -> None:
+    """Let SIGTERM end this program by an exception, so that it stops its fleet."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+
+
 def stop_all(processes: typing.Iterable[Process]) -> None:
     """End processes and wait for them."""
     started = list(processes)
