--- a/sedgeswitch/daemon/homes.py
+++ b/sedgeswitch/daemon/homes.py
@@ -84,9 +84,7 @@
         self._peers = peers
         settle_s = lease_s * SETTLE_FACTOR
         self.keeper = keeper.FloorKeeper(host_id, read_primary, settle_s)
-        self.floors = homes.HomeFloors(
-            self._build_client, is_lease_valid, settle_s, host_id
-        )
+        self.floors = homes.HomeFloors(self._build_client, is_lease_valid, settle_s)
 
     def register_handlers(self, serving: server.Server) -> None:
         """Answer other hosts' records and queries."""
--- a/sedgeswitch/sessions/homes.py
+++ b/sedgeswitch/sessions/homes.py
@@ -25,8 +25,6 @@
 
 RETRY_DELAY_S = 0.02
 QUERY_TIMEOUT_S = 0.25
-# How long the homes asked first may take until the others are asked too.
-HEDGE_S = 0.05
 _HASH_MASK = (1 << 63) - 1
 
 BuildClient = collections.abc.Callable[[str], batching.HomeClient]
@@ -69,42 +67,6 @@
             self.settled.set()
 
 
-def _skip_unknown(answer: messages.FloorAnswer | None) -> messages.FloorAnswer | None:
-    return answer if answer is not None and answer.is_known else None
-
-
-class _Question:
-    """A query that is put to as many homes as are needed, and to others if not."""
-
-    def __init__(
-        self,
-        query: messages.FloorQuery,
-        tally: _Tally,
-        batchers: list[batching.Batcher],
-    ):
-        self.tally = tally
-        self._query = query
-        self._unasked = batchers
-
-    def ask(self, count: int) -> None:
-        """Put the query to some homes that were not asked yet."""
-        asked = self._unasked[:count]
-        self._unasked = self._unasked[count:]
-        for batcher in asked:
-            batcher.submit(self._query, self._take)
-
-    def ask_rest(self) -> None:
-        """Put the query to all homes that were not asked yet."""
-        if not self.tally.settled.is_set():
-            self.ask(len(self._unasked))
-
-    def _take(self, answer: messages.FloorAnswer | None) -> None:
-        known = _skip_unknown(answer)
-        self.tally.add(known)
-        if known is None:
-            self.ask(1)
-
-
 class HomeFloors:
     """Records and asks floors at the homes of a session.
 
@@ -118,8 +80,6 @@
     settle_s : float
         Time after a change of members for which writes are recorded at the
         homes of before, too, in seconds.
-    host_id : str, optional
-        This host, whose own home is asked first.
     """
 
     def __init__(
@@ -127,10 +87,8 @@
         build_client: BuildClient,
         is_lease_valid: collections.abc.Callable[[float], bool],
         settle_s: float,
-        host_id: str = "",
     ):
         self._build_client = build_client
-        self._host_id = host_id
         self._is_lease_valid = is_lease_valid
         self._settle_s = settle_s
         self._placed = placement.EMPTY
@@ -200,28 +158,26 @@
     ) -> floors.Floor:
         """Return what a majority of the homes knows of a session."""
         placed = self._placed
-        questions = [self._ask(placed, scope) for scope in floors.list_read(key)]
-        until_s = min(deadline_s, trio.current_time() + QUERY_TIMEOUT_S)
-        await _wait_settled(questions, min(until_s, trio.current_time() + HEDGE_S))
-        if not all(question.tally.settled.is_set() for question in questions):
-            for question in questions:
-                question.ask_rest()
-            await _wait_settled(questions, until_s)
-        is_reached = all(question.tally.is_reached for question in questions)
+        tallies = [self._submit_query(placed, scope) for scope in floors.list_read(key)]
+        with trio.move_on_at(min(deadline_s, trio.current_time() + QUERY_TIMEOUT_S)):
+            for tally in tallies:
+                await tally.settled.wait()
+        is_reached = all(tally.is_reached for tally in tallies)
         is_known = is_reached and self._is_current(placed, trio.current_time())
-        answers = [item for question in questions for item in question.tally.answers]
+        answers = [answer for tally in tallies for answer in tally.answers]
         return _merge_answers(answers, is_known)
 
-    def _ask(self, placed: placement.Placement, key: floors.SessionKey) -> _Question:
+    def _submit_query(
+        self, placed: placement.Placement, key: floors.SessionKey
+    ) -> _Tally:
         session = get_session(key)
         homes = placed.homes[placement.get_bucket(session)]
-        # Own knowledge costs no call, so this host's home goes first.
-        ordered = sorted(homes, key=lambda member: member.host_id != self._host_id)
-        batchers = [self._get_home(member.host_id).queries for member in ordered]
+        tally = _Tally(homes)
         query = messages.FloorQuery(session, key.group, placed.version)
-        question = _Question(query, _Tally(homes), batchers)
-        question.ask(placement.get_quorum(homes))
-        return question
+        for member in homes:
+            batcher = self._get_home(member.host_id).queries
+            batcher.submit(query, lambda answer: tally.add(_skip_unknown(answer)))
+        return tally
 
     async def _record_scope(
         self, key: floors.SessionKey, position: positions.Position
@@ -285,10 +241,8 @@
         return home
 
 
-async def _wait_settled(questions: list[_Question], until_s: float) -> None:
-    with trio.move_on_at(until_s):
-        for question in questions:
-            await question.tally.settled.wait()
+def _skip_unknown(answer: messages.FloorAnswer | None) -> messages.FloorAnswer | None:
+    return answer if answer is not None and answer.is_known else None
 
 
 def _merge_answers(answers: list[messages.FloorAnswer], is_known: bool) -> floors.Floor:
