--- a/sedgeswitch/sessions/tests/test_homes.py
+++ b/sedgeswitch/sessions/tests/test_homes.py
@@ -240,6 +240,50 @@
         self.assertEqual(len(unclear), placement.BUCKET_COUNT)
 
 
+class Asked:
+    """A home that notes who is sent records."""
+
+    def __init__(self, host_id, asked):
+        self._host_id = host_id
+        self._asked = asked
+
+    async def record(self, records):
+        self._asked.add(self._host_id)
+        return [True] * len(records)
+
+    async def query(self, queries):
+        return [None] * len(queries)
+
+
+class EarlierHomesTest(unittest.TestCase):
+    def test_write_is_recorded_at_the_homes_of_before_until_settled(self):
+        async def run(waited_s):
+            asked = set()
+            floors = homes.HomeFloors(
+                lambda host_id: Asked(host_id, asked),
+                lambda now_s: True,  # noqa: ARG005
+                builders.SETTLE_S,
+            )
+            fleet = builders.Fleet()
+            members = [builders.build_member(f"e{place}") for place in range(4)]
+            async with trio.open_nursery() as nursery:
+                await nursery.start(floors.run)
+                placed = fleet.change_members(*members)
+                floors.set_placement(placed, trio.current_time())
+                await trio.sleep(builders.SETTLE_S)
+                bucket = placement.get_bucket(homes.get_session(KEYS[0]))
+                left = placed.homes[bucket][0].host_id
+                floors.set_placement(fleet.change_members(left), trio.current_time())
+                await trio.sleep(waited_s)
+                deadline_s = trio.current_time() + 1.0
+                await floors.record(KEYS[0], fleet.commit(), deadline_s)
+                nursery.cancel_scope.cancel()
+            return left in asked
+
+        self.assertTrue(builders.run_virtual(run, 0.0))
+        self.assertFalse(builders.run_virtual(run, builders.SETTLE_S))
+
+
 class BatcherTest(unittest.TestCase):
     def test_home_that_does_not_answer_holds_up_a_bounded_number(self):
         async def run():
