Show a host ready once its homes are settled; let queues outlast a failover

Cause: a freshly started host was ready for the balancer while its writes still waited up to 2.2 s; a queue's longest wait of 2 s was shorter than the failover of a frozen primary (2.55 s), so callers were refused as overloaded meanwhile; a home's base took the instance's timeline in place of the term's. Ruled out: gating on every later change of members, which would take all hosts away from the balancer at once. Change: readiness waits for the first settling; 5 s is the default wait, since eligibility is checked again after it.

--- a/sedgeswitch/configuration/documents.py
+++ b/sedgeswitch/configuration/documents.py
@@ -140,7 +140,7 @@
     """
 
     max_queue_length: Count = 200
-    max_wait_ms: Count = 2_000
+    max_wait_ms: Count = 5_000
 
 
 class Document(typing.NamedTuple):
--- a/sedgeswitch/daemon/daemon.py
+++ b/sedgeswitch/daemon/daemon.py
@@ -108,7 +108,7 @@
         if self._is_leaving:
             raise entry.build_not_ready()
         now_s = trio.current_time()
-        if self._entry is not None and not self._entry.heart.is_lease_valid(now_s):
+        if self._entry is not None and not self._entry.is_ready(now_s):
             raise entry.build_not_ready()
         return http.build_json({"status": "ready"})
 
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -103,6 +103,7 @@
         self._metrics = gauges
         self._incarnation = secrets.token_hex(8)
         self._limits_version = 0
+        self._has_settled = False
         self.configuration = follower.Follower()
         self.groups = table.GroupTable()
         self.directory = directory.EntryDirectory()
@@ -148,6 +149,19 @@
         endpoint = announcements.AnnouncementEndpoint(self.directory)
         router.register_route("POST", announcements.PATH, endpoint.handle)
 
+    def is_ready(self, now_s: float) -> bool:
+        """Return whether callers may be sent here.
+
+        Notes
+        -----
+        A host that has just started would let writes wait until its session
+        homes are settled. Later changes of the members concern all hosts alike,
+        so they take none of them away from the balancer.
+        """
+        if not self._has_settled:
+            self._has_settled = self.homes.floors.is_settled(now_s)
+        return self._has_settled and self.heart.is_lease_valid(now_s)
+
     async def leave(self) -> None:
         """Give up the lease, after the last request and transaction have ended."""
         await self.transactions.wait_idle()
--- a/sedgeswitch/daemon/homes.py
+++ b/sedgeswitch/daemon/homes.py
@@ -56,7 +56,10 @@
         position = await backends.try_read_position(connections, READ_TIMEOUT_S)
         if not self._groups.is_permit_valid(permit, trio.current_time()):
             return None
-        return position
+        if position is None:
+            return None
+        # The term names the timeline, as for the positions of writes.
+        return positions.Position(permit.timeline, position.lsn)
 
 
 class SessionHomes:
