--- /dev/null
+++ b/sedgeswitch/statements/committing.py
@@ -0,0 +1,126 @@
+"""Commits one write on a connection, at most once where it has a key."""
+
+import typing
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import positions
+from sedgeswitch.idempotency import ledger
+from sedgeswitch.pools import pool
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import context
+from sedgeswitch.statements import refusals
+from sedgeswitch.statements import requests
+
+ROLLBACK_TIMEOUT_S = 0.5
+_READ_ONLY = "25006"
+
+
+class Written(typing.NamedTuple):
+    """A write that the primary has committed.
+
+    Attributes
+    ----------
+    rows : base.Rows
+    position : positions.Position
+        The log holds the write up to here.
+    """
+
+    rows: base.Rows
+    position: positions.Position
+
+
+async def write(
+    pooled: pool.PooledConnection,
+    work: context.Work,
+    statement: requests.Statement,
+    unix_s: float,
+) -> Written:
+    """Commit a write and learn a position that covers it.
+
+    Parameters
+    ----------
+    pooled : pool.PooledConnection
+        To the primary.
+    work : context.Work
+    statement : requests.Statement
+    unix_s : float
+        Time since 1970, by which the row of the ledger expires.
+
+    Raises
+    ------
+    verdicts.RefusedError
+        With a verdict that says whether the write may have run.
+    """
+    try:
+        if statement.idempotency_key:
+            rows = await _write_once(pooled, work, statement, unix_s)
+        else:
+            rows = await backends.run_statement(pooled, statement)
+    except base.DriverError as error:
+        raise _build_refusal(error) from error
+    try:
+        return Written(rows, await backends.read_position(pooled))
+    except base.DriverError as error:
+        raise verdicts.build_may_have_run(
+            502, refusals.CONNECTION_LOST, error.detail, refusals.RETRY_AFTER_MS
+        ) from error
+
+
+async def _write_once(
+    pooled: pool.PooledConnection,
+    work: context.Work,
+    statement: requests.Statement,
+    unix_s: float,
+) -> base.Rows:
+    digest = ledger.build_digest(statement.sql, statement.parameters)
+    request = ledger.RequestId(work.organisation, statement.idempotency_key, digest)
+    try:
+        return await _run_claimed(pooled, request, statement, unix_s)
+    except base.DriverError as error:
+        if error.sqlstate != ledger.UNDEFINED_TABLE or error.is_lost:
+            raise
+    await ledger.create_table(pooled)
+    return await _run_claimed(pooled, request, statement, unix_s)
+
+
+async def _run_claimed(
+    pooled: pool.PooledConnection,
+    request: ledger.RequestId,
+    statement: requests.Statement,
+    unix_s: float,
+) -> base.Rows:
+    """Run a statement and its ledger row in one transaction."""
+    await pooled.execute("BEGIN")
+    is_committed = False
+    try:
+        earlier = await ledger.claim(pooled, request, unix_s)
+        if earlier is not None:
+            return earlier
+        rows = await backends.run_statement(pooled, statement)
+        await ledger.settle(pooled, request, rows)
+        await pooled.execute("COMMIT")
+        is_committed = True
+        return rows
+    finally:
+        if not is_committed:
+            await _abandon(pooled)
+
+
+async def _abandon(pooled: pool.PooledConnection) -> None:
+    """End a transaction whose work must not stay."""
+    with trio.CancelScope(shield=True), trio.move_on_after(ROLLBACK_TIMEOUT_S) as scope:
+        try:
+            await pooled.execute("ROLLBACK")
+        except base.DriverError:
+            await pooled.close()
+    if scope.cancelled_caught:
+        await pooled.close()
+
+
+def _build_refusal(error: base.DriverError) -> verdicts.RefusedError:
+    if error.sqlstate == _READ_ONLY and not error.is_lost:
+        return refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+    return refusals.build_driver_refusal(error)
--- /dev/null
+++ b/sedgeswitch/statements/replicas.py
@@ -0,0 +1,94 @@
+"""Keeps committed writes: on enough replicas, and with a floor at their homes."""
+
+import trio
+
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import settings
+from sedgeswitch.sessions import floors
+from sedgeswitch.statements import acknowledgement
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import context
+
+POLL_TIMEOUT_S = 0.5
+_GROUP_SETTINGS = settings.GroupSettings()
+
+
+class ReplicaKeeper:
+    """Waits until committed writes are safe.
+
+    Parameters
+    ----------
+    parts : context.Parts
+    """
+
+    def __init__(self, parts: context.Parts):
+        self._parts = parts
+        self._waiters: dict[str, acknowledgement.AckWaiter] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def set_nursery(self, nursery: trio.Nursery) -> None:
+        """Run the tasks that poll replicas in a nursery."""
+        self._nursery = nursery
+
+    async def make_safe(
+        self,
+        work: context.Work,
+        key: floors.SessionKey,
+        position: positions.Position,
+        deadline_s: float,
+    ) -> bool:
+        """Wait until a committed write survives the loss of its primary.
+
+        Parameters
+        ----------
+        work : context.Work
+        key : floors.SessionKey
+            Whose next read must see the write.
+        position : positions.Position
+        deadline_s : float
+
+        Returns
+        -------
+        bool
+            False if its floor was not recorded before the deadline.
+        """
+        is_recorded = False
+
+        async def record_floor() -> None:
+            nonlocal is_recorded
+            is_recorded = await self._parts.floors.record(key, position, deadline_s)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(record_floor)
+            # A promotion counts on no fewer, whatever the group asks for.
+            instances = max(work.ack_instances, _GROUP_SETTINGS.ack_instances)
+            if instances > 1:
+                await self._get_waiter(work).wait(position, instances - 1)
+        return is_recorded
+
+    def _get_waiter(self, work: context.Work) -> acknowledgement.AckWaiter:
+        group, database = work.group, work.database
+
+        async def read_position(instance: str) -> positions.Position | None:
+            server = self._parts.backends.get_server(instance)
+            if server is None:
+                return None
+            connections = self._parts.backends.get_pool(server, database)
+            return await backends.try_read_position(connections, POLL_TIMEOUT_S)
+
+        if group not in self._waiters:
+            self._waiters[group] = acknowledgement.AckWaiter(
+                self._nursery, lambda: self._list_replicas(group), read_position
+            )
+        return self._waiters[group]
+
+    def _list_replicas(self, group: str) -> list[str]:
+        """Return the replicas to ask; drained ones only if there are no others."""
+        state = self._parts.groups.get_group(group)
+        counting = self._parts.groups.get_ack_instances(group)
+        replicas = [item for item in counting if item != state.primary]
+        awake = [
+            item for item in replicas if not self._parts.backends.is_left_alone(item)
+        ]
+        needed = _GROUP_SETTINGS.ack_instances - 1
+        return awake if len(awake) >= needed else replicas
