--- a/sedgeswitch/callers/routes.py
+++ b/sedgeswitch/callers/routes.py
@@ -7,6 +7,7 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.callers import connection as connections
 from sedgeswitch.callers import http
 
 Endpoint = collections.abc.Callable[
@@ -29,9 +30,9 @@
     def __init__(self):
         self._exact: dict[str, dict[str, Endpoint]] = {}
         self._routes: list[_Route] = []
-        self._fallback: http.Handler | None = None
+        self._fallback: connections.Handler | None = None
 
-    def register_fallback(self, handler: http.Handler) -> None:
+    def register_fallback(self, handler: connections.Handler) -> None:
         """Register the handler of the paths that no route matches."""
         self._fallback = handler
 
@@ -105,18 +106,21 @@
     Parameters
     ----------
     handler : callable
-    limits : http.Limits
+    limits : connections.Limits
     max_connections : int
         Connections beyond it are answered 503 and closed.
     """
 
     def __init__(
-        self, handler: http.Handler, limits: http.Limits, max_connections: int
+        self,
+        handler: connections.Handler,
+        limits: connections.Limits,
+        max_connections: int,
     ):
         self._handler = handler
         self._limits = limits
         self._max_connections = max_connections
-        self._connections: set[http.HttpConnection] = set()
+        self._connections: set[connections.HttpConnection] = set()
         self._is_draining = False
         self._listening = trio.CancelScope()
 
@@ -170,7 +174,7 @@
             await trio.sleep(DRAIN_POLL_S)
 
     async def _serve_connection(self, stream: trio.abc.Stream) -> None:
-        connection = http.HttpConnection(
+        connection = connections.HttpConnection(
             stream, self._handler, self._limits, self._get_is_draining
         )
         if len(self._connections) >= self._max_connections:
@@ -193,9 +197,9 @@
     )
     response = http.encode_response(http.build_problem(refusal), is_closing=True)
     with (
-        trio.move_on_after(2 * http.LINGER_S),
+        trio.move_on_after(2 * connections.LINGER_S),
         contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError),
     ):
         async with stream:
             await stream.send_all(response)
-            await http.discard_rest(stream)
+            await connections.discard_rest(stream)
--- a/sedgeswitch/callers/tests/builders.py
+++ b/sedgeswitch/callers/tests/builders.py
@@ -6,10 +6,11 @@
 import trio
 import trio.testing
 
+from sedgeswitch.callers import connection as connections
 from sedgeswitch.callers import http
 from sedgeswitch.utils.tests import virtual_time
 
-LIMITS = http.Limits(max_header_bytes=1000, max_body_bytes=1000)
+LIMITS = connections.Limits(max_header_bytes=1000, max_body_bytes=1000)
 GET = b"GET /echo HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -43,7 +44,9 @@
 
     async def run():
         ours, theirs = trio.testing.memory_stream_pair()
-        connection = http.HttpConnection(ours, handler, LIMITS, lambda: is_draining)
+        connection = connections.HttpConnection(
+            ours, handler, LIMITS, lambda: is_draining
+        )
         received = bytearray()
 
         async def collect():
--- a/sedgeswitch/callers/tests/test_http.py
+++ b/sedgeswitch/callers/tests/test_http.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 
 from sedgeswitch import verdicts
+from sedgeswitch.callers import connection as connections
 from sedgeswitch.callers import http
 from sedgeswitch.callers import routes
 from sedgeswitch.callers.tests import builders
@@ -71,7 +72,7 @@
     def test_rest_that_stalls_behind_a_request_gets_408_in_time(self):
         async def run():
             ours, theirs = trio.testing.memory_stream_pair()
-            connection = http.HttpConnection(
+            connection = connections.HttpConnection(
                 ours, builders.echo, builders.LIMITS, lambda: False
             )
             await theirs.send_all(builders.GET + builders.GET[:-2])
@@ -80,7 +81,7 @@
 
         passed_s = virtual_time.run(run)
         limits = builders.LIMITS
-        self.assertLess(passed_s, limits.request_timeout_s + 2 * http.LINGER_S)
+        self.assertLess(passed_s, limits.request_timeout_s + 2 * connections.LINGER_S)
 
 
 class ProtocolTest(unittest.TestCase):
--- a/sedgeswitch/callers/tests/test_slow_peers.py
+++ b/sedgeswitch/callers/tests/test_slow_peers.py
@@ -5,11 +5,12 @@
 import trio
 import trio.testing
 
+from sedgeswitch.callers import connection as connections
 from sedgeswitch.callers import http
 from sedgeswitch.callers.tests import builders
 
 REQUEST = b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
-LIMITS = http.Limits(request_timeout_s=5.0, idle_timeout_s=60.0)
+LIMITS = connections.Limits(request_timeout_s=5.0, idle_timeout_s=60.0)
 
 
 def _run(body, handler_s=0.0):
@@ -23,7 +24,7 @@
 
     async def run():
         here, there = trio.testing.memory_stream_pair()
-        connection = http.HttpConnection(here, handle, LIMITS, lambda: False)
+        connection = connections.HttpConnection(here, handle, LIMITS, lambda: False)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(builders.serve, connection)
             await body(there)
@@ -55,7 +56,7 @@
     def test_request_that_arrives_as_the_host_leaves_is_refused_as_not_run(self):
         async def run():
             here, there = trio.testing.memory_stream_pair()
-            connection = http.HttpConnection(here, None, LIMITS, lambda: True)
+            connection = connections.HttpConnection(here, None, LIMITS, lambda: True)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(connection.run)
                 await trio.testing.wait_all_tasks_blocked()
--- a/sedgeswitch/daemon/daemon.py
+++ b/sedgeswitch/daemon/daemon.py
@@ -8,6 +8,7 @@
 import trio
 
 from sedgeswitch import settings as daemon_settings
+from sedgeswitch.callers import connection as connections
 from sedgeswitch.callers import http
 from sedgeswitch.callers import routes
 from sedgeswitch.daemon import control
@@ -122,8 +123,8 @@
     return http.build_json({"sent": counted.sent, "received": counted.received})
 
 
-def _build_limits(given: daemon_settings.Requests) -> http.Limits:
-    return http.Limits(
+def _build_limits(given: daemon_settings.Requests) -> connections.Limits:
+    return connections.Limits(
         max_body_bytes=given.max_body_bytes,
         request_timeout_s=given.header_timeout_s,
         idle_timeout_s=given.idle_timeout_s,
