--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -33,8 +33,12 @@
 
 def load_results() -> list[dict[str, typing.Any]]:
     """Return the saved results in the order of their file names."""
-    paths = sorted(deployments.RESULTS.glob("*.json"))
-    return [json.loads(path.read_text()) for path in paths]
+    paths = [
+        path
+        for name in deployments.DEPLOYMENTS
+        for path in deployments.RESULTS.glob(f"{name}-*.json")
+    ]
+    return [json.loads(path.read_text()) for path in sorted(paths)]
 
 
 def build_svg(results: list[dict[str, typing.Any]]) -> str:
--- a/sedgeswitch/configuration/indexes.py
+++ b/sedgeswitch/configuration/indexes.py
@@ -10,6 +10,14 @@
 MAX_CACHED_REQUESTS = 10_000
 
 
+class _Serving(typing.NamedTuple):
+    """Whether an instance may serve, and what that was decided by."""
+
+    matched: typing.Iterable[documents.Selector]
+    announced: typing.Mapping[str, str]
+    may_serve: bool
+
+
 class Index:
     """Answers the questions of each request about one document.
 
@@ -28,6 +36,7 @@
         self.document = document
         self.keys = {key.digest: key for key in _list_keys(document)}
         self._selectors: dict[selectors.Request, tuple[documents.Selector, ...]] = {}
+        self._serving: dict[tuple[int, str], _Serving] = {}
 
     def check_key(self, presented: str | None) -> lookup.KeyHolder | lookup.KeyProblem:
         """Return whom a presented key belongs to, or why it does not work."""
@@ -65,10 +74,18 @@
         announced : mapping of str to str
             Labels that the instance announces.
         """
+        key = (id(matched), instance)
+        known = self._serving.get(key)
+        # The objects themselves are kept, so an id can't stand for another.
+        if known and known.matched is matched and known.announced is announced:
+            return known.may_serve
         labels = selectors.merge_labels(self.document, instance, announced)
-        if selectors.is_drained(self.document, labels):
-            return False
-        return selectors.is_eligible(matched, labels)
+        is_drained = selectors.is_drained(self.document, labels)
+        may_serve = not is_drained and selectors.is_eligible(matched, labels)
+        if len(self._serving) >= MAX_CACHED_REQUESTS:
+            self._serving.clear()
+        self._serving[key] = _Serving(matched, announced, may_serve)
+        return may_serve
 
 
 def _list_keys(document: documents.Document) -> typing.Iterator[lookup.IndexedKey]:
