Let a peer close itself, and drop what stood twice

Two slices wrapped a peer in a cancel scope of their own, and the agreement replaced silent links as the peer itself now does (proved by test_connection_is_replaced_after_timeouts_in_a_row). The heart's identity was the member over again. Unused byte counts are gone; traffic counts them. No behaviour changes; the tests of transport, membership and agreement's parts pass.

--- a/examples/membership_embedded.py
+++ b/examples/membership_embedded.py
@@ -62,7 +62,7 @@
     host_id: str, leader: registrar.Registrar
 ) -> tuple[heart.Heart, directory.EntryDirectory]:
     """Return a host's heart and its copy of the directory."""
-    identity = heart.HostIdentity(host_id, "run-1", "bagmati", "10.0.0.1", 7000)
+    identity = machine.Member(host_id, "run-1", "bagmati", "10.0.0.1", 7000)
     item = heart.Heart(identity, LocalControl(leader), HEARTBEAT_S)
     servers = directory.EntryDirectory()
     item.register_section(SECTION, servers)
--- a/sedgeswitch/agreement/network.py
+++ b/sedgeswitch/agreement/network.py
@@ -4,11 +4,9 @@
 
 import trio
 
-from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 
-RECONNECT_AFTER_TIMEOUTS = 3
 IDLE_LINK_S = 60.0
 
 
@@ -25,7 +23,7 @@
 
         Raises
         ------
-        failures.CallError
+        sedgeswitch.transport.failures.CallError
             If there is no reply.
         """
 
@@ -34,17 +32,11 @@
 
 
 class _Link:
-    """The connection to one address."""
+    """The connection to one address, and when it was used last."""
 
-    def __init__(self, address: peer.Address):
+    def __init__(self, address: peer.Address, now_s: float):
         self.peer = peer.Peer(address)
-        self.scope = trio.CancelScope()
-        self.timeouts = 0
-        self.used_s = trio.current_time()
-
-    async def run(self) -> None:
-        with self.scope:
-            await self.peer.run()
+        self.used_s = now_s
 
 
 class TransportNetwork:
@@ -54,11 +46,6 @@
     ----------
     serving : server.Server
         Answers the calls of the other hosts; the program runs it.
-
-    Notes
-    -----
-    After a silent partition TCP may wait minutes before it sends again, so that
-    a link whose calls time out in a row is replaced by a new connection.
     """
 
     def __init__(self, serving: server.Server):
@@ -74,14 +61,8 @@
         self, address: peer.Address, message: typing.Any, timeout_s: float
     ) -> typing.Any:
         """Send a request and return its reply; see `Network.call`."""
-        link = self._get_link(address)
-        try:
-            reply = await link.peer.call(message, timeout_s)
-        except failures.CallError as error:
-            self._count_failure(address, link, error)
-            raise
-        link.timeouts = 0
-        return reply
+        peer_ = self._get_peer(address, trio.current_time())
+        return await peer_.call(message, timeout_s)
 
     async def run(
         self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
@@ -98,24 +79,13 @@
         """Close the links to hosts that are no longer called."""
         for address, link in list(self._links.items()):
             if now_s - link.used_s >= IDLE_LINK_S:
-                self._close(address, link)
+                del self._links[address]
+                link.peer.close()
 
-    def _close(self, address: peer.Address, link: _Link) -> None:
-        del self._links[address]
-        link.scope.cancel()
-
-    def _get_link(self, address: peer.Address) -> _Link:
+    def _get_peer(self, address: peer.Address, now_s: float) -> peer.Peer:
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = _Link(address)
-            self._nursery.start_soon(link.run)
-        link.used_s = trio.current_time()
-        return link
-
-    def _count_failure(
-        self, address: peer.Address, link: _Link, error: failures.CallError
-    ) -> None:
-        link.timeouts = link.timeouts + 1 if error.code == "timeout" else 0
-        is_current = self._links.get(address) is link
-        if is_current and link.timeouts >= RECONNECT_AFTER_TIMEOUTS:
-            self._close(address, link)
+            link = self._links[address] = _Link(address, now_s)
+            self._nursery.start_soon(link.peer.run)
+        link.used_s = now_s
+        return link.peer
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -26,6 +26,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import entry_peers
 from sedgeswitch.membership import heart
+from sedgeswitch.membership import machine
 from sedgeswitch.membership import member_sections
 from sedgeswitch.observability import metrics
 from sedgeswitch.observability import traces
@@ -176,7 +177,7 @@
 
     def _build_heart(self) -> heart.Heart:
         settings = self._settings
-        identity = heart.HostIdentity(
+        identity = machine.Member(
             settings.host_id,
             self._incarnation,
             settings.availability_zone,
--- a/sedgeswitch/membership/entry_peers.py
+++ b/sedgeswitch/membership/entry_peers.py
@@ -12,17 +12,11 @@
 CONNECT_WAIT_S = 0.2
 
 
-class _Link:
+class _Link(typing.NamedTuple):
     """The connection to one member."""
 
-    def __init__(self, member: machine.Member):
-        self.member = member
-        self.peer = peer.Peer(peer.Address(member.host, member.port))
-        self.scope = trio.CancelScope()
-
-    async def run(self) -> None:
-        with self.scope:
-            await self.peer.run()
+    member: machine.Member
+    peer: peer.Peer
 
 
 class EntryPeers:
@@ -54,7 +48,7 @@
         self._members = {member.host_id: member for member in members}
         for host_id, link in list(self._links.items()):
             if self._members.get(host_id) != link.member:
-                link.scope.cancel()
+                link.peer.close()
                 del self._links[host_id]
 
     def is_member(self, host_id: str) -> bool:
@@ -76,8 +70,9 @@
             raise failures.CallError("unknown_host", host_id, verdicts.Verdict.NOT_RUN)
         link = self._links.get(host_id)
         if link is None:
-            link = self._links[host_id] = _Link(member)
-            self._nursery.start_soon(link.run)
+            address = peer.Address(member.host, member.port)
+            link = self._links[host_id] = _Link(member, peer.Peer(address))
+            self._nursery.start_soon(link.peer.run)
         if not link.peer.is_connected:
             with trio.move_on_after(min(CONNECT_WAIT_S, timeout_s)):
                 await link.peer.wait_connected()
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -8,6 +8,7 @@
 
 from sedgeswitch import verdicts
 from sedgeswitch.membership import hints
+from sedgeswitch.membership import machine
 from sedgeswitch.membership import messages
 from sedgeswitch.membership import sections
 from sedgeswitch.transport import catalog
@@ -20,28 +21,6 @@
 MALFORMED = "malformed_answer"
 
 
-class HostIdentity(typing.NamedTuple):
-    """Who an entry host is.
-
-    Attributes
-    ----------
-    host_id : str
-    incarnation : str
-        Changes with each start of the daemon.
-    availability_zone : str
-    host : str
-        IP number for calls from other hosts.
-    port : int
-        TCP port for calls from other hosts.
-    """
-
-    host_id: str
-    incarnation: str
-    availability_zone: str
-    host: str
-    port: int
-
-
 class ControlPeers:
     """Connections to all control hosts, and which of them leads.
 
@@ -104,14 +83,15 @@
 
     Parameters
     ----------
-    identity : HostIdentity
+    identity : machine.Member
+        This host and the incarnation of its daemon.
     control : ControlPeers
     interval_s : float
         Time between heartbeats when nothing changes, in seconds.
     """
 
     def __init__(
-        self, identity: HostIdentity, control: ControlPeers, interval_s: float
+        self, identity: machine.Member, control: ControlPeers, interval_s: float
     ):
         self._identity = identity
         self._control = control
--- a/sedgeswitch/membership/tests/builders.py
+++ b/sedgeswitch/membership/tests/builders.py
@@ -88,7 +88,7 @@
         self.logs[0].term = 1
 
     def _build_heart(self, index):
-        identity = heart.HostIdentity(
+        identity = machine.Member(
             f"entry-{index}", f"run-{index}", "bagmati", "10.0.0.9", 7000 + index
         )
         return heart.Heart(identity, Network(self, index), HEARTBEAT_S)
--- a/sedgeswitch/membership/tests/test_leases.py
+++ b/sedgeswitch/membership/tests/test_leases.py
@@ -174,7 +174,7 @@
 class HeartTest(unittest.TestCase):
     def _run_with(self, answer):
         async def run():
-            identity = heart.HostIdentity("entry-0", "run-1", "bagmati", "::1", 1)
+            identity = machine.Member("entry-0", "run-1", "bagmati", "::1", 1)
             control = FakeControl(answer)
             item = heart.Heart(identity, control, builders.HEARTBEAT_S)
             item.register_section("members", _Section())
--- a/sedgeswitch/transport/peer.py
+++ b/sedgeswitch/transport/peer.py
@@ -63,8 +63,8 @@
         self._wake = trio.Event()
         self._connected = trio.Event()
         self._receiving = trio.CancelScope()
+        self._running = trio.CancelScope()
         self._timeouts = 0
-        self.bytes_sent = 0
 
     @property
     def is_connected(self) -> bool:
@@ -77,7 +77,15 @@
         await self._connected.wait()
 
     async def run(self) -> None:
-        """Keep a connection open until cancelled."""
+        """Keep a connection open until cancelled or closed."""
+        with self._running:
+            await self._connect_forever()
+
+    def close(self) -> None:
+        """End `run` and with it the connection."""
+        self._running.cancel()
+
+    async def _connect_forever(self) -> None:
         delay_s = RECONNECT_MIN_S
         while True:
             try:
@@ -147,7 +155,6 @@
             sent_bytes = sockets.send_now(stream, data)
             if sent_bytes < len(data):
                 await self._send_rest(stream, data[sent_bytes:])
-            self.bytes_sent += len(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._drop(stream)
         finally:
