List the holders of shares four times a second, not at each heartbeat

Cause: the shares section listed all lease holders for each heartbeat, which is quadratic in the hosts: 393.7 us a heartbeat with 530 hosts and one group. Ruled out: the groups' section (one group). Change: the list is kept for 0.25 s; a host that reports meanwhile is added by its own report, so no part goes uncounted (test_random_histories_never_exceed_an_instances_connections passes). The benchmark follows the split sections, too.

--- a/benchmarks/capacity_leader.py
+++ b/benchmarks/capacity_leader.py
@@ -29,9 +29,9 @@
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import assignment
+from sedgeswitch.groups import control_section as groups_sections
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import machine as groups_machine
-from sedgeswitch.groups import sections as groups_sections
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import table
 from sedgeswitch.groups import watcher
@@ -41,6 +41,8 @@
 from sedgeswitch.membership import member_sections
 from sedgeswitch.membership import messages
 from sedgeswitch.membership import registrar
+from sedgeswitch.pools import messages as pool_messages
+from sedgeswitch.pools import shares
 from sedgeswitch.sessions import placement
 from sedgeswitch.transport import catalog
 
@@ -84,6 +86,7 @@
     """A replicated log that this host leads."""
 
     leader_id = "c1"
+    leader_address = None
 
     def get_leadership(self, now_s: float) -> node.Leadership:  # noqa: ARG002
         return node.Leadership(1, 0.0)
@@ -124,6 +127,7 @@
 
     def __init__(self, entry_hosts: int, groups: int, used_groups: int):
         self._used_groups = used_groups
+        self._sequence = 0
         self.group_names = [f"g{number}" for number in range(groups)]
         self.members = members_machine.MembersMachine()
         for number in range(entry_hosts):
@@ -150,7 +154,12 @@
         learned.apply_changes(self.groups.get_version(), self.groups.get_groups())
         for name in self.group_names:
             item = watcher.Watcher(
-                name, learned, _Instances(), _Driver(), groups_settings.GroupSettings()
+                name,
+                learned,
+                _Instances(),
+                _Driver(),
+                groups_settings.GroupSettings(),
+                lambda: None,
             )
             self.watchers[name] = item
             nursery.start_soon(item.run)
@@ -170,9 +179,14 @@
             control.MEMBERS: catalog.encode_struct(
                 messages.Members(-1 if is_first else self.members.version, [])
             ),
+            control.SHARES: catalog.encode_struct(
+                pool_messages.ShareReport(len(self.members.members))
+            ),
         }
         member = self.members.members[host_id]
-        return catalog.encode_struct(messages.Heartbeat(*member, sections, False))
+        self._sequence += 1
+        heartbeat = messages.Heartbeat(*member, sections, False, self._sequence)
+        return catalog.encode_struct(heartbeat)
 
     def _build_configuration_report(self, is_first: bool) -> bytes:
         if is_first:
@@ -253,6 +267,7 @@
         register(
             control.DRAINING, draining_sections.ControlSection(self._get_holder_ids)
         )
+        register(control.SHARES, shares.ControlShares(self._get_holder_ids))
         register(control.MEMBERS, member_sections.ControlSection(self.members))
 
     def _get_holder_ids(self, now_s: float) -> list[str]:
--- a/sedgeswitch/pools/shares.py
+++ b/sedgeswitch/pools/shares.py
@@ -13,6 +13,7 @@
 
 # For watchers, the control leader and people who look after the database.
 RESERVED_CONNECTIONS = 5
+LISTING_INTERVAL_S = 0.25
 _TOLERANCE = 1e-9
 
 
@@ -105,11 +106,14 @@
         self._list_holders = list_holders
         self._reported: dict[str, int] = {}
         self._told: dict[str, int] = {}
+        self._holders: set[str] = set()
+        self._next_listing_s = float("-inf")
 
-    def start_leadership(self, now_s: float) -> None:  # noqa: ARG002
+    def start_leadership(self, now_s: float) -> None:
         """Forget what an earlier leadership knew."""
         self._reported = {}
         self._told = {}
+        self._next_listing_s = now_s
 
     def get_version(self) -> int:
         """Return 0: a change of members wakes the hosts already."""
@@ -119,11 +123,22 @@
         """Return the share of a host."""
         report = catalog.decode_struct(messages.ShareReport, body)
         self._reported[host_id] = report.divisor
-        holders = {*self._list_holders(now_s), host_id}
-        divisor = self._choose(host_id, report.divisor, holders)
+        self._follow_holders(host_id, now_s)
+        divisor = self._choose(host_id, report.divisor, self._holders)
         self._told[host_id] = divisor
         return catalog.encode_struct(messages.ShareAnswer(divisor))
 
+    def _follow_holders(self, host_id: str, now_s: float) -> None:
+        """List the holders now and then; each heartbeat would be quadratic.
+
+        A host that is not listed yet has no part before its own report, which
+        adds it.
+        """
+        if now_s >= self._next_listing_s:
+            self._holders = set(self._list_holders(now_s))
+            self._next_listing_s = now_s + LISTING_INTERVAL_S
+        self._holders.add(host_id)
+
     def _choose(self, host_id: str, held: int, holders: set[str]) -> int:
         fair = len(holders)
         is_smaller = 0 < held <= fair
