--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -26,18 +26,21 @@
         self.passed += 1
 
 
-def load_known_red():
-    """Return the ids of the tests that are listed as failing.
+def load_known_red(prefix):
+    """Return what is listed as failing.
+
+    Parameters
+    ----------
+    prefix : str
+        ``test:`` for ids of tests, ``check:`` for commands of benchmarks.
 
     Returns
     -------
     set of str
-        Test ids, one for each line of the form ``test: ID``.
     """
     if not KNOWN_RED.exists():
         return set()
     lines = KNOWN_RED.read_text().splitlines()
-    prefix = "test:"
     return {line[len(prefix) :].strip() for line in lines if line.startswith(prefix)}
 
 
@@ -66,7 +69,7 @@
 def main():
     """Run the tests and return the exit code of the run."""
     sys.path.insert(0, str(ROOT))
-    known_red = load_known_red()
+    known_red = load_known_red("test:")
     result = unittest.TextTestRunner(verbosity=1, resultclass=CountingResult).run(
         load_suite(sys.argv[1:])
     )
@@ -74,6 +77,8 @@
     failed |= {test.id() for test in result.unexpectedSuccesses}
     for test_id in sorted(failed & known_red):
         print(f"known red: {test_id}")
+    for command in sorted(load_known_red("check:")):
+        print(f"known red, not run here: {command}")
     stale = set() if sys.argv[1:] else known_red - failed
     for test_id in sorted(stale):
         print(f"listed as known red but did not fail: {test_id}")
