Call one piece where two stood, and drop what nothing calls

The refusal of a request beyond its rate stood in admission and in statements; the grantor's limits were set in two places; the bounded wait for a connection stood at four. Each is one function now. is_member, an unused host id, build_value and a constant had no caller. Texts, codes and bounds are as they were; no test changed.

--- a/sedgeswitch/admission/wallet.py
+++ b/sedgeswitch/admission/wallet.py
@@ -43,8 +43,8 @@
 
 def build_refusal(denied: Denied) -> verdicts.RefusedError:
     """Return the error that tells a caller of a denied request."""
-    detail = f"{denied.organisation} has used up its rate and burst"
-    retry_after_ms = denied.retry_after_ms
+    detail = "the organisation's rate and burst are used up"
+    retry_after_ms = max(denied.retry_after_ms, 1)
     return verdicts.build_not_run(429, "rate_exceeded", detail, retry_after_ms)
 
 
--- a/sedgeswitch/configuration/operator_routes.py
+++ b/sedgeswitch/configuration/operator_routes.py
@@ -9,7 +9,6 @@
 from sedgeswitch.utils import checks
 from sedgeswitch.utils import records
 
-PATH_PREFIX = "/v1/"
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
 
--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -231,21 +231,22 @@
                 self._metrics.record_duration(f"groups.failover.{name}", value)
 
     def _start_grants(self, now_s: float, term: int) -> None:
-        self.grantor.set_limits(
-            adapters.build_limits(self.configuration.document), now_s
-        )
-        self._limits_version = self.configuration.version
+        self._follow_limits(now_s)
         self.grantor.start_leadership(now_s, term)
 
+    def _follow_limits(self, now_s: float) -> None:
+        if self._limits_version == self.configuration.version:
+            return
+        limits = adapters.build_limits(self.configuration.document)
+        self.grantor.set_limits(limits, now_s)
+        self._limits_version = self.configuration.version
+
     async def _answer_draw(
         self, request: admission_messages.Draw
     ) -> admission_messages.DrawReply:
         self.registrar.check_leading()
         now_s = trio.current_time()
-        if self._limits_version != self.configuration.version:
-            limits = adapters.build_limits(self.configuration.document)
-            self.grantor.set_limits(limits, now_s)
-            self._limits_version = self.configuration.version
+        self._follow_limits(now_s)
         return self.grantor.draw(request, now_s)
 
     async def _propose_change(self, body: bytes) -> bytes:
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -37,7 +37,6 @@
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
 from sedgeswitch.statements import forwarding
-from sedgeswitch.statements import refusals
 from sedgeswitch.statements import service
 from sedgeswitch.statements import transactions
 from sedgeswitch.statements import writes
@@ -74,7 +73,7 @@
         if isinstance(outcome, wallet.Pending):
             outcome = await self._wallet.wait(outcome)
         if isinstance(outcome, wallet.Denied):
-            raise refusals.build_rate_exceeded(outcome.retry_after_ms / 1000)
+            raise wallet.build_refusal(outcome)
 
 
 class EntryHost:
@@ -120,7 +119,7 @@
         )
         self.backends = self._build_backends(driver, rng)
         self.groups_section = self._build_groups(driver)
-        self.peers = entry_peers.EntryPeers(settings.host_id)
+        self.peers = entry_peers.EntryPeers()
         self.homes = self._build_homes()
         self.homes.register_handlers(serving)
         self._register_sections()
--- a/sedgeswitch/membership/entry_peers.py
+++ b/sedgeswitch/membership/entry_peers.py
@@ -20,16 +20,9 @@
 
 
 class EntryPeers:
-    """Calls other entry hosts by their id.
+    """Calls other entry hosts by their id."""
 
-    Parameters
-    ----------
-    host_id : str
-        This host.
-    """
-
-    def __init__(self, host_id: str):
-        self._host_id = host_id
+    def __init__(self):
         self._members: dict[str, machine.Member] = {}
         self._links: dict[str, _Link] = {}
         self._nursery: trio.Nursery | None = None
@@ -51,10 +44,6 @@
                 link.peer.close()
                 del self._links[host_id]
 
-    def is_member(self, host_id: str) -> bool:
-        """Return whether a host is registered."""
-        return host_id in self._members
-
     async def call(
         self, host_id: str, message: typing.Any, timeout_s: float
     ) -> typing.Any:
--- a/sedgeswitch/statements/context.py
+++ b/sedgeswitch/statements/context.py
@@ -2,10 +2,13 @@
 
 import typing
 
+import trio
+
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
 from sedgeswitch.observability import metrics
+from sedgeswitch.pools import pool
 from sedgeswitch.sessions import floors
 from sedgeswitch.statements import backends
 
@@ -51,12 +54,20 @@
     max_wait_s: float
 
 
-def get_queue_deadline(work: Work, deadline_s: float, now_s: float) -> float:
-    """Return until when a request may wait for a connection.
+async def acquire(
+    connections: pool.InstancePool, work: Work, deadline_s: float
+) -> pool.PooledConnection:
+    """Return a connection for some work, within its longest wait.
 
     A wait that lasts long could end on an instance that is drained meanwhile.
+
+    Raises
+    ------
+    verdicts.RefusedError
+        Not run, if there is none in time.
     """
-    return min(deadline_s, now_s + work.max_wait_s)
+    until_s = min(deadline_s, trio.current_time() + work.max_wait_s)
+    return await connections.acquire(work.organisation, until_s)
 
 
 class Parts(typing.NamedTuple):
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -115,8 +115,7 @@
         rows = pooled = None
         try:
             with trio.move_on_at(until_s):
-                queue_until_s = context.get_queue_deadline(work, until_s, now_s)
-                pooled = await connections.acquire(work.organisation, queue_until_s)
+                pooled = await context.acquire(connections, work, until_s)
                 # The wait may have outlasted the server's eligibility.
                 may_run = work.eligibility.may_run_on(server.instance)
                 if may_run and await _has_reached(pooled, required):
@@ -182,9 +181,7 @@
         try:
             # A frozen primary holds up connecting as well as statements.
             with self._interrupter.interruptible(permit):
-                now_s = trio.current_time()
-                until_s = context.get_queue_deadline(work, statement.deadline_s, now_s)
-                pooled = await connections.acquire(work.organisation, until_s)
+                pooled = await context.acquire(connections, work, statement.deadline_s)
                 if not work.eligibility.may_run_on(server.instance):
                     raise primaries.build_not_eligible()
                 return await _execute_read_only(pooled, statement)
--- a/sedgeswitch/statements/refusals.py
+++ b/sedgeswitch/statements/refusals.py
@@ -1,7 +1,5 @@
 """Refusals of the statement path."""
 
-import math
-
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
 from sedgeswitch.pools import pool
@@ -72,13 +70,3 @@
         "the write was not on enough instances before the deadline",
         RETRY_AFTER_MS,
     )
-
-
-def build_rate_exceeded(retry_after_s: float) -> verdicts.RefusedError:
-    """Return the refusal of a request beyond its organisation's rate."""
-    return verdicts.build_not_run(
-        429,
-        "rate_exceeded",
-        "the organisation's rate and burst are used up",
-        max(math.ceil(retry_after_s * 1000), 1),
-    )
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -195,8 +195,7 @@
         work = kept.work
         server = primaries.get_primary(kept.permit, work)
         connections = self._parts.backends.get_pool(server, work.database)
-        until_s = context.get_queue_deadline(work, expires_s, trio.current_time())
-        pooled = await connections.acquire(work.organisation, until_s)
+        pooled = await context.acquire(connections, work, expires_s)
         try:
             return await self._owned.begin(connections, pooled, kept, expires_s)
         except base.DriverError as error:
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -146,9 +146,7 @@
         try:
             # A frozen primary holds up connecting as well as statements.
             with self._interrupter.interruptible(permit) as scope:
-                now_s = trio.current_time()
-                until_s = context.get_queue_deadline(work, statement.deadline_s, now_s)
-                pooled = await connections.acquire(work.organisation, until_s)
+                pooled = await context.acquire(connections, work, statement.deadline_s)
                 # The wait for a connection may have outlasted the lease.
                 if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
                     raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
--- a/sedgeswitch/utils/records.py
+++ b/sedgeswitch/utils/records.py
@@ -125,17 +125,6 @@
     return record_type(**values)
 
 
-def build_value(hint: typing.Any, value: typing.Any, field: str) -> typing.Any:
-    """Return `value` converted to an annotated type.
-
-    Raises
-    ------
-    CheckError
-        If the type does not allow the value.
-    """
-    return _compile(hint)(value, field)
-
-
 # A document holds thousands of items of a few types; each type is looked at once.
 @functools.cache
 def _get_builders(record_type: type) -> dict[str, _Builder]:
