--- a/sedgeswitch/agreement/messages.thrift
+++ b/sedgeswitch/agreement/messages.thrift
@@ -82,3 +82,14 @@
   // Where the next chunk starts; total_bytes once the snapshot is in force.
   2: required i64 next_offset_bytes,
 }
+
+// A host that is no voter, as far as it knows, asks the leader for a place.
+struct JoinRequest {
+  1: required string node_id,
+  2: required string host,
+  3: required i32 port,
+}
+
+struct JoinReply {
+  1: required bool is_voter,
+}
--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -148,6 +148,11 @@
         """The host that leads, as far as this one knows."""
         return self._state.leader_id if self._state else None
 
+    @property
+    def is_leader_self(self) -> bool:
+        """Whether this host takes itself for the leader, confirmed or not."""
+        return self._state is not None and self.leader_id == self._settings.node_id
+
     @property
     def leader_address(self) -> peer.Address | None:
         """Where the leader takes messages, as far as this host knows."""
@@ -326,6 +331,20 @@
             peers=self._build_peer_statuses(state, now_s),
         )
 
+    def get_voter_addresses(self) -> dict[str, peer.Address]:
+        """Return where the voters that this host knows take messages, by id."""
+        state = self._state
+        if state is None or state.log.voter_set is None:
+            return {}
+        return {voter.id: voter.address for voter in state.log.voter_set.voters}
+
+    def has_place(self, now_s: float) -> bool:
+        """Return whether this host, on this disk, is a voter that hears a leader."""
+        state = self._state
+        if state is None:
+            return True
+        return state.is_voter and state.is_leader_live(now_s)
+
     async def replace_voter(
         self, old_id: str, new_id: str, new_address: peer.Address, timeout_s: float
     ) -> None:
--- a/sedgeswitch/daemon/announcements.py
+++ b/sedgeswitch/daemon/announcements.py
@@ -24,6 +24,7 @@
     labels: dict[_Name, _Name]
     slots: _Count
     max_connections: _Count
+    is_leaving: typing.NotRequired[bool]
 
 
 _FIELDS = frozenset(_Body.__annotations__)
--- /dev/null
+++ b/sedgeswitch/daemon/control_core.py
@@ -0,0 +1,224 @@
+"""What every kind of control host runs: agreed state, leases, grants, groups."""
+
+import pathlib
+import random
+import typing
+
+import trio
+
+from sedgeswitch.admission import grantor
+from sedgeswitch.admission import messages as admission_messages
+from sedgeswitch.admission import settings as admission_settings
+from sedgeswitch.agreement import machines
+from sedgeswitch.agreement import network
+from sedgeswitch.agreement import node
+from sedgeswitch.agreement import settings as agreement_settings
+from sedgeswitch.agreement import sqlite_storage
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import assignment
+from sedgeswitch.groups import control as groups_control
+from sedgeswitch.groups import control_section as groups_sections
+from sedgeswitch.groups import failover
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import leases as groups_leases
+from sedgeswitch.groups import machine as groups_machine
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import supervisor
+from sedgeswitch.membership import directory
+from sedgeswitch.membership import machine as members_machine
+from sedgeswitch.membership import member_sections
+from sedgeswitch.membership import messages as membership_messages
+from sedgeswitch.membership import registrar
+from sedgeswitch.observability import metrics
+from sedgeswitch.pools import shares
+from sedgeswitch.transport import server
+from sedgeswitch.utils import clocks
+
+GROUPS = "groups"
+DIRECTORY = "directory"
+MEMBERS = "members"
+SHARES = "shares"
+LOG_FOLDER = "agreement"
+
+
+class GroupOptions(typing.NamedTuple):
+    """How a kind of control host looks after its groups.
+
+    Attributes
+    ----------
+    directory : instances.Directory
+    settings : groups_settings.GroupSettings
+    get_rank : callable
+        See `groups.control.Control`.
+    orders : instances.InstanceControl or None
+        Reads and orders instances; by SQL if None.
+    """
+
+    directory: instances.Directory
+    settings: groups_settings.GroupSettings
+    get_rank: typing.Callable
+    orders: instances.InstanceControl | None = None
+
+
+class ControlCore:
+    """The parts of a control host that do not depend on its configuration.
+
+    Parameters
+    ----------
+    options : agreement_settings.NodeSettings
+    data_folder : str
+    lease_s : float
+    own_machines : dict of str to machines.Machine
+        Further state machines, by slice.
+    serving : server.Server
+        Answers the calls of other hosts.
+    driver : base.Driver
+    gauges : metrics.Metrics
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        options: agreement_settings.NodeSettings,
+        data_folder: str,
+        lease_s: float,
+        own_machines: dict[str, machines.Machine],
+        serving: server.Server,
+        driver: base.Driver,
+        gauges: metrics.Metrics,
+        rng: random.Random,
+    ):
+        self._metrics = gauges
+        self._driver = driver
+        self.groups = groups_machine.GroupsMachine()
+        self.members = members_machine.MembersMachine()
+        self.network = network.TransportNetwork(serving)
+        self.node = self._build_node(options, data_folder, own_machines, rng)
+        self.registrar = registrar.Registrar(self.node, self.members, lease_s)
+        self.directory = directory.ControlDirectory(rng)
+        self.grantor = grantor.Grantor(lambda: self.members.members.keys())
+        self._limits_version = -1
+        self._build_groups(self._build_group_options())
+        self._register_sections()
+        self._register_handlers(serving)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.node.run)
+            nursery.start_soon(self.registrar.run)
+            nursery.start_soon(self.supervisor.run)
+            self._start_tasks(nursery)
+
+    def get_holders(self, now_s: float) -> dict[str, groups_leases.HolderView]:
+        """Return the leases as a change of primary looks at them."""
+        return {
+            member.host_id: groups_leases.HolderView(
+                self.registrar.leases.get_until(member.host_id),
+                self.groups_section.get_acknowledged_version(member.host_id),
+            )
+            for member in self.registrar.get_holders(now_s)
+        }
+
+    def _start_tasks(self, nursery: trio.Nursery) -> None:
+        """Start the tasks of a kind of control host."""
+
+    def _build_group_options(self) -> GroupOptions:
+        raise NotImplementedError
+
+    def _get_limits(self) -> dict[str, admission_settings.Limit]:
+        """Return the rate and burst of each organisation."""
+        raise NotImplementedError
+
+    def _get_configuration_version(self) -> int:
+        raise NotImplementedError
+
+    def _build_node(
+        self,
+        options: agreement_settings.NodeSettings,
+        data_folder: str,
+        own_machines: dict[str, machines.Machine],
+        rng: random.Random,
+    ) -> node.Node:
+        registry = machines.Registry()
+        for name, machine in own_machines.items():
+            registry.register_machine(name, machine)
+        registry.register_machine(GROUPS, self.groups)
+        registry.register_machine(registrar.SLICE_NAME, self.members)
+        folder = pathlib.Path(data_folder) / LOG_FOLDER
+        folder.mkdir(parents=True, exist_ok=True)
+        storage = sqlite_storage.SqliteStorage(folder)
+        return node.Node(options, storage, self.network, registry, rng)
+
+    def _build_groups(self, options: GroupOptions) -> None:
+        self.groups_section = groups_sections.ControlSection(
+            self.groups, self._get_live_hosts, options.settings
+        )
+        given_control = groups_control.Control(
+            machine=self.groups,
+            propose=self.node.propose,
+            get_leadership=self.node.get_leadership,
+            leases=self,
+            directory=options.directory,
+            driver=self._driver,
+            settings=options.settings,
+            get_rank=options.get_rank,
+            record_report=self._record_failover,
+            given_orders=options.orders,
+            get_acknowledged=self._get_acknowledged,
+        )
+        self.supervisor = supervisor.Supervisor(given_control, self.groups_section)
+
+    def _register_sections(self) -> None:
+        register = self.registrar.register_section
+        register(GROUPS, self.groups_section)
+        register(DIRECTORY, self.directory)
+        register(SHARES, shares.ControlShares(self._get_holder_ids))
+        register(MEMBERS, member_sections.ControlSection(self.members))
+        self.registrar.register_leadership_listener(self._start_grants)
+
+    def _register_handlers(self, serving: server.Server) -> None:
+        register = serving.register_handler
+        register(membership_messages.Heartbeat, self.registrar.answer_heartbeat)
+        register(membership_messages.Watch, self.registrar.answer_watch)
+        register(admission_messages.Draw, self._answer_draw)
+
+    def _get_holder_ids(self, now_s: float) -> list[str]:
+        holders = self.registrar.get_holders(now_s)
+        return [member.host_id for member in holders]
+
+    def _get_live_hosts(self, now_s: float) -> list[assignment.EntryHost]:
+        return [
+            assignment.EntryHost(member.host_id, member.availability_zone)
+            for member in self.registrar.get_holders(now_s)
+        ]
+
+    def _get_acknowledged(self, group: str, version: int) -> positions.Position | None:
+        # Also of hosts whose lease is over: they may have answered commits.
+        host_ids = list(self.members.members)
+        return self.groups_section.get_acknowledged(group, version, host_ids)
+
+    def _record_failover(self, report: failover.FailoverReport) -> None:
+        self._metrics.count("groups.failovers")
+        for name, value in report._asdict().items():
+            if name.endswith("_s"):
+                self._metrics.record_duration(f"groups.failover.{name}", value)
+
+    def _start_grants(self, now_s: float, term: int) -> None:
+        self._follow_limits(now_s)
+        self.grantor.start_leadership(now_s, term)
+
+    def _follow_limits(self, now_s: float) -> None:
+        version = self._get_configuration_version()
+        if self._limits_version != version:
+            self.grantor.set_limits(self._get_limits(), now_s)
+            self._limits_version = version
+
+    async def _answer_draw(
+        self, request: admission_messages.Draw
+    ) -> admission_messages.DrawReply:
+        self.registrar.check_leading()
+        now_s = clocks.get_now_s()
+        self._follow_limits(now_s)
+        return self.grantor.draw(request, now_s)
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -10,6 +10,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.admission import drawing
 from sedgeswitch.admission import fair_queue
+from sedgeswitch.admission import fleet
 from sedgeswitch.admission import messages as admission_messages
 from sedgeswitch.admission import wallet
 from sedgeswitch.callers import routes
@@ -50,32 +51,6 @@
 URGENT_PAUSE_S = 0.02
 
 
-class FleetAdmission:
-    """Admits requests by the wallet's tokens.
-
-    Parameters
-    ----------
-    tokens : wallet.Wallet
-    """
-
-    def __init__(self, tokens: wallet.Wallet):
-        self._wallet = tokens
-
-    async def admit(self, organisation: str, deadline_s: float) -> None:
-        """Return if a request may run.
-
-        Raises
-        ------
-        verdicts.RefusedError
-            429, at once, with when to come back.
-        """
-        outcome = self._wallet.take(organisation, trio.current_time(), deadline_s)
-        if isinstance(outcome, wallet.Pending):
-            outcome = await self._wallet.wait(outcome)
-        if isinstance(outcome, wallet.Denied):
-            raise wallet.build_refusal(outcome)
-
-
 class EntryHost:
     """Everything that an entry host runs.
 
@@ -259,7 +234,7 @@
         authoriser = authorisation.Authoriser(
             self.configuration, self.backends, self._settings.freshness_bound_s
         )
-        admission = FleetAdmission(self.wallet)
+        admission = fleet.FleetAdmission(self.wallet)
         self.writer = writes.Writer(parts)
         self.statements = service.StatementService(
             authoriser,
--- /dev/null
+++ b/sedgeswitch/daemon/relay_control.py
@@ -0,0 +1,215 @@
+"""The control role of a fleet whose configuration is one replaced document."""
+
+import collections.abc
+import random
+import typing
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.admission import settings as admission_settings
+from sedgeswitch.agreement import errors
+from sedgeswitch.agreement import joining
+from sedgeswitch.agreement import messages
+from sedgeswitch.agreement import settings as agreement_settings
+from sedgeswitch.daemon import control_core
+from sedgeswitch.daemon import relay_groups
+from sedgeswitch.databases import documents
+from sedgeswitch.databases import machine as database_machine
+from sedgeswitch.databases import sections as database_sections
+from sedgeswitch.draining import mover
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.membership import directory
+from sedgeswitch.membership import heart
+from sedgeswitch.observability import metrics
+from sedgeswitch.transport import peer
+from sedgeswitch.transport import server
+from sedgeswitch.utils import clocks
+
+# Longest wait for the quorum to accept a document, in seconds.
+PROPOSE_TIMEOUT_S = 2.0
+# Longest wait for the quorum to confirm that this host still leads, in seconds.
+CONFIRM_TIMEOUT_S = 1.0
+
+
+class ControlOptions(typing.NamedTuple):
+    """Options of a control host.
+
+    Attributes
+    ----------
+    node : agreement_settings.NodeSettings
+    data_folder : str
+    lease_s : float
+    groups : groups_settings.GroupSettings
+    peers : peer.Address
+        Where this host takes messages.
+    control_addresses : mapping of str to peer.Address
+        Control hosts that are known from the start, by their ids.
+    """
+
+    node: agreement_settings.NodeSettings
+    data_folder: str
+    lease_s: float
+    groups: groups_settings.GroupSettings
+    peers: peer.Address
+    control_addresses: collections.abc.Mapping[str, peer.Address]
+
+
+class RelayControl(control_core.ControlCore):
+    """Everything that such a control host runs.
+
+    Parameters
+    ----------
+    options : ControlOptions
+    decode : documents.Decode
+        Reads the text of a document.
+    orders : instances.InstanceControl
+        Reads and orders instances.
+    serving : server.Server
+    driver : base.Driver
+    gauges : metrics.Metrics
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        options: ControlOptions,
+        decode: documents.Decode,
+        orders: instances.InstanceControl,
+        serving: server.Server,
+        driver: base.Driver,
+        gauges: metrics.Metrics,
+        rng: random.Random,
+    ):
+        self._options = options
+        self._orders = orders
+        self.databases = database_machine.DocumentMachine()
+        self.view = database_machine.DocumentView(self.databases, decode)
+        super().__init__(
+            options.node,
+            options.data_folder,
+            options.lease_s,
+            {database_machine.NAME: self.databases},
+            serving,
+            driver,
+            gauges,
+            rng,
+        )
+        self._mover = mover.Mover(self._find_moves, self.supervisor.move_primary)
+        self.control_peers = heart.ControlPeers(options.control_addresses)
+        self._keeper = joining.VoterKeeper(self.node)
+        self._joiner = joining.Joiner(
+            self.node,
+            messages.JoinRequest(options.node.node_id, *options.peers),
+            self.control_peers.call,
+        )
+        serving.register_handler(messages.JoinRequest, self._keeper.answer_join)
+
+    def is_leading(self) -> bool:
+        """Return whether this host leads, confirmed by a quorum."""
+        return self.node.get_leadership(clocks.get_now_s()) is not None
+
+    def get_leader_address(self) -> peer.Address | None:
+        """Return where the leader takes messages, None if it is not known."""
+        return self.node.leader_address
+
+    async def replace_document(self, version: int, text: bytes) -> int:
+        """Put a document in force if its version is the highest.
+
+        Returns
+        -------
+        int
+            The version in force.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            If this host does not lead or the outcome is not known.
+        """
+        body = database_machine.build_command(version, text)
+        try:
+            answer = await self.node.propose(
+                database_machine.NAME, body, PROPOSE_TIMEOUT_S
+            )
+        except errors.NotLeaderError as error:
+            raise verdicts.build_not_run(503, "not_leader", str(error), 200) from error
+        except errors.AgreementError as error:
+            raise verdicts.build_may_have_run(
+                503, "outcome_unknown", "send the same document again", 500
+            ) from error
+        return database_machine.decode_result(answer).version
+
+    async def read_document(self) -> bytes:
+        """Return the text of the newest document; empty before the first.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            If no quorum confirms that it is the newest.
+        """
+        try:
+            await self.node.confirm(CONFIRM_TIMEOUT_S)
+        except errors.AgreementError as error:
+            raise verdicts.build_not_run(503, "not_leader", str(error), 200) from error
+        return self.databases.get_text()
+
+    def _start_tasks(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self._mover.run)
+        nursery.start_soon(self.control_peers.run)
+        nursery.start_soon(self._keeper.run)
+        nursery.start_soon(self._joiner.run)
+
+    def _build_group_options(self) -> control_core.GroupOptions:
+        servers = relay_groups.RelayDirectory(
+            lambda: self.directory.servers, lambda: self.view.document
+        )
+        return control_core.GroupOptions(
+            servers, self._options.groups, self._get_rank, self._orders
+        )
+
+    def _register_sections(self) -> None:
+        super()._register_sections()
+        self.registrar.register_section(
+            database_machine.NAME, database_sections.ControlSection(self.databases)
+        )
+
+    def _get_limits(self) -> dict[str, admission_settings.Limit]:
+        return relay_groups.build_limits(self.view.document)
+
+    def _get_configuration_version(self) -> int:
+        return self.databases.version
+
+    def _get_rank(self, group: str, instance: str) -> tuple:  # noqa: ARG002
+        """Prefer instances that stay, then a fixed order."""
+        item = self.directory.servers.get(instance)
+        return (item is None or item.is_leaving, instance)
+
+    def _find_moves(self, now_s: float) -> list[mover.Move]:
+        """Return the moves off primaries that are about to end."""
+        if self.node.get_leadership(now_s) is None:
+            return []
+        servers = self.directory.servers
+        moves = []
+        for group in self.groups.get_groups():
+            primary = servers.get(group.primary)
+            if primary is None or not primary.is_leaving:
+                continue
+            target = _find_target(group, servers)
+            if target is not None:
+                moves.append(mover.Move(group.group, target))
+        return moves
+
+
+def _find_target(
+    group: ttypes.Group, servers: dict[str, directory.BackendServer]
+) -> str | None:
+    """Return an instance that stays, None if there is none."""
+    staying = [
+        name
+        for name in group.instances
+        if name != group.primary and name in servers and not servers[name].is_leaving
+    ]
+    return min(staying, default=None)
--- /dev/null
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -0,0 +1,201 @@
+"""The entry role of a fleet whose callers' sessions are connections."""
+
+import collections.abc
+import random
+import secrets
+import typing
+
+import loguru
+import trio
+
+from sedgeswitch.admission import drawing
+from sedgeswitch.admission import fair_queue
+from sedgeswitch.admission import fleet
+from sedgeswitch.admission import messages as admission_messages
+from sedgeswitch.admission import wallet
+from sedgeswitch.daemon import control_core
+from sedgeswitch.daemon import relay_groups
+from sedgeswitch.databases import documents
+from sedgeswitch.databases import machine as database_machine
+from sedgeswitch.databases import sections as database_sections
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import entry_section
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import table
+from sedgeswitch.membership import directory
+from sedgeswitch.membership import heart
+from sedgeswitch.membership import machine as members_machine
+from sedgeswitch.pools import pool
+from sedgeswitch.relay import context
+from sedgeswitch.relay import session
+from sedgeswitch.routing import policies
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import interruption
+from sedgeswitch.transport import failures
+from sedgeswitch.transport import peer
+from sedgeswitch.utils import clocks
+
+# Longest wait for the leader's answer to a draw of tokens, in seconds.
+DRAW_TIMEOUT_S = 0.5
+MAINTENANCE_INTERVAL_S = 0.1
+# Shortest time between two heartbeats that do not wait for their turn.
+URGENT_PAUSE_S = 0.02
+# Statements that wait for a connection to one instance at most.
+MAX_QUEUE_LENGTH = 200
+# More than any instance takes, so that the fleet's share alone is the limit.
+UNLIMITED_CONNECTIONS = 1_000_000
+
+
+class EntryOptions(typing.NamedTuple):
+    """Options of an entry host.
+
+    Attributes
+    ----------
+    host_id : str
+    availability_zone : str
+    peers : peer.Address
+        Where other hosts may call this one.
+    control_addresses : mapping of str to peer.Address
+        Control hosts that are known from the start, by their ids.
+    heartbeat_interval_s : float
+    groups : groups_settings.GroupSettings
+    """
+
+    host_id: str
+    availability_zone: str
+    peers: peer.Address
+    control_addresses: collections.abc.Mapping[str, peer.Address]
+    heartbeat_interval_s: float
+    groups: groups_settings.GroupSettings
+
+
+class RelayEntry:
+    """Everything that such an entry host runs.
+
+    Parameters
+    ----------
+    options : EntryOptions
+    decode : documents.Decode
+        Reads the text of a document.
+    driver : sessions.SessionDriver
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        options: EntryOptions,
+        decode: documents.Decode,
+        driver: typing.Any,
+        rng: random.Random,
+    ):
+        self._options = options
+        incarnation = secrets.token_hex(8)
+        self.databases = database_sections.EntrySection(decode)
+        self.groups = table.GroupTable()
+        self.directory = directory.EntryDirectory()
+        self.control_peers = heart.ControlPeers(options.control_addresses)
+        self.heart = heart.Heart(
+            members_machine.Member(
+                options.host_id, incarnation, options.availability_zone, *options.peers
+            ),
+            self.control_peers,
+            options.heartbeat_interval_s,
+        )
+        self.wallet = wallet.Wallet(options.host_id, incarnation, trio.current_time())
+        self.backends = self._build_backends(driver, rng)
+        servers = relay_groups.RelayDirectory(
+            lambda: self.directory.servers, lambda: self.databases.document
+        )
+        self.groups_section = entry_section.EntrySection(
+            self.groups, servers, driver, options.groups
+        )
+        self._register_sections()
+        self._parts = context.Parts(
+            self.databases,
+            self.groups,
+            self.groups_section,
+            self.backends,
+            interruption.Interrupter(self.groups),
+            context.Knowledge(self.groups),
+            fleet.FleetAdmission(self.wallet).admit,
+        )
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.control_peers.run)
+            nursery.start_soon(self.heart.run)
+            nursery.start_soon(self.groups_section.run)
+            nursery.start_soon(drawing.run, self.wallet, self._call_draw)
+            nursery.start_soon(self._beat_urgently)
+            nursery.start_soon(self._maintain)
+
+    def build_session(self, database_name: str, key: str) -> session.Session:
+        """Return a new session of a caller."""
+        return session.Session(self._parts, database_name, key)
+
+    def is_ready(self, now_s: float) -> bool:
+        """Return whether callers may be sent here."""
+        has_document = self.databases.document.version > 0
+        return has_document and self.heart.is_lease_valid(now_s)
+
+    async def leave(self) -> None:
+        """Give up the lease, after the last session has ended."""
+        await self.backends.close()
+        with trio.move_on_after(heart.CALL_TIMEOUT_S):
+            try:
+                await self.heart.leave()
+            except failures.CallError as error:
+                # The lease runs out by itself.
+                loguru.logger.info("no control host took the farewell: {}", error)
+
+    def _build_backends(
+        self, driver: typing.Any, rng: random.Random
+    ) -> backends.Backends:
+        options = backends.BackendOptions(
+            self._options.availability_zone,
+            UNLIMITED_CONNECTIONS,
+            policies.DEFAULT_POLICY,
+            pool.PoolSettings(),
+        )
+        return backends.Backends(
+            self.directory,
+            typing.cast(base.Driver, driver),
+            lambda capacity: fair_queue.FairQueue(capacity, MAX_QUEUE_LENGTH),
+            lambda server: False,  # noqa: ARG005
+            options,
+            rng,
+        )
+
+    def _register_sections(self) -> None:
+        register = self.heart.register_section
+        register(database_machine.NAME, self.databases)
+        register(control_core.GROUPS, self.groups_section)
+        register(control_core.DIRECTORY, self.directory)
+        register(control_core.SHARES, self.backends.share)
+        self.heart.register_lapse_listener(self.backends.share.drop)
+        self.heart.register_lease_listener(self.groups.set_lease)
+        self.databases.register_listener(self._follow_limits)
+
+    def _follow_limits(self) -> None:
+        self.wallet.set_limits(relay_groups.build_limits(self.databases.document))
+
+    async def _call_draw(
+        self, request: admission_messages.Draw
+    ) -> admission_messages.DrawReply:
+        return await self.control_peers.call(request, DRAW_TIMEOUT_S)
+
+    async def _beat_urgently(self) -> None:
+        while True:
+            await self.groups_section.wait_urgent()
+            self.heart.wake()
+            await trio.sleep(URGENT_PAUSE_S)
+
+    async def _maintain(self) -> None:
+        while True:
+            if not self.heart.is_lease_valid(clocks.get_now_s()):
+                self.backends.share.drop()
+            await self.backends.close_surplus()
+            await self.backends.close_unannounced()
+            await self.backends.close_idle(set(), trio.current_time())
+            await trio.sleep(MAINTENANCE_INTERVAL_S)
--- /dev/null
+++ b/sedgeswitch/databases/__init__.py
@@ -0,0 +1,1 @@
+"""Databases that callers name, as one document that operators replace whole."""
--- /dev/null
+++ b/sedgeswitch/databases/machine.py
@@ -0,0 +1,89 @@
+"""Agreed state: the document in force, replaced whole by higher versions."""
+
+import zlib
+
+from sedgeswitch.databases import documents
+from sedgeswitch.databases import messages
+from sedgeswitch.transport import catalog
+
+NAME = "databases"
+# Fast; a document is mostly repeated field names.
+_COMPRESSION_LEVEL = 1
+
+
+class DocumentMachine:
+    """The state machine of the document.
+
+    Attributes
+    ----------
+    version : int
+        Version in force, 0 for none.
+    source : bytes
+        Compressed text of the document, as the operator sent it.
+    """
+
+    def __init__(self):
+        self.version = 0
+        self.source = b""
+
+    def apply(self, index: int, body: bytes) -> bytes:  # noqa: ARG002
+        """Replace the document if the version is higher than the one in force."""
+        command = catalog.decode_struct(messages.Replace, body)
+        is_newer = command.version > self.version
+        if is_newer:
+            self.version = command.version
+            self.source = command.source
+        result = messages.ReplaceResult(is_newer, self.version)
+        return catalog.encode_struct(result)
+
+    def save_snapshot(self) -> bytes:
+        """Return the whole state."""
+        return catalog.encode_struct(messages.Snapshot(self.version, self.source))
+
+    def load_snapshot(self, body: bytes) -> None:
+        """Replace the whole state."""
+        snapshot = catalog.decode_struct(messages.Snapshot, body)
+        self.version = snapshot.version
+        self.source = snapshot.source
+
+    def get_text(self) -> bytes:
+        """Return the text of the document in force, empty for none."""
+        return expand_source(self.source)
+
+
+class DocumentView:
+    """The agreed document, decoded once for each version.
+
+    Parameters
+    ----------
+    machine : DocumentMachine
+    decode : documents.Decode
+    """
+
+    def __init__(self, machine: DocumentMachine, decode: documents.Decode):
+        self._machine = machine
+        self._decode = decode
+        self._document = documents.Document()
+
+    @property
+    def document(self) -> documents.Document:
+        """The document in force."""
+        if self._document.version != self._machine.version:
+            self._document = self._decode(self._machine.get_text())
+        return self._document
+
+
+def build_command(version: int, text: bytes) -> bytes:
+    """Return the command that puts a document in force."""
+    source = zlib.compress(text, _COMPRESSION_LEVEL)
+    return catalog.encode_struct(messages.Replace(version, source))
+
+
+def decode_result(body: bytes) -> messages.ReplaceResult:
+    """Return the result of a command."""
+    return catalog.decode_struct(messages.ReplaceResult, body)
+
+
+def expand_source(source: bytes) -> bytes:
+    """Return the text of a compressed document."""
+    return zlib.decompress(source) if source else b""
--- /dev/null
+++ b/sedgeswitch/databases/messages.py
@@ -0,0 +1,9 @@
+"""Message types of the databases slice."""
+
+from sedgeswitch.databases.generated import ttypes
+
+Replace = ttypes.Replace
+ReplaceResult = ttypes.ReplaceResult
+Snapshot = ttypes.Snapshot
+Report = ttypes.Report
+Answer = ttypes.Answer
--- a/sedgeswitch/drivers/base.py
+++ b/sedgeswitch/drivers/base.py
@@ -17,12 +17,15 @@
         TCP port.
     database : str
     user : str
+    instance : str
+        Id of the instance that is expected there; empty for any.
     """
 
     host: str
     port: int
     database: str
     user: str = "sedgeswitch"
+    instance: str = ""
 
 
 class Rows(typing.NamedTuple):
@@ -83,7 +86,15 @@
 
 
 class Driver(typing.Protocol):
-    """Opens connections of one protocol."""
+    """Opens connections of one protocol.
+
+    Attributes
+    ----------
+    is_bound_to_user : bool
+        Whether a connection serves the user of its target only.
+    """
+
+    is_bound_to_user: bool
 
     async def connect(self, target: Target, timeout_s: float) -> Connection:
         """Open a connection, raising `DriverError` (not run) on failure."""
--- a/sedgeswitch/drivers/postgres.py
+++ b/sedgeswitch/drivers/postgres.py
@@ -12,6 +12,7 @@
 
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
+from sedgeswitch.groups import instances
 
 # What PostgreSQL answers to text that it cannot store.
 _BAD_TEXT = "22021"
@@ -61,7 +62,7 @@
         return finished.value
 
 
-class PostgresConnection:
+class PostgresConnection(instances.SqlState):
     """One connection to a PostgreSQL instance.
 
     Parameters
@@ -168,6 +169,8 @@
 class PostgresDriver:
     """Opens `PostgresConnection` objects."""
 
+    is_bound_to_user = False
+
     async def connect(
         self, target: base.Target, timeout_s: float
     ) -> PostgresConnection:
--- a/sedgeswitch/groups/choice.py
+++ b/sedgeswitch/groups/choice.py
@@ -94,6 +94,7 @@
     ack_instances: int,
     get_rank: typing.Callable[[str], tuple],
     target: str | None = None,
+    acknowledged: positions.Position | None = None,
 ) -> Decision:
     """Return the next step for a fenced group that nobody may write to.
 
@@ -109,6 +110,9 @@
         that hold the same position.
     target : str, optional
         The instance that an operator wants; waits for it to catch up.
+    acknowledged : positions.Position, optional
+        A position that holds every acknowledged write, if the entry hosts have
+        told it.
 
     Notes
     -----
@@ -123,13 +127,20 @@
     if _has_pending(group, states):
         return Decision(Step.WAIT)
     floor = _get_floor(group, readings, ack_instances, target is not None)
+    if floor is None or (target is None and acknowledged is not None):
+        floor = acknowledged
     if floor is None:
         return Decision(Step.WAIT)
     fit = [name for name, state in readings.replicas.items() if state.position >= floor]
     if target is not None:
         fit = [name for name in fit if name == target]
     if fit:
-        return Decision(Step.PROMOTE, min(fit, key=get_rank))
+        # The obedient first, then whoever holds most.
+        def rank(name: str) -> tuple:
+            position = readings.replicas[name].position
+            return get_rank(name)[:2], -position.timeline, -position.lsn, get_rank(name)
+
+        return Decision(Step.PROMOTE, min(fit, key=rank))
     if readings.old_primary is not None:
         return Decision(Step.CATCH_UP)
     return Decision(Step.WAIT)
--- a/sedgeswitch/groups/control.py
+++ b/sedgeswitch/groups/control.py
@@ -19,6 +19,10 @@
     """The host no longer leads, or the group moved on without this task."""
 
 
+def _know_nothing(group: str, version: int) -> None:  # noqa: ARG001
+    """Return None: nobody reports acknowledged positions."""
+
+
 class Control(typing.NamedTuple):
     """What a control host gives to a failover.
 
@@ -40,6 +44,12 @@
         of several equally advanced instances should become the primary.
     record_report : callable
         Takes each `FailoverReport`.
+    given_orders : groups.instances.InstanceControl or None
+        Reads and orders instances; by SQL over `driver` if None.
+    get_acknowledged : callable
+        ``get_acknowledged(group, version)``: the highest position of a commit
+        that entry hosts have answered as done, None if a host that may have
+        answered one has not reported since it obeys that version of the table.
     """
 
     machine: groups_machine.GroupsMachine
@@ -51,6 +61,13 @@
     settings: groups_settings.GroupSettings
     get_rank: typing.Callable
     record_report: typing.Callable
+    given_orders: instances.InstanceControl | None = None
+    get_acknowledged: typing.Callable = _know_nothing
+
+    @property
+    def orders(self) -> instances.InstanceControl:
+        """How instances are read and ordered."""
+        return self.given_orders or instances.SqlInstanceControl(self.driver)
 
 
 def get_state(control: Control, leadership_term: int, group: str) -> ttypes.Group:
--- a/sedgeswitch/groups/control_section.py
+++ b/sedgeswitch/groups/control_section.py
@@ -6,6 +6,7 @@
 from sedgeswitch.groups import health
 from sedgeswitch.groups import machine as groups_machine
 from sedgeswitch.groups import observation
+from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import units
 from sedgeswitch.groups.generated import ttypes
@@ -19,6 +20,7 @@
 
     def __init__(self):
         self.acknowledged_version = 0
+        self.acknowledged: dict[str, positions.Position] = {}
         self.used_groups: list[str] | None = None
         self.sent_watched: list[str] | None = None
         self.next_observation_s = float("-inf")
@@ -96,6 +98,29 @@
         host = self._hosts.get(host_id)
         return 0 if host is None else host.acknowledged_version
 
+    def get_acknowledged(
+        self, group: str, version: int, host_ids: typing.Iterable[str]
+    ) -> positions.Position | None:
+        """Return the highest position at which a commit was answered as done.
+
+        Returns
+        -------
+        positions.Position or None
+            None if one of the entry hosts has not told it since it obeys that
+            version of the table.
+        """
+        state = self._machine.get_group(group)
+        highest = positions.Position(state.timeline, 0)
+        for host_id in host_ids:
+            host = self._hosts.get(host_id)
+            if host is None or host.acknowledged_version < version:
+                return None
+            position = host.acknowledged.get(group)
+            if position is None or position.timeline != state.timeline:
+                return None
+            highest = max(highest, position)
+        return highest
+
     def get_suspicion(
         self, group: ttypes.Group, now_s: float
     ) -> health.Suspicion | None:
@@ -110,6 +135,10 @@
         host.acknowledged_version = report.acknowledged_version
         if report.used_groups is not None:
             host.used_groups = report.used_groups
+        host.acknowledged = {
+            item.group: positions.Position(item.timeline, item.lsn)
+            for item in report.acknowledged or ()
+        }
         self._receive_health(host_id, host, report, now_s)
         self._assign(now_s)
         answer = ttypes.Answer(
--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from sedgeswitch.groups import acknowledged
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
@@ -75,6 +76,7 @@
         self._urgent = trio.Event()
         self._sent_s = 0.0
         self._round_trip_s = float("inf")
+        self._acknowledged = acknowledged.Acknowledged(table)
 
     async def run(self) -> None:
         """Run the watchers that the leader assigns, until cancelled."""
@@ -90,6 +92,10 @@
         """Say that a caller of this host uses a group."""
         self._last_used_s[group] = now_s
 
+    def note_acknowledged(self, group: str, position: positions.Position) -> None:
+        """Say that a commit is about to be answered as done."""
+        self._acknowledged.note(group, position)
+
     async def wait_urgent(self) -> None:
         """Return when the next report should not wait for its turn.
 
@@ -110,6 +116,7 @@
             round_trip_ms=self._get_round_trip_ms(),
             health=[item.build_health(now_s) for item in self._watchers.values()],
         )
+        report.acknowledged = self._acknowledged.build_report()
         used = self._get_used(now_s)
         if used != self._sent_used:
             report.used_groups = used
@@ -122,6 +129,7 @@
         self._round_trip_s = min(self._round_trip_s, now_s - self._sent_s)
         if self._table.apply_changes(answer.version, answer.changed):
             self._urgent.set()
+        self._acknowledged.note_answer()
         if not answer.knows_used_groups:
             self._sent_used = None
         if answer.watched_groups is not None:
--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -193,7 +193,7 @@
         decision = choice.Decision(choice.Step.WAIT)
         announced = self._control.directory.get_instances(self._group)
         async with trio.open_nursery() as nursery:
-            results = self._start_reads(nursery, announced)
+            results = self._start_reads(nursery, announced, group)
             for _ in announced:
                 name, state = await results.receive()
                 if state is None:
@@ -221,21 +221,35 @@
         return states.keys() >= set(group.candidates)
 
     def _start_reads(
-        self, nursery: trio.Nursery, announced: typing.Sequence[instances.Instance]
+        self,
+        nursery: trio.Nursery,
+        announced: typing.Sequence[instances.Instance],
+        group: ttypes.Group,
     ) -> trio.MemoryReceiveChannel:
         """Read each instance; the channel gives its name and state or None."""
         sender, receiver = trio.open_memory_channel(len(announced))
 
         async def read(instance: instances.Instance) -> None:
-            state = await instances.read_state(
-                self._control.driver, instance.target, self._settings.read_timeout_s
-            )
+            state = await self._read_fenced(instance, group)
             sender.send_nowait((instance.instance, state))
 
         for instance in announced:
             nursery.start_soon(read, instance)
         return receiver
 
+    async def _read_fenced(
+        self, instance: instances.Instance, group: ttypes.Group
+    ) -> instances.InstanceState | None:
+        """Return the state of an instance, after which it follows no old primary.
+
+        The primary of a planned move stays as it is, for replicas to catch up.
+        """
+        orders = self._control.orders
+        timeout_s = self._settings.read_timeout_s
+        if self._target is not None or instance.instance == group.primary:
+            return await orders.read_state(instance.target, timeout_s)
+        return await orders.fence(instance.target, group.timeline + 1, timeout_s)
+
     def _decide_on(
         self,
         group: ttypes.Group,
@@ -247,6 +261,7 @@
             self._settings.ack_instances,
             self._get_rank,
             self._target,
+            self._control.get_acknowledged(self._group, group.version),
         )
 
     def _get_rank(self, instance: str) -> tuple:
@@ -273,7 +288,7 @@
             state = self._get_state()
             if instance == state.primary and not state.candidates:
                 return await self._reinstate(state)
-            promoted = await self._order_promotion(instance, state.timeline)
+            promoted = await self._order_promotion(instance, state)
             if promoted is not None:
                 return await self._propose(
                     ttypes.Promoted(
@@ -294,7 +309,7 @@
         )
 
     async def _order_promotion(
-        self, instance: str, old_timeline: int
+        self, instance: str, group: ttypes.Group
     ) -> instances.InstanceState | None:
         """Tell an instance to promote itself and read whether it has."""
         self._attempts[instance] = self._attempts.get(instance, 0) + 1
@@ -303,12 +318,13 @@
             return None
         timeout_s = self._settings.promote_timeout_s
         state = None
+        order = instances.PromotionOrder(
+            self._group, instance, target, self._leadership_term
+        )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                instances.order_promotion, self._control.driver, target, timeout_s
-            )
+            nursery.start_soon(self._control.orders.promote, order, timeout_s)
             with trio.move_on_after(timeout_s):
-                state = await self._wait_promoted(target, old_timeline)
+                state = await self._wait_promoted(target, group.timeline)
             nursery.cancel_scope.cancel()
         self._get_state()
         return state
@@ -317,8 +333,8 @@
         self, target: typing.Any, old_timeline: int
     ) -> instances.InstanceState:
         while True:
-            state = await instances.read_state(
-                self._control.driver, target, self._settings.read_timeout_s
+            state = await self._control.orders.read_state(
+                target, self._settings.read_timeout_s
             )
             if state is not None and _is_promoted(state, old_timeline):
                 return state
--- a/sedgeswitch/groups/instances.py
+++ b/sedgeswitch/groups/instances.py
@@ -50,6 +50,107 @@
     position: positions.Position
 
 
+class PromotionOrder(typing.NamedTuple):
+    """The order to make an instance the primary of its group.
+
+    Attributes
+    ----------
+    group : str
+    instance : str
+    target : object
+        What the driver needs to connect.
+    leadership_term : int
+        Term of the leader that gives the order; it only grows.
+    """
+
+    group: str
+    instance: str
+    target: typing.Any
+    leadership_term: int
+
+
+class InstanceControl(typing.Protocol):
+    """How the leader reads and orders the instances of a group."""
+
+    async def read_state(
+        self, target: typing.Any, timeout_s: float
+    ) -> InstanceState | None:
+        """Return the state of an instance, None without an answer in time."""
+
+    async def fence(
+        self, target: typing.Any, timeline: int, timeout_s: float
+    ) -> InstanceState | None:
+        """Stop a replica from following any primary below `timeline`.
+
+        Returns its state; an instance without this ability only tells its state.
+        """
+
+    async def promote(self, order: PromotionOrder, timeout_s: float) -> None:
+        """Order a promotion, which may take effect late or never."""
+
+    async def step_down(
+        self, target: typing.Any, timeline: int, timeout_s: float
+    ) -> bool:
+        """Make a primary below `timeline` a replica, and tell whether it is one."""
+
+
+class SqlState:
+    """Reads the state over a connection that executes SQL."""
+
+    async def read_state(self) -> InstanceState:
+        """Return the state of the instance behind this connection.
+
+        Raises
+        ------
+        Exception
+            The driver's, if there is no answer.
+        sedgeswitch.utils.checks.CheckError
+            If the answer is no state.
+        """
+        return decode_state(await self.execute(STATE_QUERY, ()))
+
+
+class SqlInstanceControl:
+    """Reads and orders instances over new connections that execute SQL.
+
+    Parameters
+    ----------
+    driver : object
+        Backend driver, with ``connect(target, timeout_s)``.
+    """
+
+    def __init__(self, driver: typing.Any):
+        self._driver = driver
+
+    async def read_state(
+        self, target: typing.Any, timeout_s: float
+    ) -> InstanceState | None:
+        """Return the state of an instance over a new connection."""
+        return await read_state(self._driver, target, timeout_s)
+
+    async def fence(
+        self,
+        target: typing.Any,
+        timeline: int,  # noqa: ARG002
+        timeout_s: float,
+    ) -> InstanceState | None:
+        """Return the state: PostgreSQL has no order to stop following."""
+        return await read_state(self._driver, target, timeout_s)
+
+    async def promote(self, order: PromotionOrder, timeout_s: float) -> None:
+        """Tell an instance to promote itself."""
+        await _query_once(self._driver, order.target, PROMOTE_QUERY, timeout_s)
+
+    async def step_down(
+        self,
+        target: typing.Any,  # noqa: ARG002
+        timeline: int,  # noqa: ARG002
+        timeout_s: float,  # noqa: ARG002
+    ) -> bool:
+        """Return True: whoever looks after PostgreSQL rewinds old primaries."""
+        return True
+
+
 class Directory(typing.Protocol):
     """The announced instances."""
 
@@ -100,13 +201,13 @@
 
 
 async def read_states(
-    driver: typing.Any, wanted: typing.Iterable[Instance], timeout_s: float
+    orders: InstanceControl, wanted: typing.Iterable[Instance], timeout_s: float
 ) -> dict[str, InstanceState]:
     """Return the states of the instances that answer within `timeout_s`."""
     states: dict[str, InstanceState] = {}
 
     async def read(instance: Instance) -> None:
-        state = await read_state(driver, instance.target, timeout_s)
+        state = await orders.read_state(instance.target, timeout_s)
         if state is not None:
             states[instance.instance] = state
 
@@ -116,19 +217,6 @@
     return states
 
 
-async def order_promotion(
-    driver: typing.Any, target: typing.Any, timeout_s: float
-) -> None:
-    """Tell an instance to promote itself.
-
-    Notes
-    -----
-    The order may take effect late or never, whatever happens to the call, so
-    that the call gives no result: read the state of the instance.
-    """
-    await _query_once(driver, target, PROMOTE_QUERY, timeout_s)
-
-
 async def _query_once(
     driver: typing.Any, target: typing.Any, sql: str, timeout_s: float
 ) -> typing.Any | None:
--- a/sedgeswitch/groups/messages.thrift
+++ b/sedgeswitch/groups/messages.thrift
@@ -122,12 +122,21 @@
   3: required bool is_stalled,
 }
 
+// The highest position at which an entry host has answered a commit of a group
+// as done, under the term that it knows.
+struct Acknowledged {
+  1: required string group,
+  2: required i64 timeline,
+  3: required i64 lsn,
+}
+
 struct Report {
   1: required i64 acknowledged_version,
   2: required i64 sent_ms,
   3: required i32 round_trip_ms,
   4: required list<GroupHealth> health,
   5: optional list<string> used_groups,
+  6: optional list<Acknowledged> acknowledged,
 }
 
 // Heartbeat section, leader to entry host. `instance` counts in the order of
--- a/sedgeswitch/groups/supervisor.py
+++ b/sedgeswitch/groups/supervisor.py
@@ -214,7 +214,7 @@
         if not new:
             return None
         states = await instances.read_states(
-            self._control.driver,
+            self._control.orders,
             announced if state is None else new,
             self._control.settings.read_timeout_s,
         )
--- a/sedgeswitch/groups/table.py
+++ b/sedgeswitch/groups/table.py
@@ -61,6 +61,10 @@
         """Return the agreed state of a group, None if it is unknown."""
         return self._groups.get(group)
 
+    def get_groups(self) -> list[ttypes.Group]:
+        """Return the agreed state of all groups."""
+        return list(self._groups.values())
+
     def set_lease(self, until_s: float) -> None:
         """Extend the lease of this host to `until_s`, on this host's clock.
 
@@ -133,6 +137,10 @@
             return []
         return [name for name in state.instances if name not in state.leaving]
 
+    async def wait_changed(self) -> None:
+        """Wait until the table or the lease has changed."""
+        await self._changed.wait()
+
     async def wait_serving(self, group: str, deadline_s: float) -> WritePermit:
         """Wait for a permit to write to a group.
 
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -239,8 +239,7 @@
                 if connection is None:
                     connection = await self._driver.connect(instance.target, timeout_s)
                     sent_s = trio.current_time()
-                rows = await connection.execute(instances.STATE_QUERY, ())
-                state = instances.decode_state(rows)
+                state = await connection.read_state()
                 is_answered = True
             except Exception as error:
                 _note_error(record, error, sent_s, trio.current_time())
--- a/sedgeswitch/membership/directory.py
+++ b/sedgeswitch/membership/directory.py
@@ -36,6 +36,8 @@
     slots : int
         How many statements it runs at once.
     max_connections : int
+    is_leaving : bool
+        Whether the instance has announced that it will end soon.
     """
 
     instance: str
@@ -46,6 +48,7 @@
     labels: dict[str, str]
     slots: int
     max_connections: int
+    is_leaving: bool = False
 
 
 def _build_message(server: BackendServer) -> messages.Announcement:
@@ -62,6 +65,7 @@
         message.labels,
         message.slots,
         message.max_connections,
+        bool(message.is_leaving),
     )
 
 
@@ -195,6 +199,15 @@
             del self._entries[instance]
             self._record_change(instance)
 
+    def record_announcement(self, server: BackendServer, now_s: float) -> None:
+        """Record what a backend server has announced to this leader itself."""
+        self._renew(server, now_s)
+
+    def remove_server(self, instance: str) -> None:
+        """Remove a backend server that has said that it ends."""
+        if self._entries.pop(instance, None) is not None:
+            self._record_change(instance)
+
     def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:  # noqa: ARG002
         """Record announcements and return the changes the host lacks."""
         if now_s >= self._next_expire_s:
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -60,6 +60,15 @@
             self._turn_away(host_id, error)
             raise
 
+    def add_addresses(
+        self, addresses: collections.abc.Mapping[str, peer.Address]
+    ) -> None:
+        """Learn of further control hosts, or of new addresses of known ones."""
+        for host_id, address in addresses.items():
+            self._add(host_id, address)
+            if host_id not in self._order:
+                self._order.append(host_id)
+
     def _turn_away(self, host_id: str, error: failures.CallError) -> None:
         if self._order[0] != host_id:
             return
@@ -68,11 +77,14 @@
         if error.code == hints.NOT_LEADER and hint is not None:
             self._prefer(hint)
 
+    def _add(self, host_id: str, address: peer.Address) -> None:
+        known = self._peers.get(host_id)
+        if known is None or known.address != address:
+            self._peers[host_id] = peer.Peer(address)
+            self._nursery.start_soon(self._peers[host_id].run)
+
     def _prefer(self, hint: hints.Hint) -> None:
-        known = self._peers.get(hint.host_id)
-        if known is None or known.address != hint.address:
-            self._peers[hint.host_id] = peer.Peer(hint.address)
-            self._nursery.start_soon(self._peers[hint.host_id].run)
+        self._add(hint.host_id, hint.address)
         if hint.host_id in self._order:
             self._order.remove(hint.host_id)
         self._order.insert(0, hint.host_id)
--- a/sedgeswitch/membership/messages.thrift
+++ b/sedgeswitch/membership/messages.thrift
@@ -41,6 +41,7 @@
   6: required map<string, string> labels,
   7: required i32 slots,
   8: required i32 max_connections,
+  9: optional bool is_leaving,
 }
 
 // Entry host to leader: what was announced since the last report.
--- /dev/null
+++ b/sedgeswitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its protocols and settings."""
--- /dev/null
+++ b/sedgeswitch/platform/__main__.py
@@ -0,0 +1,39 @@
+"""The daemon on the users' platform: ``python3 -m sedgeswitch.platform``."""
+
+import random
+import sys
+
+import loguru
+import trio
+
+from sedgeswitch.observability import logs
+from sedgeswitch.platform import program
+from sedgeswitch.platform import settings
+from sedgeswitch.utils import checks
+
+EXIT_OK = 0
+EXIT_INVALID = 1
+EXIT_CRASHED = 2
+LOG_LEVEL = "INFO"
+
+
+def main() -> int:
+    """Run the daemon and return its exit code."""
+    try:
+        path = settings.get_path()
+        loaded = settings.load_settings(path)
+    except (checks.CheckError, OSError) as error:
+        logs.configure_logs("unknown", LOG_LEVEL, sys.stdout)
+        loguru.logger.error("settings are not valid: {}", error)
+        return EXIT_INVALID
+    logs.configure_logs(loaded.host_name, LOG_LEVEL, sys.stdout)
+    try:
+        trio.run(program.run, path, loaded, random.SystemRandom())
+    except Exception:
+        loguru.logger.exception("the daemon crashed")
+        return EXIT_CRASHED
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sedgeswitch/platform/program.py
@@ -0,0 +1,228 @@
+"""One process on the platform: its listeners, reloads and shutdown."""
+
+import pathlib
+import random
+import signal
+
+import loguru
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.agreement import settings as agreement_settings
+from sedgeswitch.callers import connection as connections
+from sedgeswitch.callers import http
+from sedgeswitch.callers import routes
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.platform import documents
+from sedgeswitch.platform import settings as platform_settings
+from sedgeswitch.transport import peer
+from sedgeswitch.transport import server
+from sedgeswitch.utils import checks
+from sedgeswitch.utils import clocks
+
+READINESS_PATH = "/-/readiness"
+# How long a heartbeat's lease lasts, so that work goes on through the election of
+# a new leader, in seconds.
+LEASE_S = 4.0
+HEARTBEAT_INTERVAL_S = 0.5
+# Time between two looks at the settings file, in seconds.
+SETTINGS_INTERVAL_S = 1.0
+# Operators' documents hold thousands of databases.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_CONNECTIONS = 2000
+GROUP_SETTINGS = groups_settings.GroupSettings(
+    promote_timeout_s=5.0, removal_delay_s=5.0
+)
+
+
+async def run(
+    path: pathlib.Path, settings: platform_settings.PlatformSettings, rng: random.Random
+) -> None:
+    """Run the roles that the settings name until SIGTERM."""
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async with trio.open_nursery() as nursery:
+            process = Process(path, settings, rng)
+            await process.start(nursery)
+            loguru.logger.info("started", serves_control=settings.serves_control)
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                process.reload("signal")
+            await process.shut_down()
+            nursery.cancel_scope.cancel()
+    loguru.logger.info("stopped")
+
+
+class Process:
+    """The roles of one process.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The settings file.
+    settings : platform_settings.PlatformSettings
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        settings: platform_settings.PlatformSettings,
+        rng: random.Random,
+    ):
+        self._path = path
+        self._settings = settings
+        self._rng = rng
+        self._router = routes.Router()
+        self._http = routes.HttpServer(
+            self._router.handle,
+            connections.Limits(max_body_bytes=MAX_BODY_BYTES),
+            MAX_CONNECTIONS,
+        )
+        self._entry = None
+        self._clients = None
+        self._control = None
+        self._is_leaving = False
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the roles and their listeners."""
+        if self._settings.serves_control:
+            await self._start_control(nursery)
+        if self._settings.serves_callers:
+            await self._start_entry(nursery)
+        nursery.start_soon(self._watch_settings)
+
+    def reload(self, reason: str) -> None:
+        """Read the settings file anew; one that is not valid changes nothing."""
+        try:
+            loaded = platform_settings.load_settings(self._path)
+        except (checks.CheckError, OSError) as error:
+            loguru.logger.warning("settings not reloaded: {}", error)
+            return
+        if loaded == self._settings:
+            return
+        self._settings = loaded
+        loguru.logger.info(
+            "settings reloaded", reason=reason, seeds=[str(x) for x in loaded.seeds]
+        )
+        if self._entry is not None:
+            self._entry.control_peers.add_addresses(loaded.control_peers)
+        if self._control is not None:
+            self._control.control_peers.add_addresses(loaded.control_peers)
+
+    async def shut_down(self) -> None:
+        """Leave gracefully, within the time that the platform grants."""
+        loguru.logger.info("stopping", grace_s=self._settings.grace_s)
+        self._is_leaving = True
+        if self._clients is not None:
+            await self._clients.drain(self._settings.grace_s)
+        if self._entry is not None:
+            await self._entry.leave()
+
+    async def _start_control(self, nursery: trio.Nursery) -> None:
+        # Imported here so that an entry host starts without these modules.
+        from sedgeswitch.daemon import relay_control
+        from sedgeswitch.observability import metrics
+        from sedgeswitch.platform import instance_driver
+        from sedgeswitch.platform import operator_edge
+        from sedgeswitch.platform import promotions
+
+        settings = self._settings
+        driver = instance_driver.LineDriver()
+        client = promotions.PromotionClient(
+            settings.promotions, settings.host_name, self._leads_in
+        )
+        serving = server.Server()
+        port = settings.internal_port + platform_settings.CONTROL_PORT_PLACE
+        options = relay_control.ControlOptions(
+            _build_node_settings(settings),
+            settings.data_folder,
+            LEASE_S,
+            GROUP_SETTINGS,
+            peer.Address(settings.ip, port),
+            settings.control_peers,
+        )
+        self._control = relay_control.RelayControl(
+            options,
+            documents.decode_document,
+            instance_driver.InstanceOrders(driver, client.promote),
+            serving,
+            driver,
+            metrics.Metrics(),
+            self._rng,
+        )
+        edge = operator_edge.OperatorEdge(self._control, settings.control.port)
+        edge.register_routes(self._router)
+        await nursery.start(serving.serve, settings.ip, port)
+        nursery.start_soon(self._control.run)
+        await nursery.start(self._http.serve, *settings.control)
+
+    async def _start_entry(self, nursery: trio.Nursery) -> None:
+        from sedgeswitch.daemon import relay_entry
+        from sedgeswitch.platform import client_server
+        from sedgeswitch.platform import instance_driver
+
+        settings = self._settings
+        port = settings.internal_port + platform_settings.ENTRY_PORT_PLACE
+        options = relay_entry.EntryOptions(
+            settings.host_name,
+            settings.availability_zone,
+            peer.Address(settings.ip, port),
+            settings.control_peers,
+            HEARTBEAT_INTERVAL_S,
+            GROUP_SETTINGS,
+        )
+        self._entry = relay_entry.RelayEntry(
+            options,
+            documents.decode_document,
+            instance_driver.LineDriver(),
+            self._rng,
+        )
+        nursery.start_soon(self._entry.run)
+        self._clients = client_server.ClientServer(self._entry.build_session)
+        await nursery.start(self._clients.serve, *settings.callers)
+        self._router.register_route("GET", READINESS_PATH, self._answer_readiness)
+        if not settings.serves_control:
+            await nursery.start(self._http.serve, *settings.readiness)
+
+    def _leads_in(self, term: int) -> bool:
+        leadership = self._control.node.get_leadership(clocks.get_now_s())
+        return leadership is not None and leadership.term == term
+
+    async def _answer_readiness(
+        self,
+        request: http.Request,  # noqa: ARG002
+        values: tuple[str, ...],  # noqa: ARG002
+    ) -> http.Response:
+        if self._is_leaving or not self._entry.is_ready(clocks.get_now_s()):
+            raise verdicts.build_not_run(
+                503, "not_ready", "no lease, no configuration, or shutting down"
+            )
+        return http.build_json({"status": "ready"})
+
+    async def _watch_settings(self) -> None:
+        known_ns = self._path.stat().st_mtime_ns
+        while True:
+            await trio.sleep(SETTINGS_INTERVAL_S)
+            try:
+                changed_ns = self._path.stat().st_mtime_ns
+            except OSError as error:
+                loguru.logger.warning("settings file not found: {}", error)
+                continue
+            if changed_ns != known_ns:
+                known_ns = changed_ns
+                self.reload("file changed")
+
+
+def _build_node_settings(
+    settings: platform_settings.PlatformSettings,
+) -> agreement_settings.NodeSettings:
+    voters = ()
+    if settings.is_bootstrap and settings.control_id in settings.control_peers:
+        voters = tuple(
+            agreement_settings.VoterAddress(host_id, *address)
+            for host_id, address in sorted(settings.control_peers.items())
+        )
+    return agreement_settings.NodeSettings(settings.control_id, voters)
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -39,6 +39,7 @@
 
     Attributes
     ----------
+    connection : base.Connection
     organisation : str
         Organisation that uses the connection, or used it last.
     position : positions.Position or None
@@ -50,7 +51,7 @@
     """
 
     def __init__(self, connection: base.Connection, now_s: float):
-        self._connection = connection
+        self.connection = connection
         self.organisation = ""
         self.position: positions.Position | None = None
         self.is_dirty = False
@@ -60,17 +61,17 @@
     @property
     def is_usable(self) -> bool:
         """Whether the connection is open and outside any transaction."""
-        return self._connection.is_usable
+        return self.connection.is_usable
 
     async def execute(
         self, sql: str, parameters: typing.Sequence[str | None] = ()
     ) -> base.Rows:
         """Run one statement; see `base.Connection.execute`."""
-        return await self._connection.execute(sql, parameters)
+        return await self.connection.execute(sql, parameters)
 
     async def close(self) -> None:
         """Close the connection."""
-        await self._connection.close()
+        await self.connection.close()
 
 
 class PoolLoad(typing.NamedTuple):
@@ -122,6 +123,7 @@
         settings: PoolSettings,
     ):
         self._driver = driver
+        self._is_bound_to_user = getattr(driver, "is_bound_to_user", False)
         self._target = target
         self._slots = slots
         self._settings = settings
@@ -159,11 +161,18 @@
     @property
     def load(self) -> PoolLoad:
         """How busy the pool is now."""
+        return self.get_load()
+
+    def get_load(self, organisation: str | None = None) -> PoolLoad:
+        """Return how busy the pool is, for one organisation if it is given."""
+        idle = len(self._idle)
+        if organisation is not None:
+            idle = sum(item.organisation == organisation for item in self._idle)
         return PoolLoad(
             self._capacity,
             self._slots.running,
             self._slots.waiting,
-            len(self._idle),
+            idle,
             self._slots.service_s,
             self._connect_s,
         )
@@ -236,6 +245,8 @@
         self, organisation: str, deadline_s: float
     ) -> PooledConnection | None:
         """Return a clean connection, None if the pool has shrunk meanwhile."""
+        if self._is_bound_to_user:
+            return await self._prepare_bound(organisation, deadline_s)
         while self._idle:
             pooled = self._pop_idle(organisation)
             if not pooled.is_usable:
@@ -246,7 +257,24 @@
                 return pooled
         if self._open >= self._capacity:
             return None
-        return await self._connect(deadline_s)
+        return await self._connect(organisation, deadline_s)
+
+    async def _prepare_bound(
+        self, organisation: str, deadline_s: float
+    ) -> PooledConnection | None:
+        """Return a connection of the organisation, for which another may close."""
+        for index in range(len(self._idle) - 1, -1, -1):
+            if self._idle[index].organisation == organisation:
+                pooled = self._idle.pop(index)
+                if pooled.is_usable:
+                    return pooled
+                await self._close(pooled)
+        if self._open >= self._capacity and self._idle:
+            # The one that was used least recently.
+            await self._close(self._idle.pop(0))
+        if self._open >= self._capacity:
+            return None
+        return await self._connect(organisation, deadline_s)
 
     def _pop_idle(self, organisation: str) -> PooledConnection:
         # One that the same organisation used last needs no reset.
@@ -275,13 +303,16 @@
         with trio.CancelScope(shield=True):
             await pooled.close()
 
-    async def _connect(self, deadline_s: float) -> PooledConnection:
+    async def _connect(self, organisation: str, deadline_s: float) -> PooledConnection:
+        target = self._target
+        if self._is_bound_to_user:
+            target = target._replace(user=organisation)
         started_s = trio.current_time()
         timeout_s = min(self._settings.connect_timeout_s, deadline_s - started_s)
         connection = None
         self._open += 1
         try:
-            connection = await self._driver.connect(self._target, max(timeout_s, 0.0))
+            connection = await self._driver.connect(target, max(timeout_s, 0.0))
         except base.DriverError as error:
             raise verdicts.build_not_run(
                 503,
--- a/sedgeswitch/pools/tests/test_pool.py
+++ b/sedgeswitch/pools/tests/test_pool.py
@@ -59,7 +59,7 @@
     async def _use_once(self, connections, organisation):
         pooled = await connections.acquire(organisation, trio.current_time() + 0.5)
         try:
-            inner = pooled._connection
+            inner = pooled.connection
             self.assertIn(inner.user, (None, organisation))
             self.assertFalse(inner.in_transaction)
             await pooled.execute("SET", [organisation])
@@ -87,7 +87,7 @@
             used = []
             for organisation in organisations:
                 pooled = await connections.acquire(organisation, 5.0)
-                used.append(pooled._connection)
+                used.append(pooled.connection)
                 for sql in sqls:
                     with trio.move_on_after(1.0 if sql != "SLOW" else 0.0):
                         await pooled.execute(sql, [organisation])
@@ -144,7 +144,7 @@
             held = await connections.acquire("ward-4", 60.0)
             other = await connections.acquire("ward-4", 60.0)
             await connections.release(other, trio.current_time())
-            other._connection.is_open = False
+            other.connection.is_open = False
             server.open -= 1
             server.most_open = server.open
             server.close_s = 0.1
--- /dev/null
+++ b/sedgeswitch/relay/context.py
@@ -0,0 +1,115 @@
+"""What every session of a host shares."""
+
+import collections.abc
+import typing
+
+from sedgeswitch.databases import sections as database_sections
+from sedgeswitch.drivers import sessions
+from sedgeswitch.groups import entry_section
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import table
+from sedgeswitch.membership import directory
+from sedgeswitch.relay import freshness
+from sedgeswitch.relay import steps
+from sedgeswitch.relay import trouble
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import interruption
+from sedgeswitch.utils import clocks
+
+Admit = collections.abc.Callable[[str, float], collections.abc.Awaitable[None]]
+
+
+class Parts(typing.NamedTuple):
+    """The parts of a host that sessions use.
+
+    Attributes
+    ----------
+    databases : databases.sections.EntrySection
+    groups : table.GroupTable
+    observations : entry_section.EntrySection
+        Learns which commits are answered as done.
+    backends : backends.Backends
+    interrupter : interruption.Interrupter
+    knowledge : Knowledge
+    admit : callable
+        ``await admit(organisation, deadline_s)`` returns once one more operation
+        fits into the organisation's rate; raises `verdicts.RefusedError`.
+    """
+
+    databases: database_sections.EntrySection
+    groups: table.GroupTable
+    observations: entry_section.EntrySection
+    backends: backends.Backends
+    interrupter: interruption.Interrupter
+    knowledge: "Knowledge"
+    admit: Admit
+
+
+class Knowledge:
+    """What the answers of instances have shown to this host.
+
+    Parameters
+    ----------
+    groups : table.GroupTable
+    """
+
+    def __init__(self, groups: table.GroupTable):
+        self._groups = groups
+        self._histories: dict[str, freshness.PositionHistory] = {}
+        self.replicas = freshness.ReplicaPositions()
+        self.trouble = trouble.Trouble()
+
+    def note_primary(
+        self, permit: table.WritePermit, sent_s: float, reply: sessions.Reply
+    ) -> None:
+        """Note what a primary told, if it still was the primary then."""
+        position = reply.position
+        if position is None or position.timeline != permit.timeline:
+            return
+        if self._groups.is_permit_valid(permit, clocks.get_now_s()):
+            self.get_history(permit.group).note(sent_s, position)
+
+    def note_reply(self, instance: str, reply: sessions.Reply) -> None:
+        """Note what any instance told."""
+        if reply.position is not None:
+            self.replicas.note(instance, reply.position, clocks.get_now_s())
+        if reply.failure is None:
+            self.trouble.note_success(instance)
+        elif reply.failure is sessions.Failure.FAILED:
+            self.trouble.note_failure(instance, clocks.get_now_s())
+
+    def note_silence(self, instance: str) -> None:
+        """Note that an instance was unreachable or gave no answer in time."""
+        self.trouble.note_failure(instance, clocks.get_now_s())
+
+    def get_history(self, group: str) -> freshness.PositionHistory:
+        """Return the positions of a group's primary."""
+        history = self._histories.get(group)
+        if history is None:
+            history = self._histories[group] = freshness.PositionHistory()
+        return history
+
+
+def get_primary(parts: Parts, permit: table.WritePermit) -> directory.BackendServer:
+    """Return the primary that a permit names.
+
+    Raises
+    ------
+    steps.FailedError
+        If it is not announced; nothing has run.
+    """
+    server = parts.backends.get_server(permit.primary)
+    if server is None or server.group != permit.group:
+        raise steps.FailedError(
+            sessions.Failure.OVERLOADED, "the primary is not known; retry after 500 ms"
+        )
+    return server
+
+
+def merge_floors(
+    first: positions.Position | None, second: positions.Position | None
+) -> positions.Position | None:
+    """Return the higher of two floors."""
+    if first is None or second is None:
+        return first or second
+    return max(first, second)
--- /dev/null
+++ b/sedgeswitch/relay/reads.py
@@ -0,0 +1,285 @@
+"""Where single reads and read-only transactions go."""
+
+import collections.abc
+import typing
+
+import trio
+
+from sedgeswitch.databases import documents
+from sedgeswitch.drivers import sessions
+from sedgeswitch.groups import positions
+from sedgeswitch.groups import table
+from sedgeswitch.membership import directory
+from sedgeswitch.relay import access as accesses
+from sedgeswitch.relay import context
+from sedgeswitch.relay import links
+from sedgeswitch.relay import steps
+from sedgeswitch.utils import clocks
+
+# Part of the time left that a replica may take before another place is tried.
+REPLICA_TIME_SHARE = 0.45
+# Pause before the primary is tried again, in seconds.
+RETRY_DELAY_S = 0.02
+
+# ``await run(link, floor)`` on a connection that is held.
+Run = collections.abc.Callable[
+    [links.Link, positions.Position | None],
+    collections.abc.Awaitable[sessions.Reply],
+]
+
+# Failures after which the same read may succeed elsewhere.
+_MOVABLE = frozenset(
+    [
+        sessions.Failure.OVERLOADED,
+        sessions.Failure.BEHIND,
+        sessions.Failure.READ_ONLY,
+        sessions.Failure.WRONG_INSTANCE,
+        sessions.Failure.TOO_MANY_CONNECTIONS,
+        sessions.Failure.FAILED,
+        sessions.Failure.TIMED_OUT,
+    ]
+)
+
+
+class Placement(typing.NamedTuple):
+    """Where a read has run.
+
+    Attributes
+    ----------
+    link : links.Link
+        Released already unless the caller asked to keep it.
+    reply : sessions.Reply
+    permit : table.WritePermit or None
+        None on a replica.
+    """
+
+    link: links.Link
+    reply: sessions.Reply
+    permit: table.WritePermit | None
+
+
+class Reader:
+    """Runs reads on replicas that are fresh enough, else on the primary.
+
+    Parameters
+    ----------
+    parts : context.Parts
+    """
+
+    def __init__(self, parts: context.Parts):
+        self._parts = parts
+
+    async def run(
+        self,
+        access: accesses.Access,
+        session_floor: positions.Position | None,
+        deadline_s: float,
+        run: Run,
+        is_kept: bool = False,
+    ) -> Placement:
+        """Run a read.
+
+        Parameters
+        ----------
+        access : access.Access
+        session_floor : positions.Position or None
+            What the session has committed.
+        deadline_s : float
+            On trio's clock.
+        run : callable
+        is_kept : bool
+            Whether a link whose run succeeded is left to the caller.
+
+        Raises
+        ------
+        steps.FailedError
+            If no instance gave a result in time.
+        """
+        group = access.database.group
+        if access.database.freshness is not documents.Freshness.PRIMARY:
+            tried: set[str] = set()
+            while server := self._choose_replica(access, session_floor, tried):
+                tried.add(server.instance)
+                floor = self._get_floor(access, session_floor)
+                if floor is None:
+                    break
+                until_s = self._get_until_s(deadline_s)
+                placement = await self._try_replica(
+                    access, server, floor, until_s, run, is_kept
+                )
+                if placement is not None:
+                    return placement
+        return await self._run_on_primary(access, group, deadline_s, run, is_kept)
+
+    def _get_floor(
+        self, access: accesses.Access, session_floor: positions.Position | None
+    ) -> positions.Position | None:
+        """Return what a replica must hold, None if it can't be told."""
+        history = self._parts.knowledge.get_history(access.database.group)
+        required = history.get_required(
+            clocks.get_now_s(), access.database.max_staleness_s
+        )
+        if required is None:
+            return None
+        if access.database.freshness is documents.Freshness.SESSION:
+            return context.merge_floors(required, session_floor)
+        return required
+
+    def _get_until_s(self, deadline_s: float) -> float:
+        now_s = trio.current_time()
+        return now_s + (deadline_s - now_s) * REPLICA_TIME_SHARE
+
+    def _choose_replica(
+        self,
+        access: accesses.Access,
+        session_floor: positions.Position | None,
+        tried: set[str],
+    ) -> directory.BackendServer | None:
+        """Return the best replica that has not been tried, None if none will do."""
+        floor = self._get_floor(access, session_floor)
+        group = self._parts.groups.get_group(access.database.group)
+        if floor is None or group is None:
+            return None
+        now_s = clocks.get_now_s()
+        knowledge = self._parts.knowledge
+        eligible = [
+            server
+            for server in self._parts.backends.get_servers(group.group)
+            if server.instance not in tried
+            and not server.is_leaving
+            and not knowledge.trouble.is_avoided(server.instance, now_s)
+            and not knowledge.replicas.is_behind(server.instance, floor, now_s)
+        ]
+        ordered = self._parts.backends.order_replicas(
+            eligible, group.primary, group.group, access.organisation
+        )
+        return ordered[0] if ordered else None
+
+    async def _try_replica(
+        self,
+        access: accesses.Access,
+        server: directory.BackendServer,
+        floor: positions.Position,
+        until_s: float,
+        run: Run,
+        is_kept: bool,
+    ) -> Placement | None:
+        """Return where a read has run, None if another place should be tried."""
+        reply = None
+        with trio.move_on_at(until_s):
+            try:
+                return await self._run_once(
+                    access, server, floor, until_s, run, is_kept
+                )
+            except _MovedError as moved:
+                reply = moved.reply
+            except steps.FailedError:
+                return None
+        if reply is None:
+            self._parts.knowledge.note_silence(server.instance)
+        return None
+
+    async def _run_on_primary(
+        self,
+        access: accesses.Access,
+        group: str,
+        deadline_s: float,
+        run: Run,
+        is_kept: bool,
+    ) -> Placement:
+        last = steps.FailedError(
+            sessions.Failure.OVERLOADED, "no primary; retry after 500 ms"
+        )
+        parts = self._parts
+        with trio.move_on_at(deadline_s):
+            while True:
+                permit = await wait_permit(parts, group, deadline_s)
+                try:
+                    server = context.get_primary(parts, permit)
+                    sent_s = clocks.get_now_s()
+                    with parts.interrupter.interruptible(permit):
+                        placement = await self._run_once(
+                            access, server, None, deadline_s, run, is_kept
+                        )
+                        parts.knowledge.note_primary(permit, sent_s, placement.reply)
+                        if parts.groups.is_permit_valid(permit, clocks.get_now_s()):
+                            return placement._replace(permit=permit)
+                        if is_kept:
+                            await _discard(placement.link)
+                except _MovedError as moved:
+                    last = steps.FailedError(moved.reply.failure, moved.reply.detail)
+                except steps.FailedError as error:
+                    last = error
+                if trio.current_time() + RETRY_DELAY_S >= deadline_s:
+                    break
+                await trio.sleep(RETRY_DELAY_S)
+            raise last
+        raise steps.FailedError(
+            sessions.Failure.TIMED_OUT, "no instance answered within the timeout"
+        )
+
+    async def _run_once(
+        self,
+        access: accesses.Access,
+        server: directory.BackendServer,
+        floor: positions.Position | None,
+        until_s: float,
+        run: Run,
+        is_kept: bool,
+    ) -> Placement:
+        link = await links.acquire_link(
+            self._parts.backends, server, access.organisation, until_s
+        )
+        is_left = False
+        try:
+            reply = await run(link, floor)
+            self._parts.knowledge.note_reply(server.instance, reply)
+            if reply.failure in _MOVABLE:
+                raise _MovedError(reply)
+            is_left = is_kept and reply.failure is None
+            return Placement(link, reply, None)
+        except sessions.ConnectionLostError as error:
+            self._parts.knowledge.note_silence(server.instance)
+            raise steps.FailedError(
+                sessions.Failure.OVERLOADED,
+                f"the connection to {server.instance} was lost; retry after 100 ms",
+            ) from error
+        finally:
+            if not is_left:
+                await link.release()
+
+
+class _MovedError(Exception):
+    """An instance could not run a read that another one may run."""
+
+    def __init__(self, reply: sessions.Reply):
+        super().__init__(reply.detail)
+        self.reply = reply
+
+
+async def wait_permit(
+    parts: context.Parts, group: str, deadline_s: float
+) -> table.WritePermit:
+    """Return a permit for a group's primary once there is one.
+
+    Raises
+    ------
+    steps.FailedError
+        If there is none in time; nothing has run.
+    """
+    while True:
+        permit = parts.groups.check_write(group, clocks.get_now_s())
+        if permit is not None:
+            return permit
+        if trio.current_time() >= deadline_s:
+            raise steps.FailedError(
+                sessions.Failure.OVERLOADED,
+                f"group {group} has no primary at present; retry after 500 ms",
+            )
+        with trio.move_on_at(deadline_s):
+            await parts.groups.wait_changed()
+
+
+async def _discard(link: links.Link) -> None:
+    await link.connection.close()
+    await link.release()
--- /dev/null
+++ b/sedgeswitch/relay/writes.py
@@ -0,0 +1,124 @@
+"""Single writes: on the primary, answered once the permit still holds."""
+
+import trio
+
+from sedgeswitch.drivers import sessions
+from sedgeswitch.groups import table
+from sedgeswitch.relay import access as accesses
+from sedgeswitch.relay import context
+from sedgeswitch.relay import links
+from sedgeswitch.relay import reads
+from sedgeswitch.relay import steps
+from sedgeswitch.utils import clocks
+
+# Failures which say that the write has not run, so that it may be sent again.
+_NOT_RUN = frozenset(
+    [
+        sessions.Failure.OVERLOADED,
+        sessions.Failure.READ_ONLY,
+        sessions.Failure.WRONG_INSTANCE,
+        sessions.Failure.TOO_MANY_CONNECTIONS,
+        sessions.Failure.UNKNOWN_STATEMENT,
+    ]
+)
+# Pause before an instance that has refused is asked again, in seconds.
+RETRY_DELAY_S = 0.03
+
+
+class Writer:
+    """Runs single writes.
+
+    Parameters
+    ----------
+    parts : context.Parts
+    """
+
+    def __init__(self, parts: context.Parts):
+        self._parts = parts
+
+    async def run(
+        self, access: accesses.Access, deadline_s: float, run: reads.Run
+    ) -> sessions.Reply:
+        """Run a write and return the reply once it may be answered.
+
+        Raises
+        ------
+        steps.FailedError
+            ``IN_DOUBT`` if the write may have run, else a failure which says that
+            nothing is kept.
+        """
+        while True:
+            permit = await reads.wait_permit(
+                self._parts, access.database.group, deadline_s
+            )
+            reply = await self._run_under(permit, access, deadline_s, run)
+            if reply.failure is None:
+                confirm(self._parts, permit, reply)
+                return reply
+            is_late = trio.current_time() + RETRY_DELAY_S >= deadline_s
+            if reply.failure not in _NOT_RUN or is_late:
+                return reply
+            await trio.sleep(RETRY_DELAY_S)
+
+    async def _run_under(
+        self,
+        permit: table.WritePermit,
+        access: accesses.Access,
+        deadline_s: float,
+        run: reads.Run,
+    ) -> sessions.Reply:
+        parts = self._parts
+        server = context.get_primary(parts, permit)
+        is_sent = False
+        reply = None
+        with (
+            trio.move_on_at(deadline_s),
+            parts.interrupter.interruptible(permit),
+        ):
+            async with links.hold_link(
+                parts.backends, server, access.organisation, deadline_s
+            ) as link:
+                # The wait for a connection may have outlasted the permit.
+                if not parts.groups.is_permit_valid(permit, clocks.get_now_s()):
+                    return build_not_run("the primary is being replaced")
+                sent_s = clocks.get_now_s()
+                is_sent = True
+                try:
+                    reply = await run(link, None)
+                except sessions.ConnectionLostError:
+                    parts.knowledge.note_silence(server.instance)
+        if reply is None:
+            if is_sent:
+                raise build_doubt("no answer to the write")
+            return build_not_run("the primary was replaced or had no free connection")
+        parts.knowledge.note_reply(server.instance, reply)
+        parts.knowledge.note_primary(permit, sent_s, reply)
+        return reply
+
+
+def confirm(
+    parts: context.Parts, permit: table.WritePermit, reply: sessions.Reply
+) -> None:
+    """Return if a commit may be answered as done.
+
+    Raises
+    ------
+    steps.FailedError
+        ``IN_DOUBT`` if the primary may have been replaced meanwhile.
+    """
+    if not parts.groups.is_permit_valid(permit, clocks.get_now_s()):
+        raise build_doubt("the primary was replaced before the answer came")
+    if reply.position is not None:
+        parts.observations.note_acknowledged(permit.group, reply.position)
+
+
+def build_doubt(detail: str) -> steps.FailedError:
+    """Return the failure of work that may have been kept."""
+    return steps.FailedError(sessions.Failure.IN_DOUBT, detail)
+
+
+def build_not_run(detail: str) -> sessions.Reply:
+    """Return a reply that stands for a try which has not run."""
+    return sessions.Reply(
+        (), b"", sessions.Failure.OVERLOADED, detail, False, False, None
+    )
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -101,7 +101,9 @@
         self, server: directory.BackendServer, database: str
     ) -> pool.InstancePool:
         """Return the pool of connections to an instance."""
-        target = base.Target(server.host, server.port, database)
+        target = base.Target(
+            server.host, server.port, database, instance=server.instance
+        )
         kept = self._pools.get(target)
         if kept is None:
             capacity = self._get_capacity(server.max_connections, self.share.divisor)
@@ -124,11 +126,18 @@
             await kept.connections.close_surplus()
 
     def order_replicas(
-        self, servers: list[directory.BackendServer], primary: str, database: str
+        self,
+        servers: list[directory.BackendServer],
+        primary: str,
+        database: str,
+        organisation: str | None = None,
     ) -> list[directory.BackendServer]:
-        """Return the replicas among `servers`, the best one first."""
+        """Return the replicas among `servers`, the best one first.
+
+        With an organisation, only its own idle connections count as such.
+        """
         eligible = [
-            self._build_candidate(server, database)
+            self._build_candidate(server, database, organisation)
             for server in servers
             if server.instance != primary
         ]
@@ -173,6 +182,16 @@
             else:
                 await kept.connections.close_idle(now_s)
 
+    async def close_unannounced(self) -> None:
+        """Close idle connections to instances that are no longer announced."""
+        announced = self._servers.servers
+        for target, kept in list(self._pools.items()):
+            if target.instance in announced:
+                continue
+            await kept.connections.close()
+            if kept.connections.open_count == 0 and not kept.connections.load.waiting:
+                self._pools.pop(target, None)
+
     async def close(self) -> None:
         """Close all idle connections."""
         for kept in self._pools.values():
@@ -195,11 +214,14 @@
         )
 
     def _build_candidate(
-        self, server: directory.BackendServer, database: str
+        self,
+        server: directory.BackendServer,
+        database: str,
+        organisation: str | None = None,
     ) -> candidates.Candidate:
         is_near = server.availability_zone == self._options.availability_zone
         distance_s = SAME_ZONE_DISTANCE_S if is_near else OTHER_ZONE_DISTANCE_S
-        load = self.get_pool(server, database).load
+        load = self.get_pool(server, database).get_load(organisation)
         return candidates.Candidate(server, False, load, distance_s)
 
 
