--- a/sedgeswitch/agreement/messages.py
+++ b/sedgeswitch/agreement/messages.py
@@ -14,5 +14,5 @@
 SnapshotRequest = catalog.register_message(18, ttypes.SnapshotRequest)
 SnapshotReply = catalog.register_message(19, ttypes.SnapshotReply)
 LogEntry = ttypes.LogEntry
-JoinRequest = catalog.register_message(90, ttypes.JoinRequest)
-JoinReply = catalog.register_message(91, ttypes.JoinReply)
+JoinRequest = catalog.register_message(100, ttypes.JoinRequest)
+JoinReply = catalog.register_message(101, ttypes.JoinReply)
