Promoted primaries serve, restarts need no old lease, limits use their tolerance

Cause: a promoted instance tells its new term in its state before its log shows it, so a change of primary never ended; a restarted process waited for the lease of its predecessor; a bucket of the bare burst refused what the operators count as within the limit. Ruled out: a slow promotion (the platform answered 200 at once); lost heartbeats (answered in 60 ms, refused as host_id_in_use). Change: the term of a primary's state; an exclusive address proves that the older process ended; the tolerance goes into the size of the bucket; decisions are logged within a budget; reads that ran nowhere are refused, not timed out.

--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -76,6 +76,8 @@
     driver : base.Driver
     gauges : metrics.Metrics
     rng : random.Random
+    is_address_exclusive : bool
+        See `membership.registrar.Registrar`.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         driver: base.Driver,
         gauges: metrics.Metrics,
         rng: random.Random,
+        is_address_exclusive: bool = False,
     ):
         self._metrics = gauges
         self._driver = driver
@@ -95,7 +98,9 @@
         self.members = members_machine.MembersMachine()
         self.network = network.TransportNetwork(serving)
         self.node = self._build_node(options, data_folder, own_machines, rng)
-        self.registrar = registrar.Registrar(self.node, self.members, lease_s)
+        self.registrar = registrar.Registrar(
+            self.node, self.members, lease_s, is_address_exclusive
+        )
         self.directory = directory.ControlDirectory(rng)
         self.grantor = grantor.Grantor(lambda: self.members.members.keys())
         self._limits_version = -1
@@ -174,10 +179,13 @@
         register = self.registrar.register_section
         register(GROUPS, self.groups_section)
         register(DIRECTORY, self.directory)
-        register(SHARES, shares.ControlShares(self._get_holder_ids))
+        register(SHARES, self._build_shares())
         register(MEMBERS, member_sections.ControlSection(self.members))
         self.registrar.register_leadership_listener(self._start_grants)
 
+    def _build_shares(self) -> shares.ControlShares:
+        return shares.ControlShares(self._get_holder_ids)
+
     def _register_handlers(self, serving: server.Server) -> None:
         register = serving.register_handler
         register(membership_messages.Heartbeat, self.registrar.answer_heartbeat)
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -25,6 +25,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import heart
 from sedgeswitch.observability import metrics
+from sedgeswitch.pools import shares
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
@@ -44,6 +45,7 @@
     data_folder : str
     lease_s : float
     groups : groups_settings.GroupSettings
+    tolerance : relay_groups.Tolerance
     peers : peer.Address
         Where this host takes messages.
     control_addresses : mapping of str to peer.Address
@@ -54,6 +56,7 @@
     data_folder: str
     lease_s: float
     groups: groups_settings.GroupSettings
+    tolerance: relay_groups.Tolerance
     peers: peer.Address
     control_addresses: collections.abc.Mapping[str, peer.Address]
 
@@ -97,6 +100,8 @@
             driver,
             gauges,
             rng,
+            # Entry hosts listen on their address before they send a heartbeat.
+            is_address_exclusive=True,
         )
         self._mover = mover.Mover(self._find_moves, self.supervisor.move_primary)
         self.control_peers = heart.ControlPeers(options.control_addresses)
@@ -176,8 +181,12 @@
             database_machine.NAME, database_sections.ControlSection(self.databases)
         )
 
+    def _build_shares(self) -> shares.ControlShares:
+        # Instances refuse what goes beyond their connections themselves.
+        return shares.ControlShares(self._get_holder_ids, is_strict=False)
+
     def _get_limits(self) -> dict[str, admission_settings.Limit]:
-        return relay_groups.build_limits(self.view.document)
+        return relay_groups.build_limits(self.view.document, self._options.tolerance)
 
     def _get_configuration_version(self) -> int:
         return self.databases.version
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -25,6 +25,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import heart
 from sedgeswitch.membership import machine as members_machine
+from sedgeswitch.observability import decisions
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import context
 from sedgeswitch.relay import session
@@ -59,6 +60,7 @@
         Control hosts that are known from the start, by their ids.
     heartbeat_interval_s : float
     groups : groups_settings.GroupSettings
+    tolerance : relay_groups.Tolerance
     """
 
     host_id: str
@@ -67,6 +69,7 @@
     control_addresses: collections.abc.Mapping[str, peer.Address]
     heartbeat_interval_s: float
     groups: groups_settings.GroupSettings
+    tolerance: relay_groups.Tolerance
 
 
 class RelayEntry:
@@ -117,6 +120,7 @@
             self.backends,
             interruption.Interrupter(self.groups),
             context.Knowledge(self.groups),
+            decisions.DecisionLog(),
             fleet.FleetAdmission(self.wallet).admit,
         )
 
@@ -178,7 +182,10 @@
         self.databases.register_listener(self._follow_limits)
 
     def _follow_limits(self) -> None:
-        self.wallet.set_limits(relay_groups.build_limits(self.databases.document))
+        limits = relay_groups.build_limits(
+            self.databases.document, self._options.tolerance
+        )
+        self.wallet.set_limits(limits)
 
     async def _call_draw(
         self, request: admission_messages.Draw
--- a/sedgeswitch/daemon/relay_groups.py
+++ b/sedgeswitch/daemon/relay_groups.py
@@ -1,6 +1,7 @@
 """Announced backend servers as instances of the groups of a document."""
 
 import collections.abc
+import typing
 
 from sedgeswitch.admission import settings as admission_settings
 from sedgeswitch.databases import documents
@@ -8,6 +9,8 @@
 from sedgeswitch.groups import instances
 from sedgeswitch.membership import directory
 
+# Part of the tolerance that is used; a request that is tried twice counts twice.
+TOLERANCE_SHARE = 0.7
 # Lowest rate that the fleet-wide limit can express, per second.
 _LOWEST_RATE_PER_S = 1e-3
 
@@ -49,13 +52,41 @@
         ]
 
 
+class Tolerance(typing.NamedTuple):
+    """What may pass beyond an organisation's limit.
+
+    Attributes
+    ----------
+    window_s : float
+        Time over which requests are counted.
+    overage : float
+        Part of what the limit allows in a window that may come on top of it.
+    slack : float
+        Requests that may come on top of that.
+    """
+
+    window_s: float = 0.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 def build_limits(
-    document: documents.Document,
+    document: documents.Document, tolerance: Tolerance
 ) -> dict[str, admission_settings.Limit]:
-    """Return the rate and burst of each organisation."""
+    """Return the rate and burst of each organisation.
+
+    A bucket refilled at the rate never passes more in a window than its size
+    and the rate times the window, so that the tolerance goes into its size.
+    """
     return {
         name: admission_settings.Limit(
-            max(item.rate_per_s, _LOWEST_RATE_PER_S), max(int(item.burst), 1)
+            max(item.rate_per_s, _LOWEST_RATE_PER_S), _get_size(item, tolerance)
         )
         for name, item in document.organisations.items()
     }
+
+
+def _get_size(item: documents.Organisation, tolerance: Tolerance) -> int:
+    allowed = item.rate_per_s * tolerance.window_s + item.burst
+    on_top = allowed * tolerance.overage + tolerance.slack
+    return max(int(item.burst + on_top * TOLERANCE_SHARE), 1)
--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -3,6 +3,7 @@
 import contextlib
 import typing
 
+import loguru
 import trio
 
 from sedgeswitch.groups import choice
@@ -164,6 +165,13 @@
             self._reason = state.reason
             return 0.0
         await self._propose(ttypes.Fence(self._group, state.term, self._reason))
+        loguru.logger.info(
+            "group fenced",
+            group=self._group,
+            term=state.term,
+            primary=state.primary,
+            reason=self._reason,
+        )
         return self._take_phase_s()
 
     async def _choose(self) -> str:
@@ -279,6 +287,15 @@
 
     async def _record_candidate(self, instance: str) -> None:
         state = self._get_state()
+        loguru.logger.info(
+            "primary chosen",
+            group=self._group,
+            instance=instance,
+            leases_waited_s=round(trio.current_time() - self._mark_s, 3),
+            acknowledged=str(
+                self._control.get_acknowledged(self._group, state.version)
+            ),
+        )
         if instance not in state.candidates:
             await self._propose(ttypes.Choose(self._group, state.term, instance))
 
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -45,6 +45,11 @@
                 nursery.start_soon(control_peer.run)
             await trio.sleep_forever()
 
+    @property
+    def preferred(self) -> str:
+        """Id of the control host that is called first."""
+        return self._order[0]
+
     async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
         """Call the control host that is believed to lead.
 
@@ -115,6 +120,7 @@
         self._wake = trio.Event()
         self._sequence = 0
         self.lease_until_s = float("-inf")
+        self._told_lease_until_s = float("-inf")
         self.is_leaving = False
 
     def register_section(self, name: str, section: sections.EntrySection) -> None:
@@ -182,6 +188,12 @@
         self._receive_sections(answer.sections, now_s)
         if not self.is_leaving:
             if self.lease_until_s < now_s:
+                loguru.logger.info(
+                    "lease gained",
+                    control=self._control.preferred,
+                    lease_ms=answer.lease_ms,
+                    answered_ms=round((now_s - sent_s) * 1000),
+                )
                 self._note_lapse()
             self._set_lease(sent_s + answer.lease_ms / 1000)
         is_changed = answer.versions != self._versions
@@ -218,13 +230,19 @@
                 if await self.beat():
                     delay_s = 0.0
             except failures.CallError as error:
-                level = "WARNING" if error.code == MALFORMED else "DEBUG"
-                loguru.logger.log(level, "heartbeat failed: {}", error)
+                self._note_failure(error, trio.current_time())
                 delay_s = RETRY_DELAY_S
             with trio.move_on_after(delay_s):
                 await self._wake.wait()
             self._wake = trio.Event()
 
+    def _note_failure(self, error: failures.CallError, now_s: float) -> None:
+        level = "WARNING" if error.code == MALFORMED else "DEBUG"
+        loguru.logger.log(level, "heartbeat failed: {}", error)
+        if self._told_lease_until_s < self.lease_until_s <= now_s:
+            self._told_lease_until_s = self.lease_until_s
+            loguru.logger.warning("lease lost", reason=str(error))
+
     async def _watch_forever(self) -> None:
         while True:
             watch = messages.Watch(self._versions, int(WATCH_TIMEOUT_S * 1000))
--- a/sedgeswitch/membership/registrar.py
+++ b/sedgeswitch/membership/registrar.py
@@ -54,12 +54,22 @@
     members : machine.MembersMachine
     lease_s : float
         How long the lease that a heartbeat renews lasts, in seconds.
+    is_address_exclusive : bool
+        Whether a process that answers under the address of another of its host
+        proves that the other has ended, so that its lease need not run out.
     """
 
-    def __init__(self, log: Log, members: machine.MembersMachine, lease_s: float):
+    def __init__(
+        self,
+        log: Log,
+        members: machine.MembersMachine,
+        lease_s: float,
+        is_address_exclusive: bool = False,
+    ):
         self._log = log
         self._members = members
         self._lease_s = lease_s
+        self._is_address_exclusive = is_address_exclusive
         self.leases = leases.LeaseTable(members, lease_s)
         self._sections: dict[str, sections.ControlSection] = {}
         self._listeners: list[collections.abc.Callable[[float, int], None]] = []
@@ -208,7 +218,8 @@
     async def _register(self, heartbeat: messages.Heartbeat) -> None:
         """Return once the host is registered, and no removal is under way."""
         known = self._members.members.get(heartbeat.host_id)
-        if known is not None and known.incarnation != heartbeat.incarnation:
+        is_other = known is not None and known.incarnation != heartbeat.incarnation
+        if is_other and not self._has_ended(known, heartbeat):
             self._check_lease_over(heartbeat.host_id)
         while not self._is_registered(heartbeat):
             removals = self._removals.get(heartbeat.host_id)
@@ -217,6 +228,10 @@
             if self._removals.get(heartbeat.host_id) == removals:
                 self._removals.pop(heartbeat.host_id, None)
 
+    def _has_ended(self, known: machine.Member, heartbeat: messages.Heartbeat) -> bool:
+        is_same = (known.host, known.port) == (heartbeat.host, heartbeat.port)
+        return self._is_address_exclusive and is_same
+
     def _check_lease_over(self, host_id: str) -> None:
         """Refuse a second process of a host while the first may hold a lease.
 
--- a/sedgeswitch/platform/__main__.py
+++ b/sedgeswitch/platform/__main__.py
@@ -6,6 +6,7 @@
 import loguru
 import trio
 
+from sedgeswitch.observability import lines
 from sedgeswitch.observability import logs
 from sedgeswitch.platform import program
 from sedgeswitch.platform import settings
@@ -26,12 +27,15 @@
         logs.configure_logs("unknown", LOG_LEVEL, sys.stdout)
         loguru.logger.error("settings are not valid: {}", error)
         return EXIT_INVALID
-    logs.configure_logs(loaded.host_name, LOG_LEVEL, sys.stdout)
+    buffer = lines.LineBuffer(sys.stdout.fileno())
+    logs.configure_logs(loaded.host_name, LOG_LEVEL, buffer)
     try:
-        trio.run(program.run, path, loaded, random.SystemRandom())
+        trio.run(program.run, path, loaded, random.SystemRandom(), buffer)
     except Exception:
         loguru.logger.exception("the daemon crashed")
         return EXIT_CRASHED
+    finally:
+        buffer.flush()
     return EXIT_OK
 
 
--- a/sedgeswitch/platform/client_server.py
+++ b/sedgeswitch/platform/client_server.py
@@ -10,8 +10,6 @@
 LINGER_S = 2.2
 # Part of the grace time that an open transaction gets to end.
 TRANSACTION_SHARE = 0.5
-# What is kept of the grace time for the process itself to end, in seconds.
-EXIT_MARGIN_S = 0.7
 POLL_INTERVAL_S = 0.02
 
 
@@ -57,12 +55,12 @@
         Parameters
         ----------
         grace_s : float
-            Time until the process is killed, in seconds.
+            Time within which all have to end, in seconds.
         """
         started_s = trio.current_time()
         await trio.sleep(min(LINGER_S, grace_s * TRANSACTION_SHARE))
         self._listening.cancel()
-        give_up_s = started_s + grace_s - EXIT_MARGIN_S
+        give_up_s = started_s + grace_s
         while self._connections and trio.current_time() < give_up_s:
             is_late = trio.current_time() >= started_s + grace_s * TRANSACTION_SHARE
             for connection in list(self._connections):
--- a/sedgeswitch/platform/instance_driver.py
+++ b/sedgeswitch/platform/instance_driver.py
@@ -263,9 +263,12 @@
         position = wire.decode_position(fields[2])
     if position is None or not fields[1].isdigit():
         raise checks.CheckError("state", "role, term and position", rows)
-    # The term of the row is the one that the instance follows; its position may
-    # still be of an earlier one.
-    return instances.InstanceState(fields[0] != _PRIMARY_ROLE, position)
+    if fields[0] != _PRIMARY_ROLE:
+        return instances.InstanceState(True, position)
+    # A primary's log shows its term only after the first commit under it.
+    return instances.InstanceState(
+        False, positions.Position(int(fields[1]), position.lsn)
+    )
 
 
 @base.register_driver("platform")
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -13,6 +13,7 @@
 from sedgeswitch.callers import http
 from sedgeswitch.callers import routes
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.observability import lines
 from sedgeswitch.platform import documents
 from sedgeswitch.platform import settings as platform_settings
 from sedgeswitch.transport import peer
@@ -27,6 +28,9 @@
 HEARTBEAT_INTERVAL_S = 0.5
 # Time between two looks at the settings file, in seconds.
 SETTINGS_INTERVAL_S = 1.0
+# What is kept of the grace time to give up the lease, and to end, in seconds.
+LEAVING_S = 1.0
+EXIT_MARGIN_S = 0.4
 # Operators' documents hold thousands of databases.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_CONNECTIONS = 2000
@@ -36,13 +40,17 @@
 
 
 async def run(
-    path: pathlib.Path, settings: platform_settings.PlatformSettings, rng: random.Random
+    path: pathlib.Path,
+    settings: platform_settings.PlatformSettings,
+    rng: random.Random,
+    log: lines.LineBuffer,
 ) -> None:
     """Run the roles that the settings name until SIGTERM."""
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(log.run)
             process = Process(path, settings, rng)
             await process.start(nursery)
             loguru.logger.info("started", serves_control=settings.serves_control)
@@ -116,10 +124,11 @@
         """Leave gracefully, within the time that the platform grants."""
         loguru.logger.info("stopping", grace_s=self._settings.grace_s)
         self._is_leaving = True
-        if self._clients is not None:
-            await self._clients.drain(self._settings.grace_s)
-        if self._entry is not None:
-            await self._entry.leave()
+        with trio.move_on_after(self._settings.grace_s - EXIT_MARGIN_S):
+            if self._clients is not None:
+                await self._clients.drain(self._settings.grace_s - LEAVING_S)
+            if self._entry is not None:
+                await self._entry.leave()
 
     async def _start_control(self, nursery: trio.Nursery) -> None:
         # Imported here so that an entry host starts without these modules.
@@ -141,6 +150,7 @@
             settings.data_folder,
             LEASE_S,
             GROUP_SETTINGS,
+            settings.tolerance,
             peer.Address(settings.ip, port),
             settings.control_peers,
         )
@@ -173,6 +183,7 @@
             settings.control_peers,
             HEARTBEAT_INTERVAL_S,
             GROUP_SETTINGS,
+            settings.tolerance,
         )
         self._entry = relay_entry.RelayEntry(
             options,
@@ -180,9 +191,9 @@
             instance_driver.LineDriver(),
             self._rng,
         )
-        nursery.start_soon(self._entry.run)
         self._clients = client_server.ClientServer(self._entry.build_session)
         await nursery.start(self._clients.serve, *settings.callers)
+        nursery.start_soon(self._entry.run)
         self._router.register_route("GET", READINESS_PATH, self._answer_readiness)
         if not settings.serves_control:
             await nursery.start(self._http.serve, *settings.readiness)
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sedgeswitch.daemon import relay_groups
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import checks
 
@@ -19,7 +20,14 @@
 
 
 class _Bounds(typing.TypedDict, total=False):
+    # Time from SIGTERM to SIGKILL.
     graceS: float
+    # Window over which requests of an organisation are counted.
+    quotaWindowS: float
+    # Part of what a limit allows that may come on top of it.
+    quotaOverage: float
+    # Requests that may come on top of that.
+    quotaSlack: float
 
 
 class _Cloud(typing.TypedDict, total=False):
@@ -64,6 +72,8 @@
         Time from SIGTERM to SIGKILL.
     promotions : peer.Address or None
         Where the platform takes orders to promote an instance.
+    tolerance : relay_groups.Tolerance
+        What may pass beyond the limits of organisations.
     """
 
     host_name: str
@@ -80,6 +90,7 @@
     data_folder: str | None
     grace_s: float
     promotions: peer.Address | None
+    tolerance: relay_groups.Tolerance
 
     @property
     def control_id(self) -> str:
@@ -143,6 +154,7 @@
 def _build_settings(document: _File) -> PlatformSettings:
     listening = document["bindAddrs"]
     cloud = document.get("cloudApi") or {}
+    bounds = document.get("bounds", {})
     return PlatformSettings(
         host_name=document["nodeName"],
         serves_callers=SERVES_CALLERS in document["serves"],
@@ -156,8 +168,13 @@
         seeds=tuple(parse_address(seed) for seed in document["seeds"]),
         is_bootstrap=document["bootstrap"],
         data_folder=document.get("dataDir"),
-        grace_s=document.get("bounds", {}).get("graceS", _DEFAULT_GRACE_S),
+        grace_s=bounds.get("graceS", _DEFAULT_GRACE_S),
         promotions=_find_address(cloud, "address"),
+        tolerance=relay_groups.Tolerance(
+            bounds.get("quotaWindowS", 0.0),
+            bounds.get("quotaOverage", 0.0),
+            bounds.get("quotaSlack", 0.0),
+        ),
     )
 
 
--- a/sedgeswitch/pools/shares.py
+++ b/sedgeswitch/pools/shares.py
@@ -95,6 +95,10 @@
     list_holders : callable
         ``list_holders(now_s)`` returns the ids of the entry hosts whose lease
         may not be over; the others open no connection.
+    is_strict : bool
+        Whether a host that has not reported counts as holding everything; else
+        it counts as holding a fair part, which suits instances that refuse
+        connections beyond their number themselves.
     """
 
     def __init__(
@@ -102,8 +106,10 @@
         list_holders: collections.abc.Callable[
             [float], collections.abc.Collection[str]
         ],
+        is_strict: bool = True,
     ):
         self._list_holders = list_holders
+        self._is_strict = is_strict
         self._reported: dict[str, int] = {}
         self._told: dict[str, int] = {}
         self._holders: set[str] = set()
@@ -152,6 +158,6 @@
     def _count(self, host_id: str) -> float:
         """Return the part of the connections that a host may have open."""
         if host_id not in self._reported:
-            return 1.0
+            return 1.0 if self._is_strict else 1 / len(self._holders)
         divisors = [self._reported[host_id], self._told.get(host_id, 0)]
         return max(1 / divisor if divisor else 0.0 for divisor in divisors)
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -9,6 +9,7 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
+from sedgeswitch.observability import decisions
 from sedgeswitch.relay import freshness
 from sedgeswitch.relay import steps
 from sedgeswitch.relay import trouble
@@ -31,6 +32,7 @@
     backends : backends.Backends
     interrupter : interruption.Interrupter
     knowledge : Knowledge
+    decisions : decisions.DecisionLog
     admit : callable
         ``await admit(organisation, deadline_s)`` returns once one more operation
         fits into the organisation's rate; raises `verdicts.RefusedError`.
@@ -42,6 +44,7 @@
     backends: backends.Backends
     interrupter: interruption.Interrupter
     knowledge: "Knowledge"
+    decisions: decisions.DecisionLog
     admit: Admit
 
 
@@ -64,7 +67,8 @@
     ) -> None:
         """Note what a primary told, if it still was the primary then."""
         position = reply.position
-        if position is None or position.timeline != permit.timeline:
+        # Before the first commit of a term the log still ends in an earlier one.
+        if position is None or position.timeline > permit.timeline:
             return
         if self._groups.is_permit_valid(permit, clocks.get_now_s()):
             self.get_history(permit.group).note(sent_s, position)
--- a/sedgeswitch/relay/links.py
+++ b/sedgeswitch/relay/links.py
@@ -61,7 +61,8 @@
         refusal = error.refusal
         raise steps.FailedError(
             sessions.Failure.OVERLOADED,
-            f"{refusal.detail}; retry after {refusal.retry_after_ms} ms",
+            f"{server.instance}: {refusal.code}, {refusal.detail};"
+            f" retry after {refusal.retry_after_ms} ms",
         ) from error
     return Link(server, connections, pooled)
 
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -214,8 +214,10 @@
                     break
                 await trio.sleep(RETRY_DELAY_S)
             raise last
+        # A read that has run somewhere without an answer keeps nothing either.
         raise steps.FailedError(
-            sessions.Failure.TIMED_OUT, "no instance answered within the timeout"
+            sessions.Failure.OVERLOADED,
+            f"no answer within the timeout; before: {last.detail}",
         )
 
     async def _run_once(
--- a/sedgeswitch/relay/session.py
+++ b/sedgeswitch/relay/session.py
@@ -17,6 +17,8 @@
 from sedgeswitch.relay import transactions
 from sedgeswitch.relay import writes
 
+MS_PER_S = 1000.0
+
 Handler = collections.abc.Callable[..., collections.abc.Awaitable[steps.Outcome]]
 _HANDLER_BY_KIND: dict[steps.Kind, Handler] = {}
 
@@ -72,6 +74,8 @@
         """Run a step and return its final answer."""
         if self.is_failed and step.kind is not steps.Kind.ROLL_BACK:
             return await self._run_failed(step)
+        started_s = trio.current_time()
+        was_in_transaction = self.is_in_transaction
         try:
             outcome = await _HANDLER_BY_KIND[step.kind](self, step)
         except steps.FailedError as error:
@@ -81,8 +85,31 @@
             if not outcome.failure.is_nothing_kept:
                 # The commit was never sent, and now it never will be.
                 outcome = outcome._replace(failure=sessions.Failure.ABORTED)
+        if outcome.failure is not None:
+            self._note_failure(step, outcome, started_s, was_in_transaction)
         return outcome
 
+    def _note_failure(
+        self,
+        step: steps.Step,
+        outcome: steps.Outcome,
+        started_s: float,
+        was_in_transaction: bool,
+    ) -> None:
+        now_s = trio.current_time()
+        self._parts.decisions.note(
+            f"statement {outcome.failure.value[0]}",
+            now_s,
+            request=step.statement_id.decode(errors="replace"),
+            step=step.kind.value,
+            database=self._database_name,
+            in_transaction=was_in_transaction,
+            configuration=self._parts.databases.document.version,
+            table=self._parts.groups.get_version(),
+            waited_ms=round((now_s - started_s) * MS_PER_S),
+            detail=outcome.detail,
+        )
+
     def get_idle_limit_s(self) -> float:
         """Return how long the session may wait for its caller's next step."""
         if self._transaction is None:
@@ -138,7 +165,7 @@
                 refusal = error.refusal
                 raise steps.FailedError(
                     sessions.Failure.OVERLOADED,
-                    f"{refusal.detail}; retry after {refusal.retry_after_ms} ms",
+                    f"{refusal.code}: retry after {refusal.retry_after_ms} ms",
                 ) from error
         return access
 
