--- a/sedgeswitch/admission/drawing.py
+++ b/sedgeswitch/admission/drawing.py
@@ -8,6 +8,7 @@
 from sedgeswitch.admission import settings as admission_settings
 from sedgeswitch.admission import wallet as admission_wallet
 from sedgeswitch.transport import failures
+from sedgeswitch.utils import clocks
 
 CallDraw: typing.TypeAlias = typing.Callable[
     [messages.Draw], typing.Awaitable[messages.DrawReply]
@@ -31,10 +32,10 @@
     """
     given = admission_settings.Settings() if settings is None else settings
     while True:
-        now_s = trio.current_time()
+        now_s = clocks.get_now_s()
         next_s = wallet.get_next_draw_s(now_s)
         if next_s > now_s:
-            with trio.move_on_at(next_s):
+            with trio.move_on_after(next_s - now_s):
                 await wallet.wait_until_woken()
             continue
         await _draw(wallet, call_leader, given.draw_timeout_s)
@@ -43,11 +44,11 @@
 async def _draw(
     wallet: admission_wallet.Wallet, call_leader: CallDraw, timeout_s: float
 ) -> None:
-    sent_s = trio.current_time()
+    sent_s = clocks.get_now_s()
     request = wallet.build_draw(sent_s)
     with trio.move_on_after(timeout_s):
         try:
             reply = await call_leader(request)
         except failures.CallError:
             return
-        wallet.receive_grants(reply, sent_s, trio.current_time())
+        wallet.receive_grants(reply, sent_s, clocks.get_now_s())
--- a/sedgeswitch/admission/fleet.py
+++ b/sedgeswitch/admission/fleet.py
@@ -3,6 +3,7 @@
 import trio
 
 from sedgeswitch.admission import wallet
+from sedgeswitch.utils import clocks
 
 
 class FleetAdmission:
@@ -19,12 +20,20 @@
     async def admit(self, organisation: str, deadline_s: float) -> None:
         """Return if a request may run.
 
+        Parameters
+        ----------
+        organisation : str
+        deadline_s : float
+            When the caller stops waiting, on trio's clock.
+
         Raises
         ------
         verdicts.RefusedError
             429, at once, with when to come back.
         """
-        outcome = self._wallet.take(organisation, trio.current_time(), deadline_s)
+        now_s = clocks.get_now_s()
+        left_s = deadline_s - trio.current_time()
+        outcome = self._wallet.take(organisation, now_s, now_s + left_s)
         if isinstance(outcome, wallet.Pending):
             outcome = await self._wallet.wait(outcome)
         if isinstance(outcome, wallet.Denied):
--- a/sedgeswitch/admission/wallet.py
+++ b/sedgeswitch/admission/wallet.py
@@ -12,6 +12,7 @@
 from sedgeswitch.admission import messages
 from sedgeswitch.admission import settings as admission_settings
 from sedgeswitch.utils import checks
+from sedgeswitch.utils import clocks
 
 _SHORT_MEMORY_S = 0.5
 
@@ -248,7 +249,7 @@
         On cancellation a token that has been spent for the request stays spent.
         """
         try:
-            with trio.move_on_at(pending.until_s):
+            with trio.move_on_after(pending.until_s - clocks.get_now_s()):
                 await pending.wait()
         finally:
             self.give_up(pending)
--- a/sedgeswitch/agreement/election.py
+++ b/sedgeswitch/agreement/election.py
@@ -9,6 +9,7 @@
 from sedgeswitch.agreement import state as state_module
 from sedgeswitch.agreement import voters
 from sedgeswitch.transport import failures
+from sedgeswitch.utils import clocks
 
 _ROLE = state_module.Role
 
@@ -48,7 +49,7 @@
         """Answer a candidate, once the vote is synced."""
         state = self._state
         state.check_incarnation(request.target_incarnation)
-        is_granted = self._decide_vote(request, trio.current_time())
+        is_granted = self._decide_vote(request, clocks.get_now_s())
         term = state.term
         await state.writer.wait()
         return messages.VoteReply(term, is_granted)
@@ -76,7 +77,7 @@
         """Step down once no quorum has answered for an election timeout."""
         state = self._state
         heard_s = max(state.get_confirmed_s(), state.led_since_s)
-        left_s = heard_s + self._settings.election_timeout_max_s - trio.current_time()
+        left_s = heard_s + self._settings.election_timeout_max_s - clocks.get_now_s()
         if left_s > 0:
             await self._sleep(left_s)
         else:
@@ -90,7 +91,7 @@
         )
         while True:
             heard_s = max(state.leader_heard_s, state.vote_granted_s)
-            left_s = heard_s + timeout_s - trio.current_time()
+            left_s = heard_s + timeout_s - clocks.get_now_s()
             if left_s <= 0:
                 break
             await trio.sleep(left_s)
@@ -102,7 +103,7 @@
         if not await self._gather(state.term + 1, is_pre_vote=True):
             await self._back_off()
             return
-        if state.is_leader_live(trio.current_time()) or not state.is_voter:
+        if state.is_leader_live(clocks.get_now_s()) or not state.is_voter:
             return
         state.adopt_term(state.term + 1)
         state.role = _ROLE.CANDIDATE
@@ -113,7 +114,7 @@
         if state.role is not _ROLE.CANDIDATE or state.term != term:
             return
         if is_elected:
-            state.become_leader(trio.current_time())
+            state.become_leader(clocks.get_now_s())
         else:
             state.become_follower(None)
             await self._back_off()
--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -17,6 +17,7 @@
 from sedgeswitch.membership import hints
 from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
+from sedgeswitch.utils import clocks
 
 # Silence after which the leader gives a voter's place to a host that asks, in
 # seconds; a restart takes less.
@@ -55,7 +56,7 @@
         failures.CallError
             ``not_leader``; the detail names the leader if it is known.
         """
-        now_s = trio.current_time()
+        now_s = clocks.get_now_s()
         if self._node.get_leadership(now_s) is None:
             raise failures.CallError(
                 hints.NOT_LEADER,
@@ -71,7 +72,7 @@
         """Replace voters, one at a time, until cancelled."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
-            change = self._find_change(trio.current_time())
+            change = self._find_change(clocks.get_now_s())
             if change is None:
                 continue
             old_id, new_id, address = change
@@ -143,7 +144,7 @@
         """Ask until cancelled."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
-            if self._node.has_place(trio.current_time()):
+            if self._node.has_place(clocks.get_now_s()):
                 continue
             try:
                 await self._call(self._identity, CALL_TIMEOUT_S)
--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -23,6 +23,7 @@
 from sedgeswitch.agreement import writer as writer_module
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import checks
+from sedgeswitch.utils import clocks
 
 _INCARNATION_BYTES = 8
 _APPLY_BATCH = 64
@@ -193,7 +194,7 @@
                 log_module.Log(stored.snapshot, stored.entries),
                 writer,
                 stored,
-                trio.current_time(),
+                clocks.get_now_s(),
             )
             if stored.snapshot is not None:
                 self._registry.load_snapshot(stored.snapshot.body)
@@ -262,7 +263,7 @@
         """
         checks.check_range("timeout_s", timeout_s, 0.0)
         state = self._get_leading_state()
-        started_s = trio.current_time()
+        started_s = clocks.get_now_s()
         term = state.term
         index = max(state.commit_index, state.term_start_index)
         self._replication.request_heartbeats()
@@ -284,7 +285,7 @@
         Parameters
         ----------
         now_s : float
-            Present time, of `trio.current_time`.
+            Present time, of `clocks.get_now_s`.
 
         Returns
         -------
@@ -310,7 +311,7 @@
         Parameters
         ----------
         now_s : float
-            Present time, of `trio.current_time`.
+            Present time, of `clocks.get_now_s`.
         """
         state = self._get_state()
         voter_set = state.log.voter_set
@@ -443,7 +444,7 @@
             state.proposals.settle(index, entry.term, result)
         state.note_applied(index)
         if state.role is state_module.Role.LEADER and index == state.term_start_index:
-            self._ready = Leadership(state.term, trio.current_time())
+            self._ready = Leadership(state.term, clocks.get_now_s())
         unsaved = index - state.log.snapshot_index
         if unsaved >= self._settings.snapshot_every_entries:
             snapshots.take_snapshot(state, self._registry)
--- a/sedgeswitch/agreement/replication.py
+++ b/sedgeswitch/agreement/replication.py
@@ -10,6 +10,7 @@
 from sedgeswitch.agreement import storage
 from sedgeswitch.agreement import voters
 from sedgeswitch.transport import failures
+from sedgeswitch.utils import clocks
 
 
 class Replication:
@@ -85,7 +86,7 @@
         progress = self._get_progress(member, term)
         if progress is None:
             return
-        sent_s = trio.current_time()
+        sent_s = clocks.get_now_s()
         request = messages.HeartbeatRequest(
             term,
             self._settings.node_id,
@@ -146,7 +147,7 @@
             ],
             self._state.commit_index,
         )
-        sent_s = trio.current_time()
+        sent_s = clocks.get_now_s()
         timeout_s = self._settings.election_timeout_min_s
         reply = await self._network.call(member.address, request, timeout_s)
         if self._note_reply(member, term, reply.term, sent_s):
@@ -209,7 +210,7 @@
         state = self._state
         state.check_incarnation(request.target_incarnation)
         if request.term >= state.term:
-            state.hear_leader(request.term, request.leader_id, trio.current_time())
+            state.hear_leader(request.term, request.leader_id, clocks.get_now_s())
             state.commit_to(min(request.commit_index, state.log.last_index))
         return messages.HeartbeatReply(state.term)
 
@@ -221,7 +222,7 @@
         state.check_incarnation(request.target_incarnation)
         if request.term < state.term:
             return messages.AppendReply(state.term, False, 0, False)
-        state.hear_leader(request.term, request.leader_id, trio.current_time())
+        state.hear_leader(request.term, request.leader_id, clocks.get_now_s())
         if not state.log.is_formed:
             return messages.AppendReply(request.term, False, 0, True)
         hint = self._find_conflict(request)
--- a/sedgeswitch/agreement/snapshots.py
+++ b/sedgeswitch/agreement/snapshots.py
@@ -2,7 +2,6 @@
 
 import typing
 
-import trio
 import xxhash
 
 from sedgeswitch.agreement import machines
@@ -11,6 +10,7 @@
 from sedgeswitch.agreement import state as state_module
 from sedgeswitch.agreement import storage
 from sedgeswitch.agreement import voters
+from sedgeswitch.utils import clocks
 
 
 def hash_body(body: bytes) -> bytes:
@@ -71,7 +71,7 @@
             snapshot.body[offset_bytes:end],
             checksum,
         )
-        sent_s = trio.current_time()
+        sent_s = clocks.get_now_s()
         reply = await network.call(
             member.address, request, state.settings.election_timeout_max_s
         )
@@ -127,7 +127,7 @@
         state.check_incarnation(request.target_incarnation)
         if request.term < state.term:
             return messages.SnapshotReply(state.term, 0)
-        state.hear_leader(request.term, request.leader_id, trio.current_time())
+        state.hear_leader(request.term, request.leader_id, clocks.get_now_s())
         next_offset_bytes = self._take_piece(request)
         if next_offset_bytes == request.total_bytes:
             next_offset_bytes = self._finish(request)
--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -26,6 +26,7 @@
 from sedgeswitch.observability import metrics
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
+from sedgeswitch.utils import clocks
 
 CONFIGURATION = configuration_machine.NAME
 GROUPS = control_core.GROUPS
@@ -101,7 +102,7 @@
                 request.headers.get("authorization"),
                 request.body,
             ),
-            trio.current_time(),
+            clocks.get_now_s(),
         )
         return http.Response(response.status, response.body, response.content_type)
 
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -44,6 +44,7 @@
 from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
+from sedgeswitch.utils import clocks
 
 DRAW_TIMEOUT_S = 0.5
 MAINTENANCE_INTERVAL_S = 0.1
@@ -90,7 +91,7 @@
         )
         self.heart = self._build_heart()
         self.wallet = wallet.Wallet(
-            settings.host_id, self._incarnation, trio.current_time()
+            settings.host_id, self._incarnation, clocks.get_now_s()
         )
         self.backends = self._build_backends(driver, rng)
         self.groups_section = self._build_groups(driver)
--- a/sedgeswitch/daemon/homes.py
+++ b/sedgeswitch/daemon/homes.py
@@ -3,8 +3,6 @@
 import collections.abc
 import typing
 
-import trio
-
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import table
 from sedgeswitch.membership import entry_peers
@@ -16,6 +14,7 @@
 from sedgeswitch.sessions import placement
 from sedgeswitch.statements import backends
 from sedgeswitch.transport import server
+from sedgeswitch.utils import clocks
 
 READ_TIMEOUT_S = 0.5
 # Beyond a lease, so that no host can still follow older members.
@@ -45,7 +44,7 @@
 
     async def read(self, group: str) -> positions.Position | None:
         """Return the position, or None if it can't be had at the moment."""
-        permit = self._groups.check_write(group, trio.current_time())
+        permit = self._groups.check_write(group, clocks.get_now_s())
         database = self._get_database(group)
         if permit is None or database is None:
             return None
@@ -54,7 +53,7 @@
             return None
         connections = self._backends.get_pool(server_, database)
         position = await backends.try_read_position(connections, READ_TIMEOUT_S)
-        if not self._groups.is_permit_valid(permit, trio.current_time()):
+        if not self._groups.is_permit_valid(permit, clocks.get_now_s()):
             return None
         if position is None:
             return None
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -121,6 +121,18 @@
         """Return where the leader takes messages, None if it is not known."""
         return self.node.leader_address
 
+    def get_values(self) -> dict[str, float]:
+        """Return the present values that operators watch."""
+        return {
+            "is_leading": float(self.is_leading()),
+            "configuration_version": self.databases.version,
+            "groups_version": self.groups.get_version(),
+            "groups_fenced": len(self.groups.get_fenced()),
+            "backend_servers": len(self.directory.servers),
+            "commit_index": self.node.commit_index,
+            "applied_index": self.node.applied_index,
+        }
+
     async def replace_document(self, version: int, text: bytes) -> int:
         """Put a document in force if its version is the highest.
 
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -28,6 +28,7 @@
 from sedgeswitch.observability import decisions
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import context
+from sedgeswitch.relay import probes
 from sedgeswitch.relay import session
 from sedgeswitch.routing import policies
 from sedgeswitch.statements import backends
@@ -43,6 +44,8 @@
 URGENT_PAUSE_S = 0.02
 # Statements that wait for a connection to one instance at most.
 MAX_QUEUE_LENGTH = 200
+# For the leader, and for connections that an instance has not seen closed yet.
+RESERVED_CONNECTIONS = 4
 # More than any instance takes, so that the fleet's share alone is the limit.
 UNLIMITED_CONNECTIONS = 1_000_000
 
@@ -104,13 +107,17 @@
             self.control_peers,
             options.heartbeat_interval_s,
         )
-        self.wallet = wallet.Wallet(options.host_id, incarnation, trio.current_time())
+        self.wallet = wallet.Wallet(options.host_id, incarnation, clocks.get_now_s())
         self.backends = self._build_backends(driver, rng)
         servers = relay_groups.RelayDirectory(
             lambda: self.directory.servers, lambda: self.databases.document
         )
+        knowledge = context.Knowledge(self.groups)
         self.groups_section = entry_section.EntrySection(
-            self.groups, servers, driver, options.groups
+            self.groups,
+            servers,
+            probes.ProbeDriver(driver, self.backends, knowledge),
+            options.groups,
         )
         self._register_sections()
         self._parts = context.Parts(
@@ -119,7 +126,7 @@
             self.groups_section,
             self.backends,
             interruption.Interrupter(self.groups),
-            context.Knowledge(self.groups),
+            knowledge,
             decisions.DecisionLog(),
             fleet.FleetAdmission(self.wallet).admit,
         )
@@ -143,6 +150,20 @@
         has_document = self.databases.document.version > 0
         return has_document and self.heart.is_lease_valid(now_s)
 
+    def get_values(self) -> dict[str, float]:
+        """Return the present values that operators watch."""
+        now_s = clocks.get_now_s()
+        loads = self.backends.get_loads().values()
+        return {
+            "lease_left_s": max(self.heart.lease_until_s - now_s, 0.0),
+            "configuration_version": self.databases.document.version,
+            "groups_version": self.groups.get_version(),
+            "share_divisor": self.backends.share.divisor,
+            "links_in_use": sum(load.in_use for load in loads),
+            "links_idle": sum(load.idle for load in loads),
+            "links_waited_for": sum(load.waiting for load in loads),
+        }
+
     async def leave(self) -> None:
         """Give up the lease, after the last session has ended."""
         await self.backends.close()
@@ -161,6 +182,7 @@
             UNLIMITED_CONNECTIONS,
             policies.DEFAULT_POLICY,
             pool.PoolSettings(),
+            RESERVED_CONNECTIONS,
         )
         return backends.Backends(
             self.directory,
--- /dev/null
+++ b/sedgeswitch/databases/tests/test_databases.py
@@ -0,0 +1,106 @@
+"""Tests of the replaced document: agreed state, spreading and checks."""
+
+import unittest
+
+from sedgeswitch.databases import documents
+from sedgeswitch.databases import machine
+from sedgeswitch.databases import sections
+from sedgeswitch.utils import checks
+
+
+def build_document(version=1, **changes):
+    group = documents.Group("lots", 20, 1)
+    database = documents.Database(
+        "rule", "draw", "lots", documents.Freshness.PRIMARY, 1.0, 0.4
+    )
+    organisations = {
+        "ward-4": documents.Organisation("ward-4", ("k1", "k2"), 5.0, 5.0),
+        "ward-5": documents.Organisation("ward-5", ("k3",), 5.0, 5.0),
+    }
+    given = {
+        "databases": {"draw": database},
+        "groups": {"lots": group},
+        "organisations": organisations,
+    }
+    return documents.Document(version=version, **(given | changes))
+
+
+def replace(target, version, text):
+    return machine.decode_result(target.apply(1, machine.build_command(version, text)))
+
+
+class MachineTest(unittest.TestCase):
+    def test_higher_version_replaces_the_document(self):
+        target = machine.DocumentMachine()
+        self.assertTrue(replace(target, 3, b"three").is_in_force)
+        self.assertTrue(replace(target, 7, b"seven").is_in_force)
+        self.assertEqual(b"seven", target.get_text())
+
+    def test_version_that_is_not_higher_changes_nothing(self):
+        target = machine.DocumentMachine()
+        replace(target, 7, b"seven")
+        for version in (7, 3):
+            result = replace(target, version, b"other")
+            self.assertFalse(result.is_in_force)
+            self.assertEqual(7, result.version)
+        self.assertEqual(b"seven", target.get_text())
+
+    def test_snapshot_restores_the_text_as_it_was_sent(self):
+        target = machine.DocumentMachine()
+        replace(target, 7, b'{"a":  1}')
+        other = machine.DocumentMachine()
+        other.load_snapshot(target.save_snapshot())
+        self.assertEqual((7, b'{"a":  1}'), (other.version, other.get_text()))
+
+
+class SectionTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = machine.DocumentMachine()
+        self.control = sections.ControlSection(self.machine)
+        self.entry = sections.EntrySection(lambda text: build_document(int(text)))
+
+    def exchange(self):
+        answer = self.control.answer_report("e1", self.entry.build_report(0.0), 0.0)
+        self.entry.receive_answer(answer, 0.0)
+        return answer
+
+    def test_document_travels_once_for_each_version(self):
+        replace(self.machine, 4, b"4")
+        whole = self.exchange()
+        self.assertEqual(4, self.entry.document.version)
+        self.assertLess(len(self.exchange()), len(whole))
+
+    def test_older_document_never_returns(self):
+        replace(self.machine, 4, b"4")
+        old = self.control.answer_report("e1", self.entry.build_report(0.0), 0.0)
+        replace(self.machine, 9, b"9")
+        self.exchange()
+        self.entry.receive_answer(old, 0.0)
+        self.assertEqual(9, self.entry.document.version)
+
+    def test_key_is_found_by_the_document_in_force(self):
+        replace(self.machine, 4, b"4")
+        self.assertIsNone(self.entry.get_organisation("k3"))
+        self.exchange()
+        self.assertEqual("ward-5", self.entry.get_organisation("k3").name)
+
+
+class CheckTest(unittest.TestCase):
+    def test_shared_key_is_refused_without_showing_it(self):
+        shared = {
+            name: documents.Organisation(name, ("secret-key",), 1.0, 1.0)
+            for name in ("ward-4", "ward-5")
+        }
+        with self.assertRaises(checks.CheckError) as caught:
+            documents.check_document(build_document(organisations=shared))
+        self.assertNotIn("secret-key", str(caught.exception))
+
+    def test_database_of_an_unknown_group_is_refused(self):
+        with self.assertRaises(checks.CheckError):
+            documents.check_document(build_document(groups={}))
+
+    def test_database_without_time_for_a_statement_is_refused(self):
+        document = build_document()
+        database = document.databases["draw"]._replace(statement_timeout_s=0.0)
+        with self.assertRaises(checks.CheckError):
+            documents.check_document(document._replace(databases={"draw": database}))
--- a/sedgeswitch/groups/control.py
+++ b/sedgeswitch/groups/control.py
@@ -10,6 +10,7 @@
 from sedgeswitch.groups import machine as groups_machine
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.utils import clocks
 
 SLICE_NAME = "groups"
 _DONE = (ttypes.Outcome.ACCEPTED, ttypes.Outcome.UNCHANGED)
@@ -78,7 +79,7 @@
     LeadershipLostError
         If this host does not lead under `leadership_term`.
     """
-    leadership = control.get_leadership(trio.current_time())
+    leadership = control.get_leadership(clocks.get_now_s())
     if leadership is None or leadership.term != leadership_term:
         raise LeadershipLostError(group)
     return control.machine.get_group(group)
@@ -123,6 +124,6 @@
         If this host no longer leads.
     """
     get_state(control, leadership_term, group)
-    while groups_leases.get_blocking(control.leases, version, trio.current_time()):
+    while groups_leases.get_blocking(control.leases, version, clocks.get_now_s()):
         await trio.sleep(control.settings.check_interval_s)
         get_state(control, leadership_term, group)
--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -10,6 +10,7 @@
 from sedgeswitch.groups import control as groups_control
 from sedgeswitch.groups import instances
 from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.utils import clocks
 
 MOVE_REASON = "move"
 
@@ -138,7 +139,7 @@
 
     def _take_phase_s(self) -> float:
         """Return the time since the last phase ended, and end this one."""
-        now_s = trio.current_time()
+        now_s = clocks.get_now_s()
         phase_s = now_s - self._mark_s
         self._mark_s = now_s
         return phase_s
@@ -161,7 +162,7 @@
 
     async def _fence(self, state: ttypes.Group) -> float:
         if state.phase == ttypes.GroupPhase.FENCED:
-            self._mark_s = trio.current_time()
+            self._mark_s = clocks.get_now_s()
             self._reason = state.reason
             return 0.0
         await self._propose(ttypes.Fence(self._group, state.term, self._reason))
@@ -176,7 +177,7 @@
 
     async def _choose(self) -> str:
         """Return the next primary, recorded as a candidate where it must be."""
-        give_up_s = trio.current_time() + self._settings.catch_up_s
+        give_up_s = clocks.get_now_s() + self._settings.catch_up_s
         while True:
             decision = await self._decide()
             if decision.step is choice.Step.ADOPT:
@@ -184,7 +185,7 @@
             if decision.step is choice.Step.PROMOTE:
                 await self._record_candidate(decision.instance)
                 return decision.instance
-            if trio.current_time() >= give_up_s:
+            if clocks.get_now_s() >= give_up_s:
                 self._target = None
                 state = self._get_state()
                 if decision.step is choice.Step.CATCH_UP and not state.candidates:
@@ -291,7 +292,7 @@
             "primary chosen",
             group=self._group,
             instance=instance,
-            leases_waited_s=round(trio.current_time() - self._mark_s, 3),
+            leases_waited_s=round(clocks.get_now_s() - self._mark_s, 3),
             acknowledged=str(
                 self._control.get_acknowledged(self._group, state.version)
             ),
--- a/sedgeswitch/groups/settings.py
+++ b/sedgeswitch/groups/settings.py
@@ -21,6 +21,8 @@
         Time from one probe of an instance to the next.
     probe_timeout_s : float
         Longest wait for the answer to a probe.
+    replica_interval_s : float
+        Time from one probe of a replica to the next.
     refused_interval_s : float
         Time from a refused probe to the next, until the instance is suspect.
     refused_limit : int
@@ -61,6 +63,7 @@
     watcher_count: int = 3
     probe_interval_s: float = 0.5
     probe_timeout_s: float = 5.0
+    replica_interval_s: float = 0.5
     refused_interval_s: float = 0.1
     refused_limit: int = 3
     silence_limit_s: float = 1.5
--- a/sedgeswitch/groups/supervisor.py
+++ b/sedgeswitch/groups/supervisor.py
@@ -15,6 +15,7 @@
 from sedgeswitch.groups import retirement
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.utils import clocks
 
 _REGISTER_INTERVAL_S = 1.0
 _RETRY_AFTER_MS = 1000
@@ -49,7 +50,7 @@
     async def run(self) -> None:
         """Supervise whenever this host leads, until cancelled."""
         while True:
-            leadership = self._control.get_leadership(trio.current_time())
+            leadership = self._control.get_leadership(clocks.get_now_s())
             if leadership is not None:
                 await self._lead(leadership.term)
             await trio.sleep(self._control.settings.check_interval_s)
@@ -70,7 +71,7 @@
             or the instance does not belong to it. May have run, if this host
             lost its leadership.
         """
-        leadership = self._control.get_leadership(trio.current_time())
+        leadership = self._control.get_leadership(clocks.get_now_s())
         if leadership is None:
             raise _build_not_leader()
         self._check_move(group, instance)
@@ -79,7 +80,7 @@
             leadership.term,
             group,
             failover.MOVE_REASON,
-            trio.current_time(),
+            clocks.get_now_s(),
             target=instance,
         )
         self._busy.add(group)
@@ -114,7 +115,7 @@
             )
 
     def _leads(self, term: int) -> bool:
-        leadership = self._control.get_leadership(trio.current_time())
+        leadership = self._control.get_leadership(clocks.get_now_s())
         return leadership is not None and leadership.term == term
 
     async def _lead(self, term: int) -> None:
@@ -127,7 +128,7 @@
 
     def _start_due(self, nursery: trio.Nursery, term: int) -> None:
         """Start a task for each fenced group and each suspected primary."""
-        now_s = trio.current_time()
+        now_s = clocks.get_now_s()
         for state in self._control.machine.get_fenced():
             self._start(nursery, term, state.group, state.reason, now_s)
         for name in self._section.board.take_troubled():
@@ -180,7 +181,7 @@
             return
         announced = self._control.directory.get_instances(group)
         instance = self._sightings.find_replaced(
-            state, {item.instance for item in announced}, trio.current_time()
+            state, {item.instance for item in announced}, clocks.get_now_s()
         )
         if instance is not None:
             self._removing.add(group)
--- a/sedgeswitch/groups/table.py
+++ b/sedgeswitch/groups/table.py
@@ -6,6 +6,7 @@
 
 from sedgeswitch import verdicts
 from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.utils import clocks
 
 _UNAVAILABLE_STATUS = 503
 _RETRY_AFTER_MS = 500
@@ -156,7 +157,7 @@
             Not run, if the group does not serve by the deadline.
         """
         while trio.current_time() <= deadline_s:
-            permit = self.check_write(group, trio.current_time())
+            permit = self.check_write(group, clocks.get_now_s())
             if permit is not None:
                 return permit
             with trio.move_on_at(deadline_s):
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -221,6 +221,8 @@
         # suspect there is no hurry.
         if 0 < record.refused < self._settings.refused_limit:
             return self._settings.refused_interval_s
+        if record.state is not None and record.state.in_recovery:
+            return self._settings.replica_interval_s
         return self._settings.probe_interval_s
 
     async def _probe(
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -14,6 +14,7 @@
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
+from sedgeswitch.utils import clocks
 
 CALL_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 5.0
@@ -35,6 +36,7 @@
             host_id: peer.Peer(address) for host_id, address in addresses.items()
         }
         self._order = list(self._peers)
+        self._answering = ""
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -45,11 +47,6 @@
                 nursery.start_soon(control_peer.run)
             await trio.sleep_forever()
 
-    @property
-    def preferred(self) -> str:
-        """Id of the control host that is called first."""
-        return self._order[0]
-
     async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
         """Call the control host that is believed to lead.
 
@@ -60,7 +57,11 @@
         """
         host_id = self._order[0]
         try:
-            return await self._peers[host_id].call(message, timeout_s)
+            answer = await self._peers[host_id].call(message, timeout_s)
+            if host_id != self._answering:
+                self._answering = host_id
+                loguru.logger.info("leader answers", control=host_id)
+            return answer
         except failures.CallError as error:
             self._turn_away(host_id, error)
             raise
@@ -173,7 +174,7 @@
         failures.CallError
             If there is no answer that can be read; the lease is not renewed.
         """
-        sent_s = trio.current_time()
+        sent_s = clocks.get_now_s()
         reports = {
             name: section.build_report(sent_s)
             for name, section in self._sections.items()
@@ -184,13 +185,12 @@
         )
         answer = await self._control.call(heartbeat, CALL_TIMEOUT_S)
         _check_type(answer, messages.HeartbeatAnswer)
-        now_s = trio.current_time()
+        now_s = clocks.get_now_s()
         self._receive_sections(answer.sections, now_s)
         if not self.is_leaving:
             if self.lease_until_s < now_s:
                 loguru.logger.info(
                     "lease gained",
-                    control=self._control.preferred,
                     lease_ms=answer.lease_ms,
                     answered_ms=round((now_s - sent_s) * 1000),
                 )
@@ -230,7 +230,7 @@
                 if await self.beat():
                     delay_s = 0.0
             except failures.CallError as error:
-                self._note_failure(error, trio.current_time())
+                self._note_failure(error, clocks.get_now_s())
                 delay_s = RETRY_DELAY_S
             with trio.move_on_after(delay_s):
                 await self._wake.wait()
--- a/sedgeswitch/membership/registrar.py
+++ b/sedgeswitch/membership/registrar.py
@@ -16,6 +16,7 @@
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
+from sedgeswitch.utils import clocks
 
 SLICE_NAME = "membership"
 PROPOSE_TIMEOUT_S = 2.0
@@ -75,6 +76,8 @@
         self._listeners: list[collections.abc.Callable[[float, int], None]] = []
         self._led_term = -1
         self._latest: dict[str, _Latest] = {}
+        # Incarnations that another process has followed under their address.
+        self._ended: set[str] = set()
         # How many removals of each host were proposed whose end is not known.
         self._removals: dict[str, int] = {}
         self._versions: dict[str, int] = {}
@@ -94,7 +97,7 @@
         """Follow changes of leadership and versions until cancelled."""
         next_maintenance_s = 0.0
         while True:
-            now_s = trio.current_time()
+            now_s = clocks.get_now_s()
             self._follow(now_s)
             if now_s >= next_maintenance_s:
                 await self._remove_expired(now_s)
@@ -117,8 +120,8 @@
         failures.CallError
             ``not_leader``; the detail names the leader if it is known.
         """
-        self._follow(trio.current_time())
-        if self._log.get_leadership(trio.current_time()) is None:
+        self._follow(clocks.get_now_s())
+        if self._log.get_leadership(clocks.get_now_s()) is None:
             raise failures.CallError(
                 hints.NOT_LEADER,
                 hints.encode_hint(self._log.leader_id, self._log.leader_address),
@@ -143,7 +146,7 @@
         await self._register(heartbeat)
         if self._latest.get(heartbeat.host_id) != arrival:
             raise _build_superseded(heartbeat)
-        now_s = trio.current_time()
+        now_s = clocks.get_now_s()
         answers = {
             name: self._sections[name].answer_report(heartbeat.host_id, body, now_s)
             for name, body in heartbeat.sections.items()
@@ -201,6 +204,8 @@
 
         Its reports are out of date, and a host that left holds no lease.
         """
+        if heartbeat.incarnation in self._ended:
+            raise _build_superseded(heartbeat)
         latest = self._latest.get(heartbeat.host_id)
         given = _Latest(heartbeat.incarnation, heartbeat.sequence)
         is_same_process = latest is not None and latest.incarnation == given.incarnation
@@ -219,7 +224,9 @@
         """Return once the host is registered, and no removal is under way."""
         known = self._members.members.get(heartbeat.host_id)
         is_other = known is not None and known.incarnation != heartbeat.incarnation
-        if is_other and not self._has_ended(known, heartbeat):
+        if is_other and self._has_ended(known, heartbeat):
+            self._ended.add(known.incarnation)
+        elif is_other:
             self._check_lease_over(heartbeat.host_id)
         while not self._is_registered(heartbeat):
             removals = self._removals.get(heartbeat.host_id)
@@ -237,7 +244,7 @@
 
         What one process acknowledges must not be counted for the other.
         """
-        if self.leases.get_until(host_id) > trio.current_time():
+        if self.leases.get_until(host_id) > clocks.get_now_s():
             raise failures.CallError(
                 "host_id_in_use",
                 f"another process of {host_id} may still hold a lease",
@@ -250,7 +257,7 @@
         for member in self.leases.get_expired(now_s, REMOVE_AFTER_S):
             # A heartbeat may have come while the removals before waited.
             if member not in self.leases.get_expired(
-                trio.current_time(), REMOVE_AFTER_S
+                clocks.get_now_s(), REMOVE_AFTER_S
             ):
                 continue
             host_id = member.host_id
--- /dev/null
+++ b/sedgeswitch/observability/exposition.py
@@ -0,0 +1,58 @@
+"""Counters and histograms in the text format that scrapers read."""
+
+import typing
+
+import prometheus_client
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+# Upper bounds of the buckets of durations, in seconds.
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+
+REGISTRY = prometheus_client.CollectorRegistry()
+
+STATEMENTS = prometheus_client.Counter(
+    "sedgeswitch_statements",
+    "Statements answered, by kind and outcome.",
+    ("step", "outcome"),
+    registry=REGISTRY,
+)
+STATEMENT_SECONDS = prometheus_client.Histogram(
+    "sedgeswitch_statement_seconds",
+    "Time from a statement to its answer.",
+    ("step",),
+    buckets=BUCKETS_S,
+    registry=REGISTRY,
+)
+REPLIES = prometheus_client.Counter(
+    "sedgeswitch_instance_replies",
+    "Replies of instances, by outcome.",
+    ("outcome",),
+    registry=REGISTRY,
+)
+ADMISSION_SECONDS = prometheus_client.Histogram(
+    "sedgeswitch_admission_seconds",
+    "Time that operations waited for a token of their organisation.",
+    buckets=BUCKETS_S,
+    registry=REGISTRY,
+)
+VALUES = prometheus_client.Gauge(
+    "sedgeswitch_value",
+    "Present values of a process, by name.",
+    ("name",),
+    registry=REGISTRY,
+)
+
+Values = typing.Callable[[], dict[str, float]]
+
+
+def build_text(values: dict[str, float]) -> bytes:
+    """Return all metrics as text.
+
+    Parameters
+    ----------
+    values : dict of str to float
+        Present values of the process.
+    """
+    for name, value in values.items():
+        VALUES.labels(name).set(value)
+    return prometheus_client.generate_latest(REGISTRY)
--- a/sedgeswitch/platform/instance_driver.py
+++ b/sedgeswitch/platform/instance_driver.py
@@ -58,7 +58,7 @@
         base.DriverError
             If the instance refuses the connection.
         """
-        replies = await self._exchange([wire.encode_line(b"CONNECT", *fields)])
+        replies = await self._exchange([wire.encode_line(b"CONNECT", *fields)], True)
         failure = replies[0].failure
         if failure is not None:
             await self.close()
@@ -159,7 +159,9 @@
             )
         return decode_state(reply.rows)
 
-    async def _exchange(self, lines: list[bytes]) -> list[sessions.Reply]:
+    async def _exchange(
+        self, lines: list[bytes], is_greeting: bool = False
+    ) -> list[sessions.Reply]:
         """Send lines and return the reply to each; a lost connection is closed."""
         is_done = False
         try:
@@ -167,7 +169,7 @@
             sent_bytes = sockets.send_now(self._stream, data)
             if sent_bytes < len(data):
                 await self._stream.send_all(data[sent_bytes:])
-            replies = [await self._read_reply() for _ in lines]
+            replies = [await self._read_reply(is_greeting) for _ in lines]
             is_done = True
             return replies
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -179,7 +181,7 @@
             if not is_done:
                 await self.close()
 
-    async def _read_reply(self) -> sessions.Reply:
+    async def _read_reply(self, is_greeting: bool) -> sessions.Reply:
         rows = []
         signature = detail = b""
         failure = None
@@ -187,9 +189,6 @@
         while True:
             line = await self._reader.read()
             if line is None:
-                # A refused connection ends after the reason.
-                if failure is not None:
-                    return _build_reply(rows, signature, failure, detail, None)
                 raise sessions.ConnectionLostError("closed by the instance")
             word, _, rest = line.partition(b" ")
             if word == b"ROW":
@@ -201,6 +200,9 @@
                 code, _, detail = rest.partition(b" ")
                 failure = wire.FAILURE_BY_CODE.get(code, sessions.Failure.FAILED)
                 is_told = True
+                # Nothing but the end of the connection follows a refused greeting.
+                if is_greeting:
+                    return _build_reply(rows, signature, failure, detail, None)
             elif word == b"READY" and (is_told or not rows):
                 return self._end_reply(rows, signature, failure, detail, rest)
             else:
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -13,6 +13,7 @@
 from sedgeswitch.callers import http
 from sedgeswitch.callers import routes
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.observability import exposition
 from sedgeswitch.observability import lines
 from sedgeswitch.platform import documents
 from sedgeswitch.platform import settings as platform_settings
@@ -22,6 +23,10 @@
 from sedgeswitch.utils import clocks
 
 READINESS_PATH = "/-/readiness"
+# As the deploy file names them.
+METRICS_PATH = "/metrics"
+METRICS_PORT = 9464
+MAX_SCRAPERS = 10
 # How long a heartbeat's lease lasts, so that work goes on through the election of
 # a new leader, in seconds.
 LEASE_S = 4.0
@@ -35,7 +40,7 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_CONNECTIONS = 2000
 GROUP_SETTINGS = groups_settings.GroupSettings(
-    promote_timeout_s=5.0, removal_delay_s=5.0
+    promote_timeout_s=5.0, removal_delay_s=5.0, replica_interval_s=1.5
 )
 
 
@@ -51,7 +56,7 @@
     ) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(log.run)
-            process = Process(path, settings, rng)
+            process = Process(path, settings, rng, log)
             await process.start(nursery)
             loguru.logger.info("started", serves_control=settings.serves_control)
             async for number in signals:
@@ -72,6 +77,7 @@
         The settings file.
     settings : platform_settings.PlatformSettings
     rng : random.Random
+    log : lines.LineBuffer
     """
 
     def __init__(
@@ -79,7 +85,9 @@
         path: pathlib.Path,
         settings: platform_settings.PlatformSettings,
         rng: random.Random,
+        log: lines.LineBuffer,
     ):
+        self._log = log
         self._path = path
         self._settings = settings
         self._rng = rng
@@ -89,6 +97,10 @@
             connections.Limits(max_body_bytes=MAX_BODY_BYTES),
             MAX_CONNECTIONS,
         )
+        self._metrics_router = routes.Router()
+        self._metrics = routes.HttpServer(
+            self._metrics_router.handle, connections.Limits(), MAX_SCRAPERS
+        )
         self._entry = None
         self._clients = None
         self._control = None
@@ -101,6 +113,8 @@
         if self._settings.serves_callers:
             await self._start_entry(nursery)
         nursery.start_soon(self._watch_settings)
+        self._metrics_router.register_route("GET", METRICS_PATH, self._answer_metrics)
+        await nursery.start(self._metrics.serve, self._settings.ip, METRICS_PORT)
 
     def reload(self, reason: str) -> None:
         """Read the settings file anew; one that is not valid changes nothing."""
@@ -202,6 +216,18 @@
         leadership = self._control.node.get_leadership(clocks.get_now_s())
         return leadership is not None and leadership.term == term
 
+    async def _answer_metrics(
+        self,
+        request: http.Request,  # noqa: ARG002
+        values: tuple[str, ...],  # noqa: ARG002
+    ) -> http.Response:
+        roles = [role for role in (self._entry, self._control) if role is not None]
+        present = {"log_lines_dropped": float(self._log.dropped)}
+        for role in roles:
+            present |= role.get_values()
+        text = exposition.build_text(present)
+        return http.Response(200, text, exposition.CONTENT_TYPE)
+
     async def _answer_readiness(
         self,
         request: http.Request,  # noqa: ARG002
--- /dev/null
+++ b/sedgeswitch/platform/tests/builders.py
@@ -0,0 +1,87 @@
+"""Bodies and streams as the platform's pages show them."""
+
+import msgspec
+import trio
+import trio.testing
+
+ROUTE = {
+    "name": "r-1",
+    "host": "draw",
+    "pathPrefix": "/",
+    "kind": "bounded",
+    "timeoutMs": 2000,
+    "targetLatencyMs": 800,
+    "priority": 2,
+    "service": "lots",
+    "maxAttempts": 2,
+    "maxStalenessMs": 1500,
+    "public": False,
+}
+SERVICE = {"name": "lots", "healthPath": "/health", "maxConns": 34, "syncReplicas": 1}
+TENANT = {"name": "ward", "apiKeys": ["k1"], "ratePerS": 58, "burst": 58}
+HEARTBEAT = {
+    "service": "lots",
+    "address": "10.0.0.9:8080",
+    "zone": "bagmati-a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "dbRole": "replica",
+    "sequence": 4,
+    "born": 1000,
+}
+SETTINGS = {
+    "nodeName": "front-a-1",
+    "serves": ["front"],
+    "ip": "10.0.0.1",
+    "zone": "bagmati-a",
+    "bindAddrs": {"front": "10.0.0.1:8465", "ready": "10.0.0.1:8460"},
+    "internalPorts": [7560, 7575],
+    "seeds": ["10.0.0.2:8462", "10.0.1.2:8462"],
+    "bootstrap": True,
+    "dataDir": None,
+    "bounds": {"graceS": 6, "quotaWindowS": 5, "quotaOverage": 0.1, "quotaSlack": 20},
+    "cloudApi": {"address": "10.200.0.2:8466", "duties": ["promote"]},
+    "a field of a later release": {"x": 1},
+}
+
+
+def build_configuration(**changes):
+    given = {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": [SERVICE],
+        "limits": {"txIdleMs": 3000},
+        "tenants": [TENANT],
+    }
+    return msgspec.json.encode(given | changes)
+
+
+def build_heartbeat(**changes):
+    return msgspec.json.encode(HEARTBEAT | changes)
+
+
+class ScriptedInstance:
+    """Answers lines of a connection from a script, and records what it got."""
+
+    def __init__(self, answers):
+        self.client, self.server = trio.testing.memory_stream_pair()
+        self.answers = list(answers)
+        self.received = []
+
+    async def run(self):
+        buffer = b""
+        while self.answers:
+            data = await self.server.receive_some(4096)
+            if not data:
+                return
+            buffer += data
+            while b"\r\n" in buffer:
+                line, _, buffer = buffer.partition(b"\r\n")
+                self.received.append(line)
+                answer = self.answers.pop(0)
+                if answer is None:
+                    await self.server.aclose()
+                    return
+                await self.server.send_all(answer)
--- /dev/null
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -0,0 +1,144 @@
+"""Tests of what the platform sends: configuration, heartbeats and settings."""
+
+import pathlib
+import tempfile
+import unittest
+
+import msgspec
+
+from sedgeswitch.databases import documents as product_documents
+from sedgeswitch.platform import announcements
+from sedgeswitch.platform import documents
+from sedgeswitch.platform import settings
+from sedgeswitch.platform.tests import builders
+from sedgeswitch.transport import peer
+from sedgeswitch.utils import checks
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_route_becomes_a_database(self):
+        document = documents.decode_document(builders.build_configuration())
+        database = document.databases["draw"]
+        self.assertEqual(product_documents.Freshness.BOUNDED, database.freshness)
+        self.assertEqual((2.0, 0.8, 1.5), database[4:6] + database[7:8])
+        self.assertEqual(34, document.groups["lots"].max_connections)
+        self.assertEqual(3.0, document.transaction_idle_s)
+
+    def test_unknown_fields_are_ignored(self):
+        documents.decode_document(builders.build_configuration(later={"x": 1}))
+
+    def test_invalid_configuration_is_refused(self):
+        route, tenant = builders.ROUTE, builders.TENANT
+        invalid = {
+            "cut short": builders.build_configuration()[:-20],
+            "not JSON": b"\xff\xfe",
+            "no body": b"",
+            "unknown service": builders.build_configuration(services=[]),
+            "same place": builders.build_configuration(
+                routes=[route, route | {"name": "r-2"}]
+            ),
+            "no time": builders.build_configuration(routes=[route | {"timeoutMs": 0}]),
+            "unknown kind": builders.build_configuration(
+                routes=[route | {"kind": "eventual"}]
+            ),
+            "shared key": builders.build_configuration(
+                tenants=[tenant, tenant | {"name": "other"}]
+            ),
+            "same name": builders.build_configuration(
+                tenants=[tenant, tenant | {"apiKeys": ["k2"]}]
+            ),
+            "version as text": builders.build_configuration(version="7"),
+            "no version": builders.build_configuration(version=0),
+            "routes missing": msgspec.json.encode({"version": 1, "services": []}),
+        }
+        for name, body in invalid.items():
+            with self.subTest(name), self.assertRaises(checks.CheckError):
+                documents.decode_document(body)
+
+
+class HeartbeatTest(unittest.TestCase):
+    def decode(self, **changes):
+        body = builders.build_heartbeat(**changes)
+        return announcements.decode_heartbeat("i-1", body, {"lots": 34})
+
+    def test_heartbeat_announces_a_backend_server(self):
+        server = self.decode().server
+        self.assertEqual(("i-1", "lots", "10.0.0.9", 8080), server[:4])
+        self.assertEqual((3, 34, False), server[6:])
+        self.assertTrue(self.decode(state="draining").server.is_leaving)
+
+    def test_heartbeat_of_another_writer_is_refused(self):
+        for changes in (
+            {"state": "resting"},
+            {"service": "unknown"},
+            {"address": "nowhere"},
+            {"slots": "three"},
+            {"sequence": None},
+            {"born": 1.5},
+        ):
+            with self.subTest(changes), self.assertRaises(checks.CheckError):
+                self.decode(**changes)
+
+    def test_late_heartbeat_changes_nothing(self):
+        sequencer = announcements.Sequencer()
+        self.assertTrue(sequencer.accept(self.decode(sequence=5)))
+        self.assertFalse(sequencer.accept(self.decode(sequence=4)))
+        self.assertTrue(sequencer.accept(self.decode(sequence=1, born=2000)))
+        self.assertFalse(sequencer.accept(self.decode(sequence=9)))
+
+    def test_address_belongs_to_whoever_started_last(self):
+        sequencer = announcements.Sequencer()
+        old = self.decode(born=1000)
+        body = builders.build_heartbeat(born=2000, sequence=1)
+        new = announcements.decode_heartbeat("i-2", body, {"lots": 34})
+        sequencer.accept(old)
+        self.assertTrue(sequencer.accept(new))
+        self.assertEqual(["i-1"], sequencer.find_replaced(new))
+        self.assertFalse(sequencer.accept(self.decode(born=1000, sequence=99)))
+
+
+class SettingsTest(unittest.TestCase):
+    def load(self, **changes):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "boot.json"
+            path.write_bytes(msgspec.json.encode(builders.SETTINGS | changes))
+            return settings.load_settings(path)
+
+    def test_seeds_are_control_hosts_by_address(self):
+        loaded = self.load()
+        self.assertEqual(
+            {
+                "control-10.0.0.2": peer.Address("10.0.0.2", 7560),
+                "control-10.0.1.2": peer.Address("10.0.1.2", 7560),
+            },
+            loaded.control_peers,
+        )
+        self.assertEqual((5, 0.1, 20), loaded.tolerance)
+
+    def test_wrong_settings_are_refused(self):
+        for changes in ({"ip": 3}, {"seeds": ["x"]}, {"internalPorts": "7560"}):
+            with self.subTest(changes), self.assertRaises(checks.CheckError):
+                self.load(**changes)
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_platform_names_stay_in_the_adapter(self):
+        names = (
+            "heartbeatUrl",
+            "coldLeftMs",
+            "WRONGNODE",
+            "CONNLIMIT",
+            "INDOUBT",
+            "X-Sedgeswitch-",
+            "apiKeys",
+            "bindAddrs",
+            "maxStalenessMs",
+        )
+        root = pathlib.Path(settings.__file__).parent.parent
+        found = [
+            str(path)
+            for path in root.rglob("*.py")
+            if root / "platform" not in path.parents
+            and any(name in path.read_text() for name in names)
+        ]
+        self.assertEqual([], found)
--- /dev/null
+++ b/sedgeswitch/platform/tests/test_lines.py
@@ -0,0 +1,195 @@
+"""Tests of the line protocol toward callers and instances."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from sedgeswitch.drivers import base
+from sedgeswitch.drivers import sessions
+from sedgeswitch.groups import positions
+from sedgeswitch.platform import client_edge
+from sedgeswitch.platform import instance_driver
+from sedgeswitch.platform import wire
+from sedgeswitch.platform.tests import builders
+from sedgeswitch.relay import steps
+from sedgeswitch.relay.tests import builders as relay_builders
+from sedgeswitch.utils.tests import virtual_time
+
+READY = b"READY I 3.7\r\n"
+DONE = b"COMPLETE sig\r\n" + READY
+
+
+class StepTest(unittest.TestCase):
+    def test_statements_are_decoded(self):
+        kinds = {
+            b"BEGIN": steps.Kind.BEGIN,
+            b"BEGIN READ": steps.Kind.BEGIN,
+            b"COMMIT": steps.Kind.COMMIT,
+            b"ROLLBACK": steps.Kind.ROLL_BACK,
+            b"READ 1a": steps.Kind.READ,
+            b"WRITE 1a some data": steps.Kind.WRITE,
+            b"SET tz Europe/Zagreb": steps.Kind.SET_VALUE,
+            b"PREPARE s1 WRITE q2c": steps.Kind.PREPARE,
+            b"EXECUTE s1 1a4 data": steps.Kind.EXECUTE,
+            b"DEALLOC s1": steps.Kind.FORGET,
+        }
+        for text, kind in kinds.items():
+            with self.subTest(text):
+                self.assertEqual(kind, client_edge.decode_step(b"1", text).kind)
+
+    def test_unknown_or_incomplete_statements_are_malformed(self):
+        for text in (b"", b"DROP x", b"READ", b"SET n", b"PREPARE s1 q", b"BEGIN NOW",
+                     b"COMMIT x", b"AFTER 3.1 READ x"):  # fmt: skip
+            with self.subTest(text):
+                step = client_edge.decode_step(b"1", text)
+                self.assertEqual(steps.Kind.MALFORMED, step.kind)
+
+    def test_failure_is_told_without_rows_or_line_breaks(self):
+        outcome = steps.build_failure(sessions.Failure.IN_DOUBT, "two\r\nlines")
+        self.assertEqual(
+            b"ERROR INDOUBT two  lines\r\nREADY E -\r\n",
+            client_edge.encode_outcome(outcome, wire.FAILED_TRANSACTION),
+        )
+
+    def test_every_failure_has_a_code(self):
+        self.assertEqual(set(sessions.Failure), set(wire.CODE_BY_FAILURE))
+
+
+class ConnectionTest(unittest.TestCase):
+    def exchange(self, answers, use):
+        """Run `use` on a connection to a scripted instance; return its lines."""
+        instance = builders.ScriptedInstance(answers)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(instance.run)
+                await use(instance_driver.LineConnection(instance.client))
+                nursery.cancel_scope.cancel()
+
+        virtual_time.run(main)
+        return instance.received
+
+    def test_statement_is_forwarded_unchanged_after_its_floor(self):
+        async def use(connection):
+            statement = sessions.Statement(b"5c0e", b"READ 1a4")
+            reply = await connection.run(statement, None, positions.Position(3, 7))
+            self.assertEqual((b"sig", (b"row one",)), (reply.signature, reply.rows))
+            self.assertEqual(positions.Position(3, 7), reply.position)
+
+        lines = self.exchange([b"ROW row one\r\n" + DONE], use)
+        self.assertEqual([b"QUERY 5c0e AFTER 3.7 READ 1a4"], lines)
+
+    def test_shape_is_prepared_once_for_all_names(self):
+        shape = sessions.Shape(True, b"q2c")
+
+        async def use(connection):
+            for number in (b"1", b"2"):
+                statement = sessions.Statement(number, b"EXECUTE mine x d", b"x d")
+                await connection.run(statement, shape)
+
+        lines = self.exchange([DONE] * 3, use)
+        self.assertEqual(
+            [b"QUERY - PREPARE s0 WRITE q2c", b"QUERY 1 EXECUTE s0 x d",
+             b"QUERY 2 EXECUTE s0 x d"],
+            lines,
+        )  # fmt: skip
+
+    def test_values_of_another_session_are_reset(self):
+        async def use(connection):
+            await connection.set_values({b"a": b"1"})
+            await connection.set_values({b"a": b"1"})
+            await connection.set_values({b"b": b"2"})
+
+        lines = self.exchange([DONE] * 3, use)
+        self.assertEqual(
+            [b"QUERY - SET a 1", b"QUERY - RESET", b"QUERY - SET b 2"], lines
+        )
+
+    def test_answer_cut_off_loses_the_connection(self):
+        async def use(connection):
+            with self.assertRaises(sessions.ConnectionLostError):
+                await connection.run(sessions.Statement(b"1", b"READ x"))
+            self.assertFalse(connection.is_usable)
+
+        self.exchange([None], use)
+
+    def test_cancelled_statement_closes_the_connection(self):
+        async def use(connection):
+            with trio.move_on_after(1):
+                await connection.run(sessions.Statement(b"1", b"READ x"))
+            self.assertFalse(connection.is_usable)
+
+        self.exchange([b"", b""], use)
+
+    def test_connection_in_a_transaction_is_not_usable(self):
+        async def use(connection):
+            reply = await connection.begin(False)
+            self.assertTrue(reply.is_in_transaction)
+            self.assertFalse(connection.is_usable)
+
+        self.exchange([b"COMPLETE -\r\nREADY T 3.7\r\n"], use)
+
+    def test_refused_greeting_says_that_nothing_ran(self):
+        async def use(connection):
+            with self.assertRaises(base.DriverError) as caught:
+                await connection.greet(b"lots", b"ward", b"i-1")
+            self.assertEqual("WRONG_INSTANCE", caught.exception.sqlstate)
+
+        self.exchange([b"ERROR WRONGNODE i-2\r\n"], use)
+
+    def test_promoted_primary_shows_its_term_before_its_log_does(self):
+        async def use(connection):
+            state = await connection.read_state()
+            self.assertFalse(state.in_recovery)
+            self.assertEqual(positions.Position(4, 1209), state.position)
+
+        row = b"ROW primary 4 3.1209 0 0 2 17\r\n"
+        self.exchange([row + DONE], use)
+
+
+class ClientTest(unittest.TestCase):
+    def talk(self, lines, database="primary", key=relay_builders.KEY):
+        """Send lines one after the other's READY; return everything received."""
+
+        async def main():
+            world = relay_builders.World()
+            ours, theirs = trio.testing.memory_stream_pair()
+            connection = client_edge.ClientConnection(
+                theirs, lambda name, given: world.build_session(name, given)
+            )
+            received = b""
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.run)
+                greeting = f"CONNECT {database} {key}".encode()
+                for line in (greeting, *lines):
+                    await ours.send_all(line + b"\r\n")
+                    answer = b""
+                    while b"READY" not in answer:
+                        data = await ours.receive_some(4096)
+                        if not data:
+                            return received + answer
+                        answer += data
+                    received += answer
+                await ours.aclose()
+            return received
+
+        return virtual_time.run(main).decode().splitlines()
+
+    def test_session_is_served(self):
+        lines = self.talk([b"QUERY 1 READ x", b"QUERY 2 WRITE x 1"])
+        self.assertEqual("READY I -", lines[0])
+        self.assertEqual("COMPLETE signed-a", lines[1])
+        self.assertEqual("READY I 1.1", lines[-1])
+
+    def test_unknown_database_or_key_is_refused_and_closed(self):
+        self.assertTrue(self.talk([], "other")[0].startswith("ERROR NODB "))
+        self.assertTrue(self.talk([], key="wrong")[0].startswith("ERROR NOAUTH "))
+
+    def test_state_follows_the_transaction(self):
+        lines = self.talk(
+            [b"QUERY 1 BEGIN", b"QUERY 2 NONSENSE", b"QUERY 3 READ x",
+             b"QUERY 4 ROLLBACK"]
+        )  # fmt: skip
+        states = [line.split()[1] for line in lines if line.startswith("READY")]
+        self.assertEqual(["I", "T", "E", "E", "I"], states)
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -204,6 +204,25 @@
         pooled.ticket = ticket
         return pooled
 
+    async def acquire_idle(self) -> PooledConnection | None:
+        """Return an idle connection of any organisation, None without one at hand.
+
+        It is for a question of the system's own, so that it waits for nothing.
+        """
+        if not self._idle or self._slots.running >= self._capacity:
+            return None
+        organisation = self._idle[0].organisation
+        now_s = trio.current_time()
+        ticket = await self._slots.acquire(organisation, now_s + 1.0, now_s)
+        usable = [item for item in self._idle if item.is_usable]
+        if not usable:
+            self._slots.release(ticket, trio.current_time(), is_observed=False)
+            return None
+        pooled = usable[0]
+        self._idle.remove(pooled)
+        pooled.ticket = ticket
+        return pooled
+
     async def release(
         self, pooled: PooledConnection, now_s: float, is_observed: bool = True
     ) -> None:
--- a/sedgeswitch/pools/shares.py
+++ b/sedgeswitch/pools/shares.py
@@ -17,7 +17,9 @@
 _TOLERANCE = 1e-9
 
 
-def get_capacity(max_connections: int, divisor: int) -> int:
+def get_capacity(
+    max_connections: int, divisor: int, reserved: int = RESERVED_CONNECTIONS
+) -> int:
     """Return how many connections to an instance a share allows.
 
     Parameters
@@ -26,10 +28,12 @@
         Connections that the instance takes.
     divisor : int
         The host's part is one in `divisor`; 0 for none.
+    reserved : int
+        Connections that are not shared.
     """
     if divisor == 0:
         return 0
-    return max(max_connections - RESERVED_CONNECTIONS, 0) // divisor
+    return max(max_connections - reserved, 0) // divisor
 
 
 class EntryShare:
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -6,10 +6,12 @@
 from sedgeswitch.databases import sections as database_sections
 from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import entry_section
+from sedgeswitch.groups import instances
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
 from sedgeswitch.observability import decisions
+from sedgeswitch.observability import exposition
 from sedgeswitch.relay import freshness
 from sedgeswitch.relay import steps
 from sedgeswitch.relay import trouble
@@ -59,6 +61,7 @@
     def __init__(self, groups: table.GroupTable):
         self._groups = groups
         self._histories: dict[str, freshness.PositionHistory] = {}
+        self._evidence: dict[str, tuple[instances.InstanceState, float]] = {}
         self.replicas = freshness.ReplicaPositions()
         self.trouble = trouble.Trouble()
 
@@ -70,11 +73,25 @@
         # Before the first commit of a term the log still ends in an earlier one.
         if position is None or position.timeline > permit.timeline:
             return
-        if self._groups.is_permit_valid(permit, clocks.get_now_s()):
+        now_s = clocks.get_now_s()
+        if self._groups.is_permit_valid(permit, now_s):
             self.get_history(permit.group).note(sent_s, position)
+            state = instances.InstanceState(
+                False, positions.Position(permit.timeline, position.lsn)
+            )
+            self._evidence[permit.primary] = (state, now_s)
+
+    def get_evidence(
+        self, instance: str, max_age_s: float
+    ) -> instances.InstanceState | None:
+        """Return the state that a primary's answers show, None if it is too old."""
+        state, told_s = self._evidence.get(instance, (None, float("-inf")))
+        return state if clocks.get_now_s() - told_s <= max_age_s else None
 
     def note_reply(self, instance: str, reply: sessions.Reply) -> None:
         """Note what any instance told."""
+        outcome = "done" if reply.failure is None else reply.failure.value[0]
+        exposition.REPLIES.labels(outcome).inc()
         if reply.position is not None:
             self.replicas.note(instance, reply.position, clocks.get_now_s())
         if reply.failure is None:
--- a/sedgeswitch/relay/session.py
+++ b/sedgeswitch/relay/session.py
@@ -9,6 +9,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import positions
+from sedgeswitch.observability import exposition
 from sedgeswitch.relay import access as accesses
 from sedgeswitch.relay import context
 from sedgeswitch.relay import links
@@ -85,10 +86,19 @@
             if not outcome.failure.is_nothing_kept:
                 # The commit was never sent, and now it never will be.
                 outcome = outcome._replace(failure=sessions.Failure.ABORTED)
+        self._count(step, outcome, trio.current_time() - started_s)
         if outcome.failure is not None:
             self._note_failure(step, outcome, started_s, was_in_transaction)
         return outcome
 
+    def _count(
+        self, step: steps.Step, outcome: steps.Outcome, duration_s: float
+    ) -> None:
+        kind = step.kind.value
+        told = "done" if outcome.failure is None else outcome.failure.value[0]
+        exposition.STATEMENTS.labels(kind, told).inc()
+        exposition.STATEMENT_SECONDS.labels(kind).observe(duration_s)
+
     def _note_failure(
         self,
         step: steps.Step,
@@ -159,8 +169,11 @@
         """Check and count an operation that begins."""
         access = self.check()
         if access.is_limited:
+            asked_s = trio.current_time()
             try:
                 await self._parts.admit(access.organisation, deadline_s)
+                waited_s = trio.current_time() - asked_s
+                exposition.ADMISSION_SECONDS.observe(waited_s)
             except verdicts.RefusedError as error:
                 refusal = error.refusal
                 raise steps.FailedError(
--- /dev/null
+++ b/sedgeswitch/relay/tests/test_sessions.py
@@ -0,0 +1,344 @@
+"""Tests of sessions against a group in memory, in virtual time."""
+
+import unittest
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.drivers import sessions
+from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.relay import steps
+from sedgeswitch.relay.tests import builders
+from sedgeswitch.utils.tests import virtual_time
+
+FAILURE = sessions.Failure
+
+
+def run_in_world(body, **options):
+    async def main():
+        await body(builders.World(**options))
+
+    virtual_time.run(main)
+
+
+class ReadTest(unittest.TestCase):
+    def test_first_read_asks_the_primary_and_later_ones_a_replica(self):
+        async def body(world):
+            session = world.build_session("bounded")
+            first, second = await builders.run_texts(session, b"READ x", b"READ y")
+            self.assertEqual(b"signed-a", first.signature)
+            self.assertIn(second.signature, (b"signed-b", b"signed-c"))
+
+        run_in_world(body)
+
+    def test_position_older_than_the_bound_is_not_used(self):
+        async def body(world):
+            session = world.build_session("bounded")
+            await session.run(builders.build_step(b"READ x"))
+            await trio.sleep(builders.STALENESS_S + 0.1)
+            outcome = await session.run(builders.build_step(b"READ y"))
+            self.assertEqual(b"signed-a", outcome.signature)
+
+        run_in_world(body)
+
+    def test_replica_that_lacks_an_old_commit_is_passed_over(self):
+        async def body(world):
+            writer = world.build_session("primary")
+            await writer.run(builders.build_step(b"WRITE x 1"))
+            await trio.sleep(builders.STALENESS_S / 2)
+            await writer.run(builders.build_step(b"READ x"))
+            await trio.sleep(builders.STALENESS_S / 2 + 0.1)
+            outcome = await world.build_session("bounded").run(
+                builders.build_step(b"READ x")
+            )
+            self.assertEqual(b"signed-a", outcome.signature)
+
+        run_in_world(body)
+
+    def test_session_reads_its_own_write_at_once(self):
+        async def body(world):
+            session = world.build_session("session")
+            _, outcome = await builders.run_texts(session, b"WRITE x 1", b"READ x")
+            self.assertEqual(b"signed-a", outcome.signature)
+            world.replicate()
+            await trio.sleep(0.3)
+            outcome = await session.run(builders.build_step(b"READ x"))
+            self.assertNotEqual(b"signed-a", outcome.signature)
+
+        run_in_world(body)
+
+    def test_silent_replica_leaves_time_for_another(self):
+        async def body(world):
+            session = world.build_session("bounded")
+            await session.run(builders.build_step(b"READ x"))
+            world.instances["b"].is_silent = world.instances["c"].is_silent = True
+            outcome = await session.run(builders.build_step(b"READ y"))
+            self.assertEqual(b"signed-a", outcome.signature)
+
+        run_in_world(body)
+
+    def test_read_of_a_replaced_primary_is_not_answered(self):
+        async def body(world):
+            session = world.build_session("primary")
+            await session.run(builders.build_step(b"READ x"))
+            world.instances["a"].is_silent = True
+
+            async def replace():
+                await trio.sleep(0.2)
+                world.change_group(1, "a", 2, ttypes.GroupPhase.FENCED)
+                world.promote("b", 2, 3)
+                world.instances["a"].is_silent = False
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(replace)
+                outcome = await session.run(builders.build_step(b"READ x"))
+            self.assertEqual(b"signed-b", outcome.signature)
+
+        run_in_world(body)
+
+    def test_read_without_a_lease_is_refused_in_time(self):
+        async def body(world):
+            world.groups.set_lease(float("-inf"))
+            outcome = await world.build_session().run(builders.build_step(b"READ x"))
+            self.assertEqual(FAILURE.OVERLOADED, outcome.failure)
+            self.assertLessEqual(trio.current_time(), builders.TIMEOUT_S + 0.1)
+
+        run_in_world(body)
+
+    def test_leaving_replica_gets_no_read(self):
+        async def body(world):
+            session = world.build_session("bounded")
+            world.announce("b", 1, is_leaving=True)
+            world.announce("c", 2, is_leaving=True)
+            texts = [b"READ x"] * 4
+            outcomes = await builders.run_texts(session, *texts)
+            self.assertEqual({b"signed-a"}, {item.signature for item in outcomes})
+
+        run_in_world(body)
+
+
+class WriteTest(unittest.TestCase):
+    def test_lost_answer_leaves_a_write_in_doubt(self):
+        async def body(world):
+            world.instances["a"].loses_answers = True
+            outcome = await world.build_session().run(builders.build_step(b"WRITE x 1"))
+            self.assertEqual(FAILURE.IN_DOUBT, outcome.failure)
+            self.assertEqual(1, len(world.log))
+
+        run_in_world(body)
+
+    def test_write_under_a_term_that_ended_is_in_doubt(self):
+        async def body(world):
+            session = world.build_session()
+            await session.run(builders.build_step(b"READ x"))
+            world.instances["a"].is_silent = True
+
+            async def fence():
+                await trio.sleep(0.1)
+                world.change_group(1, "a", 2, ttypes.GroupPhase.FENCED)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fence)
+                outcome = await session.run(builders.build_step(b"WRITE x 1"))
+            self.assertEqual(FAILURE.IN_DOUBT, outcome.failure)
+            self.assertEqual([], world.observations.acknowledged)
+
+        run_in_world(body)
+
+    def test_refused_write_is_sent_again_and_runs_once(self):
+        async def body(world):
+            world.instances["a"].failures = [FAILURE.OVERLOADED] * 3
+            outcome = await world.build_session().run(builders.build_step(b"WRITE x 1"))
+            self.assertIsNone(outcome.failure)
+            self.assertEqual(1, len(world.log))
+            self.assertEqual(1, len(world.observations.acknowledged))
+
+        run_in_world(body)
+
+    def test_failed_write_is_not_repeated(self):
+        async def body(world):
+            world.instances["a"].failures = [FAILURE.FAILED]
+            outcome = await world.build_session().run(builders.build_step(b"WRITE x 1"))
+            self.assertEqual(FAILURE.FAILED, outcome.failure)
+            self.assertEqual([], world.log)
+
+        run_in_world(body)
+
+
+class TransactionTest(unittest.TestCase):
+    def test_commit_keeps_and_roll_back_drops_the_work(self):
+        async def body(world):
+            session = world.build_session()
+            await builders.run_texts(session, b"BEGIN", b"WRITE x 1", b"ROLLBACK")
+            self.assertEqual([], world.log)
+            await builders.run_texts(session, b"BEGIN", b"WRITE x 2", b"COMMIT")
+            self.assertEqual([b"WRITE x 2"], world.log)
+            self.assertFalse(session.is_in_transaction)
+
+        run_in_world(body)
+
+    def test_transaction_counts_as_one_operation(self):
+        async def body(world):
+            session = world.build_session()
+            await builders.run_texts(
+                session, b"BEGIN", b"READ x", b"READ y", b"COMMIT", b"READ z"
+            )
+            self.assertEqual([builders.ORGANISATION] * 2, world.admitted)
+
+        run_in_world(body)
+
+    def test_lost_connection_aborts_and_only_the_end_is_taken(self):
+        async def body(world):
+            session = world.build_session()
+            await builders.run_texts(session, b"BEGIN", b"WRITE x 1")
+            world.instances["a"].loses_answers = True
+            lost, after = await builders.run_texts(session, b"READ x", b"READ y")
+            self.assertEqual(FAILURE.ABORTED, lost.failure)
+            self.assertEqual(FAILURE.MALFORMED, after.failure)
+            self.assertTrue(session.is_failed)
+            ended = await session.run(builders.build_step(b"ROLLBACK"))
+            self.assertIsNone(ended.failure)
+            self.assertEqual([], world.log)
+
+        run_in_world(body)
+
+    def test_lost_answer_to_a_commit_is_in_doubt(self):
+        async def body(world):
+            session = world.build_session()
+            await builders.run_texts(session, b"BEGIN", b"WRITE x 1")
+            world.instances["a"].loses_answers = True
+            outcome = await session.run(builders.build_step(b"COMMIT"))
+            self.assertEqual(FAILURE.IN_DOUBT, outcome.failure)
+            self.assertFalse(session.is_in_transaction)
+
+        run_in_world(body)
+
+    def test_commit_after_the_term_ended_is_aborted_unsent(self):
+        async def body(world):
+            session = world.build_session()
+            await builders.run_texts(session, b"BEGIN", b"WRITE x 1")
+            world.change_group(1, "a", 2, ttypes.GroupPhase.FENCED)
+            outcome = await session.run(builders.build_step(b"COMMIT"))
+            self.assertEqual(FAILURE.ABORTED, outcome.failure)
+            self.assertEqual([], world.log)
+
+        run_in_world(body)
+
+    def test_failed_statement_undoes_the_transaction_before_it_is_told(self):
+        async def body(world):
+            session = world.build_session()
+            await builders.run_texts(session, b"BEGIN", b"WRITE x 1")
+            world.instances["a"].failures = [FAILURE.FAILED]
+            outcome = await session.run(builders.build_step(b"READ x"))
+            # Nothing is kept, so the caller may repeat the whole of it.
+            self.assertEqual(FAILURE.ABORTED, outcome.failure)
+            self.assertTrue(
+                all(c.transaction is None for c in world.instances["a"].connections)
+            )
+
+        run_in_world(body)
+
+    def test_read_only_transaction_runs_on_a_replica(self):
+        async def body(world):
+            session = world.build_session("bounded")
+            await session.run(builders.build_step(b"READ x"))
+            outcomes = await builders.run_texts(
+                session, b"BEGIN READ", b"READ x", b"READ y", b"COMMIT"
+            )
+            signatures = {item.signature for item in outcomes[1:]}
+            self.assertEqual(1, len(signatures))
+            self.assertNotIn(b"signed-a", signatures)
+
+        run_in_world(body)
+
+    def test_idle_transaction_is_undone_and_told_once(self):
+        async def body(world):
+            session = world.build_session()
+            await builders.run_texts(session, b"BEGIN", b"WRITE x 1")
+            self.assertEqual(3.0, session.get_idle_limit_s())
+            await session.expire()
+            first, second = await builders.run_texts(session, b"READ x", b"COMMIT")
+            self.assertEqual(FAILURE.ABORTED, first.failure)
+            self.assertEqual(FAILURE.ABORTED, second.failure)
+            self.assertEqual([], world.log)
+
+        run_in_world(body)
+
+    def test_caller_that_leaves_frees_its_connection(self):
+        async def body(world):
+            session = world.build_session()
+            await builders.run_texts(session, b"BEGIN", b"WRITE x 1")
+            await session.close()
+            loads = world.backends.get_loads()
+            self.assertEqual(0, loads["a"].in_use)
+            self.assertEqual([], world.log)
+
+        run_in_world(body)
+
+
+class StateTest(unittest.TestCase):
+    def test_values_of_one_session_do_not_reach_another(self):
+        async def body(world):
+            first = world.build_session()
+            second = world.build_session()
+            await first.run(
+                steps.Step(steps.Kind.SET_VALUE, b"1", name=b"n", value=b"v")
+            )
+            await first.run(builders.build_step(b"READ x"))
+            await second.run(builders.build_step(b"READ y"))
+            values = [values for _, _, values in world.instances["a"].ran]
+            self.assertEqual([{b"n": b"v"}, {}], values)
+
+        run_in_world(body)
+
+    def test_prepared_statement_runs_until_it_is_forgotten(self):
+        async def body(world):
+            session = world.build_session()
+            shape = sessions.Shape(False, b"q1")
+            prepare = steps.Step(steps.Kind.PREPARE, b"1", name=b"s", shape=shape)
+            execute = steps.Step(
+                steps.Kind.EXECUTE, b"2", b"EXECUTE s x", name=b"s", value=b"x"
+            )
+            await session.run(prepare)
+            self.assertIsNone((await session.run(execute)).failure)
+            await session.run(steps.Step(steps.Kind.FORGET, b"3", name=b"s"))
+            outcome = await session.run(execute)
+            self.assertEqual(FAILURE.UNKNOWN_STATEMENT, outcome.failure)
+
+        run_in_world(body)
+
+    def test_withdrawn_key_ends_an_open_session(self):
+        async def body(world):
+            session = world.build_session()
+            await session.run(builders.build_step(b"READ x"))
+            world.put_in_force(builders.build_document(2, organisations={}))
+            outcome = await session.run(builders.build_step(b"READ x"))
+            self.assertEqual(FAILURE.UNAUTHENTICATED, outcome.failure)
+
+        run_in_world(body)
+
+    def test_removed_database_is_refused_on_an_open_session(self):
+        async def body(world):
+            session = world.build_session()
+            world.put_in_force(builders.build_document(2, databases={}))
+            outcome = await session.run(builders.build_step(b"READ x"))
+            self.assertEqual(FAILURE.UNKNOWN_DATABASE, outcome.failure)
+
+        run_in_world(body)
+
+    def test_operation_beyond_the_rate_is_refused_unsent(self):
+        async def body(world):
+            world.refusal = verdicts.build_not_run(429, "rate_exceeded", "", 50)
+            outcome = await world.build_session().run(builders.build_step(b"READ x"))
+            self.assertEqual(FAILURE.OVERLOADED, outcome.failure)
+            self.assertEqual([], world.instances["a"].ran)
+
+        run_in_world(body)
+
+    def test_instances_learn_the_organisation_and_never_the_key(self):
+        async def body(world):
+            await world.build_session().run(builders.build_step(b"READ x"))
+            (_, organisation, _) = world.instances["a"].ran[0]
+            self.assertEqual(builders.ORGANISATION, organisation)
+
+        run_in_world(body)
--- a/sedgeswitch/sessions/homes.py
+++ b/sedgeswitch/sessions/homes.py
@@ -22,6 +22,7 @@
 from sedgeswitch.sessions import messages
 from sedgeswitch.sessions import placement
 from sedgeswitch.sessions import tokens
+from sedgeswitch.utils import clocks
 
 RETRY_DELAY_S = 0.02
 QUERY_TIMEOUT_S = 0.25
@@ -207,7 +208,7 @@
             await trio.sleep(RETRY_DELAY_S)
 
     async def _wait_leased(self) -> None:
-        while not self._is_lease_valid(trio.current_time()):
+        while not self._is_lease_valid(clocks.get_now_s()):
             await trio.sleep(RETRY_DELAY_S)
 
     def _is_current(self, placed: placement.Placement, now_s: float) -> bool:
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -36,12 +36,15 @@
     policy : str
         Registered name of the policy that orders replicas.
     pool : pool.PoolSettings
+    reserved : int
+        Connections of an instance that hosts do not share.
     """
 
     availability_zone: str
     connections_per_instance: int
     policy: str
     pool: pool.PoolSettings
+    reserved: int = shares.RESERVED_CONNECTIONS
 
 
 class _Kept(typing.NamedTuple):
@@ -198,7 +201,7 @@
             await kept.connections.close()
 
     def _get_capacity(self, max_connections: int, divisor: int) -> int:
-        shared = shares.get_capacity(max_connections, divisor)
+        shared = shares.get_capacity(max_connections, divisor, self._options.reserved)
         return min(self._options.connections_per_instance, shared)
 
     def _limit(self, divisor: int) -> None:
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -24,6 +24,7 @@
 from sedgeswitch.statements import requests
 from sedgeswitch.statements import service
 from sedgeswitch.statements import writes
+from sedgeswitch.utils import clocks
 
 PATH = "/v1/transactions"
 STATEMENTS_PATH = PATH + "/{transaction}/statements"
@@ -236,7 +237,7 @@
             return _answer_again(transaction_id, ending)
         transaction = self._get_for_commit(transaction_id, organisation)
         kept = transaction.context
-        if not self._parts.groups.is_permit_valid(kept.permit, trio.current_time()):
+        if not self._parts.groups.is_permit_valid(kept.permit, clocks.get_now_s()):
             await self._owned.close(transaction)
             raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
         deadline_s = trio.current_time() + COMMIT_TIMEOUT_S
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -21,6 +21,7 @@
 from sedgeswitch.statements import replicas
 from sedgeswitch.statements import requests
 from sedgeswitch.statements import tries
+from sedgeswitch.utils import clocks
 
 RETRY_DELAY_S = 0.05
 # How often a host that writes to a group with keys cleans the group's ledger.
@@ -129,7 +130,7 @@
             raise refusals.build_lease_lost(verdicts.Verdict.MAY_HAVE_RUN)
         if not is_safe:
             raise refusals.build_not_replicated()
-        if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
+        if not self._parts.groups.is_permit_valid(permit, clocks.get_now_s()):
             raise refusals.build_lease_lost(verdicts.Verdict.MAY_HAVE_RUN)
         return position
 
@@ -148,7 +149,7 @@
             with self._interrupter.interruptible(permit) as scope:
                 pooled = await context.acquire(connections, work, statement.deadline_s)
                 # The wait for a connection may have outlasted the lease.
-                if not self._parts.groups.is_permit_valid(permit, trio.current_time()):
+                if not self._parts.groups.is_permit_valid(permit, clocks.get_now_s()):
                     raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
                 if not work.eligibility.may_run_on(server.instance):
                     raise primaries.build_not_eligible()
