Add voters up to the count that the tolerated losses need

Cause: three founders tolerate one lost disk, a deployment may ask for two. Ruled out: more founders, as a process is told three seeds at most. Change: hosts that ask are added one at a time, caught up first, until a majority is left after the tolerated losses.

--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -25,7 +25,7 @@
 # Age at which a request for a place stops counting, in seconds.
 REQUEST_AGE_S = 3.0
 CHECK_INTERVAL_S = 0.5
-REPLACE_TIMEOUT_S = 5.0
+CHANGE_TIMEOUT_S = 5.0
 CALL_TIMEOUT_S = 1.0
 
 
@@ -36,16 +36,27 @@
     received_s: float
 
 
+class _Change(typing.NamedTuple):
+    """A change of the voters; without `old_id` one is added."""
+
+    old_id: str | None
+    new_id: str
+    address: peer.Address
+
+
 class VoterKeeper:
-    """Replaces voters while this host leads.
+    """Adds and replaces voters while this host leads.
 
     Parameters
     ----------
     node : node.Node
+    voter_count : int
+        Voters to have where enough hosts ask for a place.
     """
 
-    def __init__(self, node: node_module.Node):
+    def __init__(self, node: node_module.Node, voter_count: int):
         self._node = node
+        self._voter_count = voter_count
         self._requests: dict[str, _Request] = {}
 
     async def answer_join(self, request: messages.JoinRequest) -> messages.JoinReply:
@@ -69,24 +80,28 @@
         return messages.JoinReply(request.node_id in voters)
 
     async def run(self) -> None:
-        """Replace voters, one at a time, until cancelled."""
+        """Change voters, one at a time, until cancelled."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             change = self._find_change(clocks.get_now_s())
             if change is None:
                 continue
-            old_id, new_id, address = change
-            loguru.logger.info("replacing a voter", old=old_id, new=new_id)
+            loguru.logger.info("changing the voters", **change._asdict())
             try:
-                await self._node.replace_voter(
-                    old_id, new_id, address, REPLACE_TIMEOUT_S
-                )
-                loguru.logger.info("replaced a voter", old=old_id, new=new_id)
+                await self._make(change)
+                loguru.logger.info("changed the voters", **change._asdict())
             except errors.AgreementError as error:
-                loguru.logger.warning("voter not replaced", old=old_id, why=str(error))
+                loguru.logger.warning("voters not changed", reason=str(error))
+
+    async def _make(self, change: "_Change") -> None:
+        if change.old_id is None:
+            await self._node.add_voter(change.new_id, change.address, CHANGE_TIMEOUT_S)
+        else:
+            await self._node.replace_voter(
+                change.old_id, change.new_id, change.address, CHANGE_TIMEOUT_S
+            )
 
-    def _find_change(self, now_s: float) -> tuple[str, str, peer.Address] | None:
-        """Return the voter that leaves, and id and address of the one that joins."""
+    def _find_change(self, now_s: float) -> "_Change | None":
         leadership = self._node.get_leadership(now_s)
         if leadership is None:
             return None
@@ -95,7 +110,7 @@
         voters = [item for item in status.peers if item.is_voter]
         for voter in voters:
             if voter.is_replaced and voter.id in addresses:
-                return voter.id, voter.id, addresses[voter.id]
+                return _Change(voter.id, voter.id, addresses[voter.id])
         newcomer = self._find_newcomer(addresses, now_s)
         if newcomer is None:
             return None
@@ -103,7 +118,9 @@
         for voter in voters:
             silent_s = led_s if voter.contact_age_s is None else voter.contact_age_s
             if silent_s >= SILENCE_LIMIT_S:
-                return voter.id, *newcomer
+                return _Change(voter.id, *newcomer)
+        if len(addresses) < self._voter_count:
+            return _Change(None, *newcomer)
         return None
 
     def _find_newcomer(
--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -383,6 +383,26 @@
         except trio.TooSlowError:
             raise errors.OutcomeUnknownError("not replaced in time") from None
 
+    async def add_voter(
+        self, new_id: str, new_address: peer.Address, timeout_s: float
+    ) -> None:
+        """Add a host that runs on an empty disk to the voters.
+
+        It receives the log before it counts. May be repeated after a failure.
+
+        Raises
+        ------
+        errors.AgreementError
+            See `replace_voter`.
+        """
+        checks.check_name("new_id", new_id)
+        self._get_leading_state()
+        try:
+            with trio.fail_after(timeout_s):
+                await self._reconfiguration.add_voter(new_id, new_address)
+        except trio.TooSlowError:
+            raise errors.OutcomeUnknownError("not added in time") from None
+
     async def _open_storage(self) -> storage_module.Stored:
         stored = await self._run_in_thread(self._storage.open)
         self._damage = stored.damage
--- a/sedgeswitch/agreement/reconfiguration.py
+++ b/sedgeswitch/agreement/reconfiguration.py
@@ -36,10 +36,28 @@
             member = await self._identify(new_id, new_address)
             if self._is_done(old_id, member):
                 return
-            await self._replace(self._find_voter(old_id, member), member)
+            await self._change(self._find_voter(old_id, member), member)
         finally:
             self._is_busy = False
 
+    async def add_voter(self, new_id: str, new_address: peer.Address) -> None:
+        """Add a voter; see `node.Node.add_voter`."""
+        self._check_idle()
+        self._is_busy = True
+        try:
+            member = await self._identify(new_id, new_address)
+            if member in self._state.log.voter_set.voters:
+                return
+            # Refuses a host that is a voter already, on another disk.
+            self._check_absent(member)
+            await self._change(None, member)
+        finally:
+            self._is_busy = False
+
+    def _check_absent(self, member: voters.Member) -> None:
+        if any(voter.id == member.id for voter in self._state.log.voter_set.voters):
+            raise errors.ReplacementError(f"{member.id} is a voter already")
+
     def _check_idle(self) -> None:
         state = self._state
         state.check_leading()
@@ -84,13 +102,16 @@
                 return voter
         raise errors.ReplacementError(f"{old_id} is not a voter")
 
-    async def _replace(self, old: voters.Member, new: voters.Member) -> None:
+    async def _change(self, old: voters.Member | None, new: voters.Member) -> None:
+        """Put a member in the place of a voter, or beside all of them."""
         state = self._state
         term = state.term
         present = state.log.voter_set.voters
         await self._commit(voters.VoterSet(present, learners=(new,)), term)
         await self._wait_held(new, state.commit_index, term)
         after = tuple(new if voter == old else voter for voter in present)
+        if old is None:
+            after = (*present, new)
         await self._commit(voters.VoterSet(after, old_voters=present), term)
         # The leader ends the joint step by itself; see Replication.
         while state.log.voter_set.old_voters:
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -51,6 +51,8 @@
         Where this host takes messages.
     control_addresses : mapping of str to peer.Address
         Control hosts that are known from the start, by their ids.
+    voter_count : int
+        Voters to have where there are enough control hosts.
     """
 
     node: agreement_settings.NodeSettings
@@ -60,6 +62,7 @@
     tolerance: relay_groups.Tolerance
     peers: peer.Address
     control_addresses: collections.abc.Mapping[str, peer.Address]
+    voter_count: int
 
 
 class RelayControl(control_core.ControlCore):
@@ -114,7 +117,7 @@
             self.servers, self.directory, self.node.propose, self.is_leading
         )
         self.control_peers = heart.ControlPeers(options.control_addresses)
-        self._keeper = joining.VoterKeeper(self.node)
+        self._keeper = joining.VoterKeeper(self.node, options.voter_count)
         self._joiner = joining.Joiner(
             self.node,
             messages.JoinRequest(options.node.node_id, *options.peers),
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -167,6 +167,7 @@
             settings.tolerance,
             peer.Address(settings.ip, port),
             settings.control_peers,
+            settings.voter_count,
         )
         self._control = relay_control.RelayControl(
             options,
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -30,6 +30,11 @@
     quotaSlack: float
 
 
+class _Tolerance(typing.TypedDict, total=False):
+    # Control hosts that may be lost at the same time.
+    machines: int
+
+
 class _Cloud(typing.TypedDict, total=False):
     address: str
     duties: list[str]
@@ -46,6 +51,7 @@
     bootstrap: bool
     dataDir: typing.NotRequired[str | None]
     bounds: typing.NotRequired[_Bounds]
+    faultTolerance: typing.NotRequired[_Tolerance]
     cloudApi: typing.NotRequired[_Cloud | None]
 
 
@@ -74,6 +80,8 @@
         Where the platform takes orders to promote an instance.
     tolerance : relay_groups.Tolerance
         What may pass beyond the limits of organisations.
+    tolerated_losses : int
+        Control hosts that may be lost at the same time.
     """
 
     host_name: str
@@ -91,6 +99,12 @@
     grace_s: float
     promotions: peer.Address | None
     tolerance: relay_groups.Tolerance
+    tolerated_losses: int
+
+    @property
+    def voter_count(self) -> int:
+        """Voters of whom a majority is left after the tolerated losses."""
+        return 2 * self.tolerated_losses + 1
 
     @property
     def control_id(self) -> str:
@@ -175,6 +189,7 @@
             bounds.get("quotaOverage", 0.0),
             bounds.get("quotaSlack", 0.0),
         ),
+        tolerated_losses=document.get("faultTolerance", {}).get("machines", 1),
     )
 
 
