--- a/sedgeswitch/cli/__main__.py
+++ b/sedgeswitch/cli/__main__.py
@@ -13,6 +13,7 @@
 from sedgeswitch.cli import drain_commands
 from sedgeswitch.cli import environment as environments
 from sedgeswitch.cli import exit_codes
+from sedgeswitch.cli import explain_command
 from sedgeswitch.cli import key_commands
 from sedgeswitch.cli import status_commands
 
@@ -31,6 +32,7 @@
     status_commands.StatusCommand,
     status_commands.MovePrimaryCommand,
     status_commands.ReplaceControlCommand,
+    explain_command.ExplainCommand,
 )
 
 
