--- a/sedgeswitch/membership/tests/test_incarnations.py
+++ b/sedgeswitch/membership/tests/test_incarnations.py
@@ -62,5 +62,32 @@
         virtual_time.run(body)
 
 
+class ExclusiveAddressTest(unittest.TestCase):
+    """A process under the address of another proves that the other has ended."""
+
+    def setUp(self):
+        members = machine.MembersMachine()
+        self.registrar = registrar.Registrar(
+            FakeLog(members), members, LEASE_S, is_address_exclusive=True
+        )
+
+    def test_restarted_process_gets_its_lease_at_once(self):
+        async def body():
+            await self.registrar.answer_heartbeat(build_heartbeat("first"))
+            answer = await self.registrar.answer_heartbeat(build_heartbeat("second"))
+            self.assertGreater(answer.lease_ms, 0)
+
+        virtual_time.run(body)
+
+    def test_late_heartbeat_of_the_ended_process_changes_nothing(self):
+        async def body():
+            await self.registrar.answer_heartbeat(build_heartbeat("first"))
+            await self.registrar.answer_heartbeat(build_heartbeat("second"))
+            with self.assertRaises(failures.CallError):
+                await self.registrar.answer_heartbeat(build_heartbeat("first"))
+
+        virtual_time.run(body)
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/sedgeswitch/relay/tests/test_probes.py
@@ -0,0 +1,99 @@
+"""Tests of probes that spend little, and of pools bound to an organisation."""
+
+import unittest
+
+import trio
+
+from sedgeswitch.drivers import base
+from sedgeswitch.groups import instances
+from sedgeswitch.groups import positions
+from sedgeswitch.relay import probes
+from sedgeswitch.relay.tests import builders
+from sedgeswitch.utils.tests import virtual_time
+
+STATE = instances.InstanceState(False, positions.Position(1, 7))
+
+
+class CountingDriver:
+    def __init__(self):
+        self.opened = 0
+        self.is_usable = True
+
+    async def connect(self, target, timeout_s):
+        self.opened += 1
+        return self
+
+    async def read_state(self):
+        await trio.sleep(0.01)
+        return STATE
+
+    async def close(self):
+        self.is_usable = False
+
+
+class ProbeTest(unittest.TestCase):
+    def run_probe(self, body):
+        async def main():
+            world = builders.World()
+            driver = CountingDriver()
+            knowledge = world.parts.knowledge
+            opener = probes.ProbeDriver(driver, world.backends, knowledge)
+            target = base.Target("10.0.0.0", 80, builders.GROUP, instance="a")
+            connection = await opener.connect(target, 1.0)
+            await body(world, driver, connection)
+
+        virtual_time.run(main)
+
+    def test_fresh_answer_of_the_primary_stands_for_a_probe(self):
+        async def body(world, driver, connection):
+            await world.build_session().run(builders.build_step(b"READ x"))
+            state = await connection.read_state()
+            self.assertEqual((False, positions.Position(1, 0)), tuple(state))
+            self.assertEqual(0, driver.opened)
+
+        self.run_probe(body)
+
+    def test_probe_without_idle_connection_opens_one_and_keeps_it(self):
+        async def body(world, driver, connection):
+            for _ in range(3):
+                self.assertEqual(STATE, await connection.read_state())
+            self.assertEqual(1, driver.opened)
+
+        self.run_probe(body)
+
+    def test_idle_connection_is_borrowed_and_given_back(self):
+        async def body(world, driver, connection):
+            await world.build_session().run(builders.build_step(b"READ x"))
+            held = world.instances["a"].connections[0]
+
+            async def read_state():
+                return STATE
+
+            held.read_state = read_state
+            await trio.sleep(2 * probes.EVIDENCE_AGE_S)
+            self.assertEqual(STATE, await connection.read_state())
+            self.assertEqual(0, driver.opened)
+            load = world.backends.get_loads()["a"]
+            self.assertEqual((0, 1), (load.in_use, load.idle))
+
+        self.run_probe(body)
+
+
+class BoundPoolTest(unittest.TestCase):
+    def test_connection_serves_only_the_organisation_that_opened_it(self):
+        async def body():
+            # Five connections, of which four are not shared: one is left.
+            world = builders.World(max_connections=6)
+            server = world.servers.servers["a"]
+            connections = world.backends.get_pool(server, builders.GROUP)
+            self.assertEqual(1, connections.load.capacity)
+            for organisation in ("ward-4", "ward-5", "ward-5", "ward-4"):
+                deadline_s = trio.current_time() + 1
+                pooled = await connections.acquire(organisation, deadline_s)
+                self.assertEqual(organisation, pooled.connection.organisation)
+                await connections.release(pooled, trio.current_time())
+            opened = [item.organisation for item in world.instances["a"].connections]
+            self.assertEqual(["ward-4", "ward-5", "ward-4"], opened)
+            self.assertEqual(1, connections.open_count)
+
+        virtual_time.run(body)
