--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -14,8 +14,8 @@
 from sedgeswitch.agreement import errors
 from sedgeswitch.agreement import messages
 from sedgeswitch.agreement import node as node_module
-from sedgeswitch.membership import hints
 from sedgeswitch.transport import failures
+from sedgeswitch.transport import hints
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import clocks
 
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -176,7 +176,7 @@
                 await self.heart.leave()
             except failures.CallError as error:
                 # The lease runs out by itself.
-                loguru.logger.info("no control host took the farewell: {}", error)
+                loguru.logger.info("lease not given up: {}", error)
 
     def _build_backends(
         self, driver: typing.Any, rng: random.Random
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -7,12 +7,12 @@
 import trio
 
 from sedgeswitch import verdicts
-from sedgeswitch.membership import hints
 from sedgeswitch.membership import machine
 from sedgeswitch.membership import messages
 from sedgeswitch.membership import sections
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
+from sedgeswitch.transport import hints
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import clocks
 
--- a/sedgeswitch/membership/tests/test_hints.py
+++ b/sedgeswitch/membership/tests/test_hints.py
@@ -6,9 +6,9 @@
 
 from sedgeswitch import verdicts
 from sedgeswitch.membership import heart
-from sedgeswitch.membership import hints
 from sedgeswitch.membership import messages
 from sedgeswitch.transport import failures
+from sedgeswitch.transport import hints
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 
--- a/sedgeswitch/relay/transactions.py
+++ b/sedgeswitch/relay/transactions.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from sedgeswitch.databases import documents
 from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import table
@@ -155,9 +156,7 @@
 
         access = self.access
         if not self._is_read_only:
-            database = access.database._replace(
-                freshness=reads.documents.Freshness.PRIMARY
-            )
+            database = access.database._replace(freshness=documents.Freshness.PRIMARY)
             access = access._replace(database=database)
         placement = await self._reader.run(
             access, self._session_floor, deadline_s, begin, is_kept=True
