Promote by the lower of two sufficient floors; refuse at once in long outages

A primary tells its whole log, of which the end may be on it alone, so the acknowledged position stood above both replicas; it replaced the floor of a quorum that was known. Ruled out: unreachable replicas (both answered; promotion followed at once when an entry host's restart made the acknowledged position unknown). Change: either floor holds every acknowledged write, the lower one is taken; after 3 s without a primary requests are refused at once.

--- a/sedgeswitch/groups/choice.py
+++ b/sedgeswitch/groups/choice.py
@@ -127,8 +127,9 @@
     if _has_pending(group, states):
         return Decision(Step.WAIT)
     floor = _get_floor(group, readings, ack_instances, target is not None)
-    if floor is None or (target is None and acknowledged is not None):
-        floor = acknowledged
+    if acknowledged is not None and target is None:
+        # Each of the two holds every acknowledged write, so the lower one will do.
+        floor = acknowledged if floor is None else min(floor, acknowledged)
     if floor is None:
         return Decision(Step.WAIT)
     fit = [name for name, state in readings.replicas.items() if state.position >= floor]
--- a/sedgeswitch/groups/tests/test_fencing.py
+++ b/sedgeswitch/groups/tests/test_fencing.py
@@ -126,6 +126,13 @@
         decision = self.decide({"b": build_state(90)}, None)
         self.assertIs(choice.Step.WAIT, decision.step)
 
+    def test_two_replicas_are_enough_whatever_the_floor_says(self):
+        # A primary tells its whole log, of which the end may be on it alone.
+        states = {"b": build_state(45), "c": build_state(48)}
+        decision = self.decide(states, FLOOR)
+        self.assertIs(choice.Step.PROMOTE, decision.step)
+        self.assertEqual("c", decision.instance)
+
     def test_replica_that_holds_most_is_preferred(self):
         states = {"b": build_state(50), "c": build_state(70)}
         self.assertEqual("c", self.decide(states, FLOOR).instance)
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -19,6 +19,9 @@
 from sedgeswitch.statements import interruption
 from sedgeswitch.utils import clocks
 
+# Time without a request after which an outage is taken for a new one, in seconds.
+OUTAGE_MEMORY_S = 2.0
+
 Admit = collections.abc.Callable[[str, float], collections.abc.Awaitable[None]]
 
 
@@ -62,6 +65,7 @@
         self._groups = groups
         self._histories: dict[str, freshness.PositionHistory] = {}
         self._evidence: dict[str, tuple[instances.InstanceState, float]] = {}
+        self._outages: dict[str, tuple[float, float]] = {}
         self.replicas = freshness.ReplicaPositions()
         self.trouble = trouble.Trouble()
 
@@ -103,6 +107,18 @@
         """Note that an instance was unreachable or gave no answer in time."""
         self.trouble.note_failure(instance, clocks.get_now_s())
 
+    def note_outage(self, group: str, now_s: float) -> float:
+        """Return for how long a group has been seen without a primary, in seconds."""
+        since_s, seen_s = self._outages.get(group, (now_s, now_s))
+        if now_s - seen_s > OUTAGE_MEMORY_S:
+            since_s = now_s
+        self._outages[group] = (since_s, now_s)
+        return now_s - since_s
+
+    def end_outage(self, group: str) -> None:
+        """Note that a group has a primary."""
+        self._outages.pop(group, None)
+
     def get_history(self, group: str) -> freshness.PositionHistory:
         """Return the positions of a group's primary."""
         history = self._histories.get(group)
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -21,6 +21,9 @@
 TRY_TIME_SHARE = 0.45
 # Least time for one try, in seconds; most reads take a tenth of it.
 LEAST_TRY_S = 0.15
+# Time without a primary after which its return is no longer waited for, in
+# seconds; most changes of primary are over by then.
+OUTAGE_PATIENCE_S = 3.0
 # Pause before the primary is tried again, in seconds.
 RETRY_DELAY_S = 0.02
 
@@ -289,10 +292,13 @@
         If there is none in time; nothing has run.
     """
     while True:
-        permit = parts.groups.check_write(group, clocks.get_now_s())
+        now_s = clocks.get_now_s()
+        permit = parts.groups.check_write(group, now_s)
         if permit is not None:
+            parts.knowledge.end_outage(group)
             return permit
-        if trio.current_time() >= deadline_s:
+        outage_s = parts.knowledge.note_outage(group, now_s)
+        if outage_s >= OUTAGE_PATIENCE_S or trio.current_time() >= deadline_s:
             raise steps.FailedError(
                 sessions.Failure.OVERLOADED,
                 f"group {group} has no primary at present; retry after 500 ms",
--- a/sedgeswitch/relay/tests/test_sessions.py
+++ b/sedgeswitch/relay/tests/test_sessions.py
@@ -105,6 +105,24 @@
 
         run_in_world(body)
 
+    def test_long_outage_is_refused_at_once_and_forgotten_at_its_end(self):
+        async def body(world):
+            session = world.build_session()
+            world.change_group(1, "a", 2, ttypes.GroupPhase.FENCED)
+            waits_s = []
+            for _ in range(6):
+                started_s = trio.current_time()
+                outcome = await session.run(builders.build_step(b"READ x"))
+                self.assertEqual(FAILURE.OVERLOADED, outcome.failure)
+                waits_s.append(trio.current_time() - started_s)
+            self.assertAlmostEqual(builders.TIMEOUT_S, waits_s[0], delta=0.1)
+            self.assertLess(waits_s[-1], 0.05)
+            world.promote("b", 2, 3)
+            outcome = await session.run(builders.build_step(b"READ x"))
+            self.assertEqual(b"signed-b", outcome.signature)
+
+        run_in_world(body)
+
     def test_leaving_replica_gets_no_read(self):
         async def body(world):
             session = world.build_session("bounded")
