Count the time of imports towards the wait after a restart

Ruled out: a shorter timeout, on which leases rest; a saved time of the last heartbeat, which costs a sync each. Change: State counts from the start of the process (utils.uptime).

--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -116,6 +116,9 @@
         Draws election timeouts.
     run_in_thread : callable
         ``await run_in_thread(function, *args)`` runs a blocking function.
+    get_uptime_s : callable
+        Returns for how long this process is known to have run: it has voted for
+        nobody and heard no leader in that time.
 
     Examples
     --------
@@ -130,6 +133,7 @@
         registry: machines.Registry,
         rng: random.Random,
         run_in_thread: writer_module.RunInThread = trio.to_thread.run_sync,
+        get_uptime_s: typing.Callable[[], float] = lambda: 0.0,
     ):
         self._settings = settings_module.check_settings(settings)
         self._storage = storage
@@ -137,6 +141,7 @@
         self._registry = registry
         self._rng = rng
         self._run_in_thread = run_in_thread
+        self._get_uptime_s = get_uptime_s
         self._slots = trio.Semaphore(settings.max_inflight_proposals)
         self._damage = ""
         self._ready = Leadership(0, 0.0)
@@ -194,7 +199,7 @@
                 log_module.Log(stored.snapshot, stored.entries),
                 writer,
                 stored,
-                clocks.get_now_s(),
+                clocks.get_now_s() - self._get_uptime_s(),
             )
             if stored.snapshot is not None:
                 self._registry.load_snapshot(stored.snapshot.body)
--- a/sedgeswitch/agreement/state.py
+++ b/sedgeswitch/agreement/state.py
@@ -51,9 +51,9 @@
     log : log.Log
     writer : writer.Writer
     stored : storage.Stored
-    now_s : float
-        The host hears no candidate for the shortest election timeout from now,
-        since it does not know whom it heard before it was restarted.
+    started_s : float
+        Start of the process. The host hears no candidate for the shortest election
+        timeout from then, since it does not know whom it heard before.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         log: log_module.Log,
         writer: writer_module.Writer,
         stored: storage.Stored,
-        now_s: float,
+        started_s: float,
     ):
         self.settings = settings
         self.incarnation = incarnation
@@ -74,8 +74,8 @@
         self.voted_for = stored.voted_for
         self.role = Role.FOLLOWER
         self.leader_id: str | None = None
-        self.leader_heard_s = now_s
-        self.vote_granted_s = now_s
+        self.leader_heard_s = started_s
+        self.vote_granted_s = started_s
         self.led_since_s = NEVER_S
         self.term_start_index = 0
         self.commit_index = log.snapshot_index
--- a/sedgeswitch/agreement/tests/builders.py
+++ b/sedgeswitch/agreement/tests/builders.py
@@ -156,7 +156,7 @@
             await self.start(node_id)
         return await self.wait_for_leader()
 
-    async def start(self, node_id):
+    async def start(self, node_id, uptime_s=0.0):
         listed = any(voter.id == node_id for voter in self._bootstrap)
         node_settings = settings.NodeSettings(
             node_id, self._bootstrap if listed else (), **self._overrides
@@ -173,6 +173,7 @@
             registry,
             self.rng,
             self._run_slowly,
+            lambda: uptime_s,
         )
         scope = trio.CancelScope()
         self.hosts[node_id] = Host(started, recorder, scope)
--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -34,6 +34,7 @@
 from sedgeswitch.pools import shares
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import uptime
 
 GROUPS = "groups"
 DIRECTORY = "directory"
@@ -158,7 +159,14 @@
         folder = pathlib.Path(data_folder) / LOG_FOLDER
         folder.mkdir(parents=True, exist_ok=True)
         storage = sqlite_storage.SqliteStorage(folder)
-        return node.Node(options, storage, self.network, registry, rng)
+        return node.Node(
+            options,
+            storage,
+            self.network,
+            registry,
+            rng,
+            get_uptime_s=uptime.get_uptime_s,
+        )
 
     def _build_groups(self, options: GroupOptions) -> None:
         self.groups_section = groups_sections.ControlSection(
