Let hosts refill their tokens while no leader answers

Ruled out: a fixed local share, which overlaps with what others draw; longer lifetimes, which hold back the tokens of dead hosts. Change: each grant carries an allowance; a host that gets no answers for 0.7 s refills its stock with it, up to what it held and until the grant expires. The leader takes the allowances of hosts that may be silent off the refill, and a new leader reckons with what hosts refilled. Hosts report as soon as another control host answers. Stocks for 3 s, demand over 2 s. A test of the bound over a change of leader loads its hosts once more, since a stock is counted until its host has told that it is gone; its bounds stay.

--- a/sedgeswitch/admission/bucket.py
+++ b/sedgeswitch/admission/bucket.py
@@ -22,15 +22,51 @@
 
 
 class Hold:
-    """What one host may hold, as far as the leader knows."""
+    """What one host may hold, as far as the leader knows.
 
-    __slots__ = ("count", "demand_per_s", "expires_s", "spent_total")
+    A host that gets no answers refills its stock itself, up to what it held after
+    the last grant that it applied and at the allowance of that grant. Which grant
+    that was is known with the next draw only; the bounds cover all that may be.
+    """
+
+    __slots__ = (
+        "allowance_per_s",
+        "capacity",
+        "confirmed_s",
+        "count",
+        "demand_per_s",
+        "expires_s",
+        "is_silent",
+        "reserved",
+        "spent_total",
+        "told_allowance_per_s",
+        "told_capacity",
+        "told_s",
+        "told_sequence",
+        "watched_s",
+    )
 
     def __init__(self, spent_total: int):
         self.count = 0
         self.spent_total = spent_total
         self.demand_per_s = 0.0
         self.expires_s = 0.0
+        # Counted in the bucket's sum of tokens that are held.
+        self.reserved = 0
+        # Bounds over the last grant that was confirmed and all later ones.
+        self.capacity = 0
+        self.allowance_per_s = 0.0
+        # The last grant.
+        self.told_capacity = 0
+        self.told_allowance_per_s = 0.0
+        self.told_sequence = 0
+        self.told_s = 0.0
+        # When the grant was made that the host is known to have applied last; of
+        # the first grant until one is known.
+        self.confirmed_s: float | None = None
+        self.is_silent = False
+        # When to look whether the host is silent.
+        self.watched_s: float | None = None
 
 
 class FleetBucket:
@@ -64,7 +100,11 @@
         self._refilled_s = now_s
         self._holds: dict[HostKey, Hold] = {}
         self._expiries: list[tuple[float, HostKey]] = []
+        self._silences: list[tuple[float, HostKey]] = []
+        self._allowed_per_s = 0.0
+        self._silent_per_s = 0.0
         self._unknown_hosts = 0
+        self._unknown_per_s = 0.0
 
     def set_limit(self, limit: admission_settings.Limit, now_s: float) -> None:
         """Put a new rate and burst in force from `now_s` on."""
@@ -72,10 +112,23 @@
         self.limit = limit
         self._clip()
 
-    def set_unknown_hosts(self, count: int, now_s: float) -> None:
-        """Count this many hosts as each holding the most that a host may."""
+    def set_unknown_hosts(
+        self, count: int, now_s: float, known_per_s: float = 0.0
+    ) -> None:
+        """Count this many hosts as each holding the most that a host may.
+
+        Parameters
+        ----------
+        count : int
+        now_s : float
+        known_per_s : float
+            Part of the rate that was allowed to other hosts, by an earlier leader;
+            the unknown hosts may refill themselves with the rest.
+        """
         self.refill(now_s)
         self._unknown_hosts = count
+        rest_per_s = max(0.0, self._get_refill_per_s() - known_per_s)
+        self._unknown_per_s = rest_per_s if count else 0.0
         self._clip()
 
     def get_reserved(self) -> int:
@@ -85,10 +138,12 @@
 
     def refill(self, now_s: float) -> None:
         """Add the tokens due since the last refill and expire grants."""
-        while self._expiries and self._expiries[0][0] <= now_s:
-            expires_s, key = heapq.heappop(self._expiries)
-            self._refill_to(expires_s)
-            self._expire(key, expires_s)
+        while (due_s := self._get_next_event_s()) <= now_s:
+            self._refill_to(due_s)
+            if self._expiries and self._expiries[0][0] == due_s:
+                self._expire(heapq.heappop(self._expiries)[1], due_s)
+            else:
+                self._fall_silent(heapq.heappop(self._silences)[1], due_s)
         self._refill_to(now_s)
 
     def restore(self, level: float, now_s: float) -> None:
@@ -98,7 +153,12 @@
         self._clip()
 
     def settle(
-        self, key: HostKey, in_hand: int, spent_total: int, is_trusted: bool
+        self,
+        key: HostKey,
+        in_hand: int,
+        spent_total: int,
+        is_trusted: bool,
+        answered_sequence: int = 0,
     ) -> None:
         """Bring what a host holds up to date with its report.
 
@@ -111,6 +171,8 @@
             Tokens that this run of the host has spent so far.
         is_trusted : bool
             Take `in_hand` as given, for a host that this leader doesn't know yet.
+        answered_sequence : int
+            The draw whose grant the host applied last.
         """
         hold = self._holds.get(key)
         if hold is None:
@@ -118,17 +180,24 @@
             kept = in_hand if is_trusted else 0
         else:
             # More than the leader counts as held is a grant that has expired.
-            kept = min(in_hand, hold.count)
+            kept = min(in_hand, hold.reserved)
         spent = max(0, spent_total - hold.spent_total)
         unspent = max(0, hold.count - kept - spent)
-        self.held += kept - hold.count
         hold.count = kept
         hold.spent_total = max(spent_total, hold.spent_total)
+        if hold.confirmed_s is not None and answered_sequence == hold.told_sequence:
+            self._confirm(key, hold)
+        self._reserve(hold)
         self.level += unspent
         self._clip()
 
     def grant(
-        self, key: HostKey, pending: int, demand_per_s: float, now_s: float
+        self,
+        key: HostKey,
+        pending: int,
+        demand_per_s: float,
+        now_s: float,
+        sequence: int = 0,
     ) -> int:
         """Move tokens from the bucket to a host and return how many.
 
@@ -141,19 +210,25 @@
         demand_per_s : float
             Recent demand at the host.
         now_s : float
+        sequence : int
+            The draw that is answered.
         """
         hold = self._holds[key]
         self.demand_per_s += demand_per_s - hold.demand_per_s
         hold.demand_per_s = demand_per_s
         count = self._get_grantable(hold, pending)
         self.level -= count
-        self.held += count
         self.granted += count
         hold.count += count
         hold.expires_s = now_s + self._hold_s
         heapq.heappush(self._expiries, (hold.expires_s, key))
+        self._tell(key, hold, sequence, now_s)
         return count
 
+    def get_allowance_per_s(self, key: HostKey) -> float:
+        """Return what a host may refill itself with while it gets no answers."""
+        return self._holds[key].told_allowance_per_s
+
     def get_share_per_s(self, key: HostKey) -> float:
         """Return the part of the rate that falls to a host by its demand."""
         demand_per_s = self._holds[key].demand_per_s
@@ -186,13 +261,81 @@
         wanted = max(0, math.floor(stock) - hold.count)
         return urgent + min(wanted, spare, room - urgent)
 
+    def _get_refill_per_s(self) -> float:
+        # A fast clock must not add tokens faster than the rate.
+        return self.limit.rate_per_s / (1 + self._settings.drift)
+
     def _refill_to(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._refilled_s)
-        # A fast clock must not add tokens faster than the rate.
-        self.level += elapsed_s * self.limit.rate_per_s / (1 + self._settings.drift)
+        taken_per_s = self._silent_per_s + self._unknown_per_s
+        self.level += elapsed_s * max(0.0, self._get_refill_per_s() - taken_per_s)
         self._refilled_s = max(now_s, self._refilled_s)
         self._clip()
 
+    def _get_next_event_s(self) -> float:
+        return min(
+            self._expiries[0][0] if self._expiries else math.inf,
+            self._silences[0][0] if self._silences else math.inf,
+        )
+
+    def _get_silence_s(self, hold: Hold) -> float:
+        """Return the earliest time at which the host may refill itself."""
+        factor = admission_settings.get_slow_factor(self._settings)
+        return hold.confirmed_s + self._settings.allowance_after_s * factor
+
+    def _tell(self, key: HostKey, hold: Hold, sequence: int, now_s: float) -> None:
+        """Choose a host's allowance; all together never exceed the rate."""
+        fair_per_s = self.get_share_per_s(key) if hold.count else 0.0
+        others_per_s = self._allowed_per_s - hold.allowance_per_s
+        room_per_s = max(0.0, self._get_refill_per_s() - others_per_s)
+        hold.told_allowance_per_s = min(fair_per_s, room_per_s)
+        hold.told_capacity = hold.count
+        hold.told_sequence = sequence
+        hold.told_s = now_s
+        if hold.confirmed_s is None:
+            hold.confirmed_s = now_s
+            self._watch(key, hold)
+        hold.capacity = max(hold.capacity, hold.told_capacity)
+        most_per_s = max(hold.allowance_per_s, hold.told_allowance_per_s)
+        self._allow(hold, most_per_s, hold.is_silent)
+        self._reserve(hold)
+
+    def _confirm(self, key: HostKey, hold: Hold) -> None:
+        """Note that the host has applied the last grant."""
+        hold.confirmed_s = hold.told_s
+        hold.capacity = hold.told_capacity
+        self._allow(hold, hold.told_allowance_per_s, is_silent=False)
+        if hold.watched_s is None:
+            self._watch(key, hold)
+
+    def _allow(self, hold: Hold, allowance_per_s: float, is_silent: bool) -> None:
+        if hold.is_silent:
+            self._silent_per_s -= hold.allowance_per_s
+        self._allowed_per_s += allowance_per_s - hold.allowance_per_s
+        hold.allowance_per_s = allowance_per_s
+        hold.is_silent = is_silent
+        if is_silent:
+            self._silent_per_s += allowance_per_s
+
+    def _fall_silent(self, key: HostKey, now_s: float) -> None:
+        hold = self._holds.get(key)
+        if hold is None or hold.watched_s != now_s:
+            return
+        if self._get_silence_s(hold) <= now_s:
+            hold.watched_s = None
+            self._allow(hold, hold.allowance_per_s, is_silent=True)
+        else:
+            self._watch(key, hold)
+
+    def _watch(self, key: HostKey, hold: Hold) -> None:
+        hold.watched_s = self._get_silence_s(hold)
+        heapq.heappush(self._silences, (hold.watched_s, key))
+
+    def _reserve(self, hold: Hold) -> None:
+        reserved = max(hold.count, hold.capacity)
+        self.held += reserved - hold.reserved
+        hold.reserved = reserved
+
     def _clip(self) -> None:
         room = max(0, self.limit.burst - self.get_reserved())
         self.level = max(0.0, min(self.level, room))
@@ -201,6 +344,7 @@
         hold = self._holds.get(key)
         if hold is None or hold.expires_s > expires_s:
             return
-        self.held -= hold.count
+        self.held -= hold.reserved
+        self._allow(hold, 0.0, is_silent=False)
         self.demand_per_s = max(0.0, self.demand_per_s - hold.demand_per_s)
         del self._holds[key]
--- a/sedgeswitch/admission/grantor.py
+++ b/sedgeswitch/admission/grantor.py
@@ -129,7 +129,8 @@
         is_trusted = session is None
         for holding in request.holdings:
             if holding.organisation in self._limits:
-                reply.grants.append(self._grant(key, holding, is_trusted, now_s))
+                grant = self._grant(key, holding, is_trusted, request.sequence, now_s)
+                reply.grants.append(grant)
         self._sessions[key] = _Session(reply, now_s)
         self._sweep(now_s)
         return reply
@@ -139,15 +140,22 @@
         key: bucket.HostKey,
         holding: messages.Holding,
         is_trusted: bool,
+        sequence: int,
         now_s: float,
     ) -> messages.Grant:
         fleet_bucket = self._buckets[holding.organisation]
         fleet_bucket.refill(now_s)
         in_hand = max(0, holding.in_hand)
-        fleet_bucket.settle(key, in_hand, holding.spent_total, is_trusted)
+        fleet_bucket.settle(
+            key,
+            in_hand,
+            holding.spent_total,
+            is_trusted,
+            holding.answered_sequence,
+        )
         pending = max(0, holding.pending)
         demand_per_s = min(max(0.0, holding.demand_per_s), 1e9)
-        granted = fleet_bucket.grant(key, pending, demand_per_s, now_s)
+        granted = fleet_bucket.grant(key, pending, demand_per_s, now_s, sequence)
         return messages.Grant(
             organisation=holding.organisation,
             granted=granted,
@@ -158,6 +166,7 @@
             bucket=fleet_bucket.level,
             held=float(fleet_bucket.get_reserved()),
             rate_per_s=fleet_bucket.limit.rate_per_s,
+            allowance_per_s=fleet_bucket.get_allowance_per_s(key),
         )
 
     def _build_reply(
@@ -193,8 +202,9 @@
         host_ids = self._get_host_ids()
         unknown = self._recovery.get_unknown(host_ids)
         if unknown and now_s < self._recovery_ends_s:
-            for fleet_bucket in self._buckets.values():
-                fleet_bucket.set_unknown_hosts(unknown, now_s)
+            for organisation, fleet_bucket in self._buckets.items():
+                known_per_s = self._recovery.get_allowed_per_s(organisation)
+                fleet_bucket.set_unknown_hosts(unknown, now_s, known_per_s)
             return
         for organisation, fleet_bucket in self._buckets.items():
             fleet_bucket.set_unknown_hosts(0, min(now_s, self._recovery_ends_s))
--- a/sedgeswitch/admission/messages.thrift
+++ b/sedgeswitch/admission/messages.thrift
@@ -7,6 +7,12 @@
   3: required i64 spent_total
   4: required i64 pending
   5: required double demand_per_s
+  // The draw whose grant the host applied last; 0 if there was none.
+  6: required i64 answered_sequence
+  // What the host refills itself with while no draw is answered, as granted last.
+  7: required double allowance_per_s
+  // Tokens that it has refilled itself with since that grant.
+  8: required i64 refilled
 }
 
 // The last state of a bucket that a leader told the host, for the next leader.
@@ -48,6 +54,7 @@
   6: required double bucket
   7: required double held
   8: required double rate_per_s
+  9: required double allowance_per_s
 }
 
 struct DrawReply {
--- a/sedgeswitch/admission/recovery.py
+++ b/sedgeswitch/admission/recovery.py
@@ -20,12 +20,18 @@
         The last bucket states that the host was told, by organisation.
     in_hand : dict of str to int
         Tokens that the host held, by organisation.
+    allowed_per_s : dict of str to float
+        What it was allowed to refill itself with until it reported.
+    refilled : dict of str to int
+        Tokens that it has refilled itself with since its last grant.
     """
 
     arrived_s: float
     uptime_s: float
     memories: dict[str, messages.BucketMemory]
     in_hand: dict[str, int]
+    allowed_per_s: dict[str, float]
+    refilled: dict[str, int]
 
 
 class Recovery:
@@ -52,9 +58,20 @@
     def add(self, draw: messages.Draw, now_s: float) -> None:
         """Keep a host's report; a later run of the host replaces an earlier one."""
         memories = {memory.organisation: memory for memory in draw.memories}
-        in_hand = {holding.organisation: holding.in_hand for holding in draw.holdings}
-        report = HostReport(now_s, draw.uptime_s, memories, in_hand)
-        self._reports[draw.host_id] = report
+        holdings = {holding.organisation: holding for holding in draw.holdings}
+        self._reports[draw.host_id] = HostReport(
+            now_s,
+            draw.uptime_s,
+            memories,
+            {name: holding.in_hand for name, holding in holdings.items()},
+            {name: holding.allowance_per_s for name, holding in holdings.items()},
+            {name: holding.refilled for name, holding in holdings.items()},
+        )
+
+    def get_allowed_per_s(self, organisation: str) -> float:
+        """Return what all hosts that have reported might refill themselves with."""
+        reports = self._reports.values()
+        return sum(report.allowed_per_s.get(organisation, 0.0) for report in reports)
 
     def get_unknown(self, host_ids: typing.Collection[str]) -> int:
         """Return how many of the hosts have not reported."""
@@ -83,7 +100,8 @@
         elapsed_s = memory.received_age_s + now_s - latest.arrived_s
         level = memory.bucket + rate_per_s * elapsed_s * self._get_slow_factor()
         level = min(level, limit.burst - memory.held)
-        return max(level, self._get_level_idle(organisation, limit, latest, reports))
+        level = max(level, self._get_level_idle(organisation, limit, latest, reports))
+        return level - sum(report.refilled.get(organisation, 0) for report in reports)
 
     def _get_level_idle(
         self,
--- a/sedgeswitch/admission/settings.py
+++ b/sedgeswitch/admission/settings.py
@@ -48,6 +48,9 @@
         Longest wait of a request for a draw.
     leader_wait_s : float
         Longest wait of a request while draws go unanswered.
+    allowance_after_s : float
+        Time without an answered draw after which a host refills its stock itself,
+        at the rate that the leader allowed it.
     host_memory_s : float
         Time for which a host that left stays among the hosts to hear from.
     demand_window_s : float
@@ -65,6 +68,7 @@
     reserve_share: float = 0.25
     wait_s: float = 0.2
     leader_wait_s: float = 1.0
+    allowance_after_s: float = 0.7
     host_memory_s: float = 60.0
     demand_window_s: float = 0.25
 
@@ -109,6 +113,11 @@
     return settings.lifetime_s * (1 + settings.drift) / (1 - settings.drift)
 
 
+def get_slow_factor(settings: Settings) -> float:
+    """Return the least ratio of the rates of two hosts' clocks."""
+    return (1 - settings.drift) / (1 + settings.drift)
+
+
 def get_host_cap(limit: Limit, settings: Settings) -> int:
     """Return the most tokens of an organisation that one host may hold."""
     return max(1, int(limit.burst * settings.host_share_max))
--- a/sedgeswitch/admission/tests/builders.py
+++ b/sedgeswitch/admission/tests/builders.py
@@ -74,7 +74,9 @@
         """Send a draw; no delay is a lost request, two are a duplicate."""
         made = self.wallets[host]
         sent_s = self.read(host)
-        request = catalog.encode_struct(made.build_draw(sent_s))
+        request = self._count_spends(
+            made, lambda: catalog.encode_struct(made.build_draw(sent_s))
+        )
 
         def answer():
             decoded = catalog.decode_struct(messages.Draw, request)
@@ -87,10 +89,9 @@
             if self.wallets[host] is not made:
                 return
             decoded = catalog.decode_struct(messages.DrawReply, reply)
-            before = made._accounts[ORGANISATION].spent_total
-            made.receive_grants(decoded, sent_s, self.read(host))
-            for _ in range(made._accounts[ORGANISATION].spent_total - before):
-                self._spend()
+            self._count_spends(
+                made, lambda: made.receive_grants(decoded, sent_s, self.read(host))
+            )
 
         for delay_s in request_delays_s:
             self._deliver(delay_s, answer)
@@ -113,6 +114,14 @@
         entry = (self.true_s + delay_s, next(self._counter), deliver)
         heapq.heappush(self._deliveries, entry)
 
+    def _count_spends(self, made, act):
+        account = made._accounts[ORGANISATION]
+        before = account.spent_total
+        result = act()
+        for _ in range(account.spent_total - before):
+            self._spend()
+        return result
+
     def _spend(self):
         limit = self.limits[ORGANISATION]
         refilled = (self.true_s - self._levelled_s) * limit.rate_per_s
--- a/sedgeswitch/admission/tests/test_fleet_rate.py
+++ b/sedgeswitch/admission/tests/test_fleet_rate.py
@@ -171,7 +171,7 @@
             given = settings.Settings(stock_s=2.0, demand_window_s=2.0)
             clocks = [builders.Clock(host) for host in range(HOST_COUNT)]
             fleet = builders.Fleet(settings.Limit(20.0, 20), clocks, given)
-            for host in (0, 1, 2, 1, 2):
+            for host in (0, 1, 2, 1, 2, 1):
                 fleet.exchange(host)
                 load(fleet, host)
             fleet.advance(1.0)
@@ -283,6 +283,74 @@
                 continue
 
 
+class AllowanceTest(unittest.TestCase):
+    """Hosts that get no answers refill their stock, within the rate of the fleet."""
+
+    def build_fleet(self, host_count=2, rate_per_s=20.0):
+        given = settings.Settings(stock_s=1.0, demand_window_s=1.0, lifetime_s=4.0)
+        clocks = [builders.Clock(host) for host in range(host_count)]
+        fleet = builders.Fleet(settings.Limit(rate_per_s, 40), clocks, given)
+        for host in range(host_count):
+            fleet.exchange(host)
+        for _ in range(20):
+            for host in range(host_count):
+                fleet.take(host)
+                fleet.draw(host)
+            fleet.advance(0.2)
+        return fleet
+
+    def spend(self, fleet, host, rate_per_s, duration_s):
+        """Return how many of the requests at a steady rate were admitted."""
+        before = fleet.spent
+        for _ in range(round(rate_per_s * duration_s)):
+            fleet.advance(1 / rate_per_s)
+            fleet.take(host)
+            fleet.draw(host, request_delays_s=())
+        return fleet.spent - before
+
+    def test_host_without_answers_goes_on_at_its_allowance(self):
+        fleet = self.build_fleet()
+        # Half of the rate is its own; without an allowance its stock is spent soon.
+        admitted = self.spend(fleet, 0, 8.0, 3.5)
+        self.assertGreater(admitted, 0.9 * 8.0 * 3.5)
+        self.assertGreaterEqual(fleet.lowest_level, -1e-6)
+
+    def test_allowance_ends_with_the_grant(self):
+        fleet = self.build_fleet()
+        fleet.advance(4.0)
+        self.assertEqual(0, self.spend(fleet, 0, 8.0, 2.0))
+
+    def test_flood_at_hosts_with_and_without_answers_keeps_the_rate(self):
+        for seed in range(40):
+            rng = random.Random(seed)
+            fleet = self.build_fleet(host_count=3)
+            answered = rng.sample(range(3), rng.choice([0, 1, 2]))
+            for _ in range(90):
+                for host in range(3):
+                    fleet.take(host)
+                    if host in answered or rng.random() < 0.02:
+                        fleet.draw(host, reply_delay_s=rng.choice([0.01, None]))
+                fleet.advance(0.05)
+            self.assertGreaterEqual(fleet.lowest_level, -1e-6, f"seed {seed}")
+
+    def test_new_leader_reckons_with_what_hosts_refilled(self):
+        for seed in range(40):
+            rng = random.Random(seed)
+            fleet = self.build_fleet(host_count=3)
+            for _ in range(rng.randrange(70)):
+                for host in range(3):
+                    fleet.take(host)
+                fleet.advance(0.05)
+            fleet.change_leader()
+            for _ in range(60):
+                for host in range(3):
+                    fleet.take(host)
+                    if rng.random() < 0.3:
+                        fleet.draw(host, reply_delay_s=rng.choice([0.01, None]))
+                fleet.advance(0.05)
+            self.assertGreaterEqual(fleet.lowest_level, -1e-6, f"seed {seed}")
+
+
 class NewOrganisationTest(unittest.TestCase):
     def test_organisation_added_after_recovery_gets_grants(self):
         limit = settings.Limit(rate_per_s=50.0, burst=20)
--- a/sedgeswitch/admission/wallet.py
+++ b/sedgeswitch/admission/wallet.py
@@ -112,14 +112,50 @@
         self.short_until_s = -math.inf
         self.is_settled = True
         self.listed_s = -math.inf
+        # Of the grant that was applied last.
+        self.answered_sequence = 0
+        self.capacity = 0
+        self.allowance_per_s = 0.0
+        self.allowance_from_s = math.inf
+        # Tokens refilled since then without the leader, and the fraction of the next.
+        self.refilled = 0
+        self._next_token = 0.0
+        self._refilled_s = -math.inf
         self.demand = demand.DemandEstimate(window_s)
         self.waiters: collections.deque[Pending] = collections.deque()
 
-    def expire(self, now_s: float) -> None:
-        """Drop tokens whose lifetime is over."""
+    def refresh(self, now_s: float) -> None:
+        """Refill the stock while no draw is answered; drop expired tokens."""
+        start_s = max(self.allowance_from_s, self._refilled_s)
+        end_s = min(now_s, self.expires_s)
+        if end_s > start_s and self.in_hand < self.capacity:
+            self._next_token += (end_s - start_s) * self.allowance_per_s
+            count = min(int(self._next_token), self.capacity - self.in_hand)
+            self._next_token -= count
+            self.in_hand += count
+            self.refilled += count
+        if self.in_hand >= self.capacity:
+            self._next_token = 0.0
+        self._refilled_s = now_s
         if now_s >= self.expires_s:
             self.in_hand = 0
 
+    def allow(
+        self, sequence: int, allowance_per_s: float, from_s: float, now_s: float
+    ) -> None:
+        """Note what the leader allows from `from_s` on, until the grant expires."""
+        self.answered_sequence = sequence
+        self.capacity = self.in_hand
+        self.allowance_per_s = allowance_per_s
+        self.allowance_from_s = from_s
+        self.refilled = 0
+        self._next_token = 0.0
+        self._refilled_s = now_s
+
+    def end_allowance(self) -> None:
+        """Refill nothing until the next grant."""
+        self.allowance_from_s = math.inf
+
     def spend(self, now_s: float) -> None:
         """Spend one token."""
         self.spent_s = now_s
@@ -229,7 +265,7 @@
         """
         account = self._get_account(organisation)
         account.demand.add(now_s)
-        account.expire(now_s)
+        account.refresh(now_s)
         if account.in_hand > 0 and not account.waiters:
             account.spend(now_s)
             return Admitted(organisation)
@@ -270,7 +306,7 @@
     def get_in_hand(self, organisation: str, now_s: float) -> int:
         """Return the tokens in hand for an organisation."""
         account = self._get_account(organisation)
-        account.expire(now_s)
+        account.refresh(now_s)
         return account.in_hand
 
     def get_next_draw_s(self, now_s: float) -> float:
@@ -302,7 +338,11 @@
         holdings = []
         accounts = {}
         for organisation, account in self._accounts.items():
-            account.expire(now_s)
+            account.refresh(now_s)
+            self._admit_waiting(account, now_s)
+            if self._is_report_due:
+                # A new leader reckons with what was refilled up to the report.
+                account.end_allowance()
             if self._is_due(account, now_s):
                 self._return_surplus(account, now_s)
                 account.listed_s = now_s
@@ -354,32 +394,46 @@
             if account is not None and grant.organisation in sent.accounts:
                 memory = _Memory(reply.term, reply.index, grant, sent_s, now_s)
                 self._memories[grant.organisation] = memory
-                self._apply(account, grant, sent_s + reply.lifetime_s, now_s)
+                was_empty = account.capacity == 0
+                self._apply(account, reply, grant, sent_s, now_s)
                 spent = sent.accounts[grant.organisation]
                 account.is_settled = account.in_hand == 0 == grant.granted
-                account.is_settled &= account.spent_total == spent
+                # The leader counts a stock until it hears that it is gone.
+                account.is_settled &= was_empty and account.spent_total == spent
 
     def _apply(
         self,
         account: _Account,
+        reply: messages.DrawReply,
         grant: messages.Grant,
-        expires_s: float,
+        sent_s: float,
         now_s: float,
     ) -> None:
-        account.expire(now_s)
+        account.refresh(now_s)
+        expires_s = sent_s + reply.lifetime_s
         if now_s < expires_s:
             account.in_hand += max(0, grant.granted)
             account.expires_s = expires_s
+        factor = admission_settings.get_slow_factor(self._settings)
+        account.allow(
+            reply.sequence,
+            max(0.0, grant.allowance_per_s) * factor,
+            now_s + self._settings.allowance_after_s,
+            now_s,
+        )
         account.keep = grant.keep
         account.share_per_s = max(grant.share_per_s, 1e-6)
         is_short = grant.is_short
         account.short_until_s = now_s + _SHORT_MEMORY_S if is_short else -math.inf
+        self._admit_waiting(account, now_s)
+        surplus = len(account.waiters) - self._get_room(account, now_s)
+        self._deny(account, surplus)
+
+    def _admit_waiting(self, account: _Account, now_s: float) -> None:
         while account.waiters and account.in_hand > 0:
             account.spend(now_s)
             pending = account.waiters.popleft()
             pending.resolve(Admitted(pending.organisation))
-        surplus = len(account.waiters) - self._get_room(account, now_s)
-        self._deny(account, surplus)
 
     def _set_limit(self, organisation: str, limit: admission_settings.Limit) -> None:
         account = self._accounts.get(organisation)
@@ -440,8 +494,10 @@
 
     def _is_due(self, account: _Account, now_s: float) -> bool:
         """Tell whether a draw now should list an organisation."""
-        if self._is_report_due or account.waiters:
-            return self._is_listed(account)
+        if self._is_report_due:
+            return self._is_listed(account) or account.capacity > 0
+        if account.waiters:
+            return True
         # Half an interval early, so that regular draws stay in step.
         regular_s = account.listed_s + self._settings.draw_interval_s / 2
         return now_s >= regular_s and self._is_listed(account)
@@ -464,6 +520,9 @@
             spent_total=account.spent_total,
             pending=len(account.waiters),
             demand_per_s=account.demand.get_rate_per_s(now_s),
+            answered_sequence=account.answered_sequence,
+            allowance_per_s=account.allowance_per_s,
+            refilled=account.refilled,
         )
 
     def _get_spent_age_s(self, organisation: str, now_s: float) -> float:
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -121,6 +121,8 @@
             probes.ProbeDriver(driver, self.backends, knowledge),
             options.groups,
         )
+        # A new leader reserves tokens for hosts that it has not heard.
+        self.control_peers.register_leader_listener(self.wallet.request_report)
         self._register_sections()
         self._parts = context.Parts(
             self.databases,
--- a/sedgeswitch/daemon/relay_groups.py
+++ b/sedgeswitch/daemon/relay_groups.py
@@ -9,8 +9,16 @@
 from sedgeswitch.groups import instances
 from sedgeswitch.membership import directory
 
-# Tokens in hand outlast the election of a leader, and their lifetime the lease.
-ADMISSION = admission_settings.Settings(stock_s=1.6, lifetime_s=4.0)
+# Tokens in hand outlast the election of a leader, and their lifetime the lease. The
+# demand is averaged for longer than an election takes, so that a short lull just
+# before one does not empty the stock.
+ADMISSION = admission_settings.Settings(
+    stock_s=3.0,
+    lifetime_s=4.0,
+    demand_window_s=2.0,
+    host_share_max=0.3,
+    reserve_share=0.1,
+)
 # Part of the tolerance that is used; a request that is tried twice counts twice.
 TOLERANCE_SHARE = 0.7
 # Lowest rate that the fleet-wide limit can express, per second.
--- a/sedgeswitch/daemon/tests/test_heavy_days.py
+++ b/sedgeswitch/daemon/tests/test_heavy_days.py
@@ -34,25 +34,35 @@
 class Fleet:
     """Entry hosts under a steady load of one organisation, and their leader."""
 
-    def __init__(self, rate_per_s, options, tolerance=TOLERANCE, seed=1):
+    def __init__(self, rate_per_s, options, tolerance=TOLERANCE, seed=1, hosts=HOSTS):
         self.rng = random.Random(seed)
         organisation = build_organisation(rate_per_s)
         document = documents.Document(1, {}, {}, {ORGANISATION: organisation})
-        limits = relay_groups.build_limits(document, tolerance)
+        self.limits = relay_groups.build_limits(document, tolerance)
         self.options = options
-        self.leader = grantor.Grantor(lambda: HOSTS, options)
-        self.leader.set_limits(limits, 0.0)
-        self.leader.start_leadership(0.0, 1)
-        self.wallets = [wallet.Wallet(name, "run-1", 0.0, options) for name in HOSTS]
+        self.hosts = hosts
+        self.replace_leader(0.0, 1)
+        self.wallets = [wallet.Wallet(name, "run-1", 0.0, options) for name in hosts]
         for item in self.wallets:
-            item.set_limits(limits)
+            item.set_limits(self.limits)
         self.is_silent = False
+        self.cut_hosts = set()
         self.admitted_s = []
         self.refused_s = []
 
+    def replace_leader(self, now_s, term):
+        self.leader = grantor.Grantor(lambda: self.hosts, self.options)
+        self.leader.set_limits(self.limits, now_s)
+        self.leader.start_leadership(now_s, term)
+
+    def note_leader(self):
+        """Tell the hosts, as their heartbeats do, that another leader answers."""
+        for item in self.wallets:
+            item.request_report()
+
     async def call(self, request):
         await trio.sleep(0.012)
-        while self.is_silent:
+        while self.is_silent or request.host_id in self.cut_hosts:
             await trio.sleep(0.05)
         reply = self.leader.draw(request, trio.current_time())
         await trio.sleep(0.012)
@@ -100,9 +110,39 @@
     world.is_silent = False
 
 
+async def lose_leader(world):
+    await trio.sleep(4)
+    world.is_silent = True
+    await trio.sleep(2)
+    world.replace_leader(trio.current_time(), 2)
+    world.is_silent = False
+    world.note_leader()
+
+
+async def cut_all_hosts(world):
+    await trio.sleep(4)
+    world.is_silent = True
+    await trio.sleep(3.8)
+    world.is_silent = False
+
+
+async def cut_some_hosts(world):
+    await trio.sleep(4)
+    world.cut_hosts = set(world.hosts[:2])
+    await trio.sleep(3)
+    world.cut_hosts = set()
+
+
 class LimitTest(unittest.TestCase):
-    def play(self, load, scenario, options=relay_groups.ADMISSION, rate_per_s=40.0):
-        world = Fleet(rate_per_s, options)
+    def play(
+        self,
+        load,
+        scenario,
+        options=relay_groups.ADMISSION,
+        rate_per_s=40.0,
+        hosts=HOSTS,
+    ):
+        world = Fleet(rate_per_s, options, hosts=hosts)
         virtual_time.run(world.run, rate_per_s * load, 9.0, scenario)
         return world
 
@@ -116,8 +156,36 @@
         # A tenth of what comes while no leader answers and just after.
         self.assertLess(len(silent), 0.1 * 40 * DEMAND_SHARE * 2.5)
 
+    def test_usual_load_is_admitted_while_a_leader_is_replaced(self):
+        for rate_per_s in (14.0, 60.0):
+            with self.subTest(rate_per_s=rate_per_s):
+                world = self.play(DEMAND_SHARE, lose_leader, rate_per_s=rate_per_s)
+                silent = [time for time in world.refused_s if 4 <= time <= 8]
+                # A hundredth of what comes in the outage and until all hosts
+                # have reported, or one request.
+                most = max(1, 0.01 * rate_per_s * DEMAND_SHARE * 4)
+                self.assertLessEqual(len(silent), most)
+
+    def test_usual_load_is_admitted_until_the_lease_of_hosts_behind_a_cut_ends(self):
+        world = self.play(DEMAND_SHARE, cut_all_hosts, rate_per_s=60.0)
+        silent = [time for time in world.refused_s if 4 <= time <= 7.8]
+        self.assertLessEqual(len(silent), 0.01 * 60 * DEMAND_SHARE * 3.8)
+
+    def test_hosts_without_traffic_do_not_hold_tokens_back(self):
+        # Ten times as many hosts as the organisation has requests per second.
+        hosts = [f"entry-{number}" for number in range(80)]
+        world = self.play(DEMAND_SHARE, lose_leader, rate_per_s=12.0, hosts=hosts)
+        after = [time for time in world.refused_s if time >= 6.5]
+        self.assertEqual([], after)
+
     def test_flood_passes_no_more_than_the_tolerated_limit(self):
-        for scenario in (stay_calm, freeze_leader):
+        for scenario in (
+            stay_calm,
+            freeze_leader,
+            lose_leader,
+            cut_all_hosts,
+            cut_some_hosts,
+        ):
             with self.subTest(scenario.__name__):
                 world = self.play(5.0, scenario)
                 allowed = (40.0 * 5 + 40.0) * 1.1 + 20
@@ -170,6 +238,21 @@
 
         virtual_time.run(body)
 
+    def test_another_leader_is_told_to_listeners_once(self):
+        async def body():
+            address = peer.Address("10.0.0.1", 1)
+            control = heart.ControlPeers({"c1": address, "c2": address})
+            control._peers = {"c1": FakePeer("answer"), "c2": FakePeer("answer")}
+            told = []
+            control.register_leader_listener(lambda: told.append(control._order[0]))
+            for _ in range(2):
+                await control.call("message", 1.0)
+            control._order.reverse()
+            await control.call("message", 1.0)
+            self.assertEqual(["c1", "c2"], told)
+
+        virtual_time.run(body)
+
     def test_watch_that_waits_is_no_silence(self):
         async def body():
             address = peer.Address("10.0.0.1", 1)
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -42,8 +42,15 @@
         self._answering = ""
         # Since when the host that is called first owes an answer.
         self._owed_since_s: float | None = None
+        self._leader_listeners: list[collections.abc.Callable[[], None]] = []
         self._nursery: trio.Nursery | None = None
 
+    def register_leader_listener(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Register a function that is called when another control host answers."""
+        self._leader_listeners.append(listener)
+
     async def run(self) -> None:
         """Keep the connections open until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -72,8 +79,7 @@
             if host_id == self._order[0]:
                 self._owed_since_s = None
             if host_id != self._answering:
-                self._answering = host_id
-                loguru.logger.info("leader answers", control=host_id)
+                self._note_leader(host_id)
             return answer
         except failures.CallError as error:
             self._turn_away(host_id, error)
@@ -88,6 +94,12 @@
             if host_id not in self._order:
                 self._order.append(host_id)
 
+    def _note_leader(self, host_id: str) -> None:
+        self._answering = host_id
+        loguru.logger.info("leader answers", control=host_id)
+        for listener in self._leader_listeners:
+            listener()
+
     def _pass_over_silent(self, now_s: float) -> None:
         """Call another host first if the present one owes an answer for long."""
         since_s = self._owed_since_s
