Elect at once after a restart of all voters

Ruled out: a shorter election timeout, which every slow host would pay for. Change: a host that has known no leader since its start asks all voters; if none of them has known one in its present run (or runs on another disk now), it stands at once, and they vote at once, each only in the run that it told.

--- a/sedgeswitch/agreement/messages.thrift
+++ b/sedgeswitch/agreement/messages.thrift
@@ -19,11 +19,17 @@
   4: required i64 last_index,
   5: required i64 last_term,
   6: required bool is_pre_vote,
+  // Whether the candidate has known no leader since its process started.
+  7: required bool is_unled,
+  // The run that the receiver told in its pre-vote; empty if it told none.
+  8: required string unled_run_id,
 }
 
 struct VoteReply {
   1: required i64 term,
   2: required bool is_granted,
+  // This run of the voter's process, if it has known no leader; else empty.
+  3: required string unled_run_id,
 }
 
 struct HeartbeatRequest {
--- a/sedgeswitch/agreement/state.py
+++ b/sedgeswitch/agreement/state.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import secrets
 
 import loguru
 
@@ -17,6 +18,7 @@
 from sedgeswitch.transport import failures
 
 NEVER_S = -math.inf
+_RUN_ID_BYTES = 8
 WRONG_INCARNATION = "wrong_incarnation"
 
 
@@ -73,6 +75,9 @@
         self.term = stored.term
         self.voted_for = stored.voted_for
         self.role = Role.FOLLOWER
+        self.run_id = secrets.token_hex(_RUN_ID_BYTES)
+        # Whether any leader, also itself, was known since the process started.
+        self.has_known_leader = False
         self.leader_id: str | None = None
         self.leader_heard_s = started_s
         self.vote_granted_s = started_s
@@ -175,10 +180,12 @@
         self.adopt_term(term)
         self.become_follower(leader_id)
         self.leader_heard_s = now_s
+        self.has_known_leader = True
 
     def become_leader(self, now_s: float) -> None:
         """Lead in the present term, starting with an entry of it."""
         self.role = Role.LEADER
+        self.has_known_leader = True
         self.leader_id = self.settings.node_id
         self.led_since_s = now_s
         self.progress = {}
--- a/sedgeswitch/agreement/tests/test_durability.py
+++ b/sedgeswitch/agreement/tests/test_durability.py
@@ -88,7 +88,7 @@
     def test_vote_is_answered_after_sync(self):
         def call(host):
             voting = election.Election(host, None, random.Random(1))
-            request = messages.VoteRequest(2, "b/aa", "aa", 2, 1, False)
+            request = messages.VoteRequest(2, "b/aa", "aa", 2, 1, False, False, "")
             return voting.answer_vote(request)
 
         self._check_answered_after_sync(call, storage.SaveVote)
@@ -153,7 +153,7 @@
             voting = election.Election(host, None, random.Random(1))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(host.writer.run)
-                request = messages.VoteRequest(2, "b/aa", "aa", 2, 1, False)
+                request = messages.VoteRequest(2, "b/aa", "aa", 2, 1, False, False, "")
                 self.assertFalse((await voting.answer_vote(request)).is_granted)
                 nursery.cancel_scope.cancel()
 
@@ -164,7 +164,7 @@
         async def body():
             _, host = _build_state(2, age_s=0.0)
             voting = election.Election(host, None, random.Random(1))
-            request = messages.VoteRequest(2, "b/aa", "aa", 2, 1, True)
+            request = messages.VoteRequest(2, "b/aa", "aa", 2, 1, True, False, "")
             self.assertFalse((await voting.answer_vote(request)).is_granted)
             await trio.sleep(host.settings.election_timeout_min_s)
             self.assertTrue((await voting.answer_vote(request)).is_granted)
