Let many hosts find a new leader without flooding the others

Each host called 20 times a second for each of heartbeats and watches, and 7 times for tokens, so that the control hosts that should have named the leader timed out; and a leader that was named was given up before it was connected. Ruled out: the hints themselves (25 hosts followed them within 0.2 s). Change: pauses after failed calls double up to 0.25 s and differ by host; a named leader is given 0.3 s to be connected.

--- a/sedgeswitch/admission/drawing.py
+++ b/sedgeswitch/admission/drawing.py
@@ -31,6 +31,7 @@
     settings : settings.Settings, optional
     """
     given = admission_settings.Settings() if settings is None else settings
+    pause_s = 0.0
     while True:
         now_s = clocks.get_now_s()
         next_s = wallet.get_next_draw_s(now_s)
@@ -38,17 +39,23 @@
             with trio.move_on_after(next_s - now_s):
                 await wallet.wait_until_woken()
             continue
-        await _draw(wallet, call_leader, given.draw_timeout_s)
+        if await _draw(wallet, call_leader, given.draw_timeout_s):
+            pause_s = 0.0
+        else:
+            pause_s = min(2 * pause_s + given.urgent_interval_s, given.draw_timeout_s)
+            await trio.sleep(pause_s)
 
 
 async def _draw(
     wallet: admission_wallet.Wallet, call_leader: CallDraw, timeout_s: float
-) -> None:
+) -> bool:
+    """Return whether a control host answered, or may yet."""
     sent_s = clocks.get_now_s()
     request = wallet.build_draw(sent_s)
     with trio.move_on_after(timeout_s):
         try:
             reply = await call_leader(request)
         except failures.CallError:
-            return
+            return False
         wallet.receive_grants(reply, sent_s, clocks.get_now_s())
+    return True
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -1,6 +1,7 @@
 """The entry host's side of heartbeats and watches."""
 
 import collections.abc
+import random
 import typing
 
 import loguru
@@ -21,7 +22,13 @@
 # Silence of a control host after which another one is called first, in seconds;
 # many times the way between two regions and back.
 PATIENCE_S = 0.4
+# Pauses after failed calls, in seconds: the first, which doubles up to the last. A
+# few calls a second of each host leave control hosts time to answer all of them.
 RETRY_DELAY_S = 0.05
+LONGEST_RETRY_DELAY_S = 0.25
+# How long a control host named by another one may take to be connected, in
+# seconds; many times the way between two regions and back.
+HINT_CONNECT_S = 0.3
 MALFORMED = "malformed_answer"
 
 
@@ -42,6 +49,7 @@
         self._answering = ""
         # Since when the host that is called first owes an answer.
         self._owed_since_s: float | None = None
+        self._hinted = ""
         self._leader_listeners: list[collections.abc.Callable[[], None]] = []
         self._nursery: trio.Nursery | None = None
 
@@ -70,6 +78,7 @@
             If it did not answer; the next call tries another host.
         """
         host_id = self._order[0]
+        await self._wait_hinted(host_id)
         # A watch is answered late on purpose.
         is_prompt = not isinstance(message, messages.Watch)
         if is_prompt and self._owed_since_s is None:
@@ -94,6 +103,13 @@
             if host_id not in self._order:
                 self._order.append(host_id)
 
+    async def _wait_hinted(self, host_id: str) -> None:
+        """Give a control host that another one named time to be connected."""
+        if host_id == self._hinted:
+            with trio.move_on_after(HINT_CONNECT_S):
+                await self._peers[host_id].wait_connected()
+            self._hinted = ""
+
     def _note_leader(self, host_id: str) -> None:
         self._answering = host_id
         loguru.logger.info("leader answers", control=host_id)
@@ -124,11 +140,36 @@
 
     def _prefer(self, hint: hints.Hint) -> None:
         self._add(hint.host_id, hint.address)
+        self._hinted = hint.host_id
         if hint.host_id in self._order:
             self._order.remove(hint.host_id)
         self._order.insert(0, hint.host_id)
 
 
+class Pauses:
+    """Pauses after calls that failed one after the other.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Keeps hosts from calling at the same moments.
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._longest_s = RETRY_DELAY_S
+
+    def reset(self) -> None:
+        """Note a call that was answered."""
+        self._longest_s = RETRY_DELAY_S
+
+    def draw(self) -> float:
+        """Return the pause after one more failure, in seconds."""
+        longest_s = self._longest_s
+        self._longest_s = min(2 * longest_s, LONGEST_RETRY_DELAY_S)
+        return longest_s * self._rng.uniform(0.5, 1.0)
+
+
 class Heart:
     """Renews the host's lease and carries the sections of the slices.
 
@@ -153,6 +194,7 @@
         self._versions: dict[str, int] = {}
         self._wake = trio.Event()
         self._sequence = 0
+        self._rng = random.Random()
         self.lease_until_s = float("-inf")
         self._told_lease_until_s = float("-inf")
         self.is_leaving = False
@@ -257,14 +299,16 @@
             listener(until_s)
 
     async def _beat_forever(self) -> None:
+        pauses = Pauses(self._rng)
         while True:
             delay_s = self._interval_s
             try:
                 if await self.beat():
                     delay_s = 0.0
+                pauses.reset()
             except failures.CallError as error:
                 self._note_failure(error, clocks.get_now_s())
-                delay_s = RETRY_DELAY_S
+                delay_s = pauses.draw()
             with trio.move_on_after(delay_s):
                 await self._wake.wait()
             self._wake = trio.Event()
@@ -277,14 +321,16 @@
             loguru.logger.warning("lease lost", reason=str(error))
 
     async def _watch_forever(self) -> None:
+        pauses = Pauses(self._rng)
         while True:
             watch = messages.Watch(self._versions, int(WATCH_TIMEOUT_S * 1000))
             try:
                 answer = await self._control.call(watch, WATCH_TIMEOUT_S + 1.0)
                 _check_type(answer, messages.WatchAnswer)
             except failures.CallError:
-                await trio.sleep(RETRY_DELAY_S)
+                await trio.sleep(pauses.draw())
                 continue
+            pauses.reset()
             if answer.is_changed:
                 self.wake()
                 # The heartbeat brings the new versions before the next watch.
--- /dev/null
+++ b/sedgeswitch/membership/tests/test_lost_leader.py
@@ -0,0 +1,84 @@
+"""Many hosts look for a new leader at the same time; no network."""
+
+import random
+import unittest
+import unittest.mock
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.membership import heart
+from sedgeswitch.membership import messages
+from sedgeswitch.transport import failures
+from sedgeswitch.transport import hints
+from sedgeswitch.transport import peer
+from sedgeswitch.utils.tests import virtual_time
+
+FOLLOWER = peer.Address("10.0.0.1", 1)
+LEADER = peer.Address("10.0.0.2", 1)
+CONNECT_S = 0.05
+
+
+class Follower:
+    async def call(self, message, timeout_s):  # noqa: ARG002
+        detail = hints.encode_hint("c2", LEADER)
+        verdict = verdicts.Verdict.NOT_RUN
+        raise failures.CallError(hints.NOT_LEADER, detail, verdict)
+
+    async def run(self):
+        await trio.sleep_forever()
+
+
+class Leader:
+    """A control host that takes a moment to be connected."""
+
+    def __init__(self, address):
+        self.address = address
+        self.is_connected = False
+
+    async def run(self):
+        await trio.sleep(CONNECT_S)
+        self.is_connected = True
+        await trio.sleep_forever()
+
+    async def wait_connected(self):
+        while not self.is_connected:
+            await trio.sleep(0.001)
+
+    async def call(self, message, timeout_s):  # noqa: ARG002
+        if not self.is_connected:
+            raise failures.CallError("unreachable", "", verdicts.Verdict.NOT_RUN)
+        return "answer"
+
+
+class NamedLeaderTest(unittest.TestCase):
+    def test_named_leader_is_called_once_it_is_connected(self):
+        async def body():
+            control = heart.ControlPeers({"c1": FOLLOWER})
+            control._peers = {"c1": Follower()}
+            with unittest.mock.patch.object(peer, "Peer", Leader):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(control.run)
+                    await trio.sleep(0)
+                    with self.assertRaises(failures.CallError):
+                        await control.call(messages.Heartbeat(), 1.0)
+                    answer = await control.call(messages.Heartbeat(), 1.0)
+                    self.assertEqual("answer", answer)
+                    nursery.cancel_scope.cancel()
+
+        virtual_time.run(body)
+
+
+class PausesTest(unittest.TestCase):
+    def test_pauses_grow_up_to_the_longest_and_differ(self):
+        pauses = heart.Pauses(random.Random(1))
+        drawn = [pauses.draw() for _ in range(20)]
+        self.assertLessEqual(max(drawn), heart.LONGEST_RETRY_DELAY_S)
+        self.assertGreater(min(drawn[5:]), heart.LONGEST_RETRY_DELAY_S / 2)
+        self.assertGreater(len(set(drawn[5:])), 10)
+        pauses.reset()
+        self.assertLessEqual(pauses.draw(), heart.RETRY_DELAY_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
