Ask a full instance for a connection a few times a second only

Ruled out: shares by demand, which move slower than the load does. Change: after a refused connection a pool makes one attempt per pause of 0.05 to 0.4 s and tells the others at once, so that reads go elsewhere. A host may open two connections where its share is smaller and then keeps idle ones for 1 s.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -47,6 +47,8 @@
 MAX_QUEUE_LENGTH = 200
 # For the leader, and for connections that an instance has not seen closed yet.
 RESERVED_CONNECTIONS = 4
+# Connections to an instance without which a statement could not follow another.
+LEAST_CONNECTIONS = 2
 # More than any instance takes, so that the fleet's share alone is the limit.
 UNLIMITED_CONNECTIONS = 1_000_000
 
@@ -193,6 +195,7 @@
             policies.DEFAULT_POLICY,
             pool.PoolSettings(),
             RESERVED_CONNECTIONS,
+            LEAST_CONNECTIONS,
         )
         return backends.Backends(
             self.directory,
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -16,6 +16,10 @@
 # How long an instance may take for its next answer while others wait.
 PROGRESS_S = 0.25
 INSTANCE_UNREACHABLE = "instance_unreachable"
+# Pauses after a connection was refused, in seconds: the first, which doubles up to
+# the last. An instance spends as much on a connection as on a statement.
+RECONNECT_MIN_S = 0.05
+RECONNECT_MAX_S = 0.4
 # Weight of the newest sample in a moving average.
 NEWEST_WEIGHT = 0.2
 
@@ -133,6 +137,9 @@
         self._slots.set_slots(capacity, trio.current_time())
         self._open = 0
         self._progressed_s = float("-inf")
+        self._reconnect_s = RECONNECT_MIN_S
+        self._connect_from_s = float("-inf")
+        self._refusal = ""
 
     @property
     def open_count(self) -> int:
@@ -246,9 +253,16 @@
         finally:
             self._slots.release(pooled.ticket, trio.current_time(), is_observed)
 
-    async def close_idle(self, now_s: float) -> None:
-        """Close the connections that have not been used for long."""
-        oldest_s = now_s - self._settings.idle_timeout_s
+    async def close_idle(self, now_s: float, idle_s: float | None = None) -> None:
+        """Close the connections that have not been used for long.
+
+        Parameters
+        ----------
+        now_s : float
+        idle_s : float, optional
+            How long one is kept; else by the settings.
+        """
+        oldest_s = now_s - (idle_s or self._settings.idle_timeout_s)
         expired = [pooled for pooled in self._idle if pooled.used_s < oldest_s]
         self._idle = [pooled for pooled in self._idle if pooled.used_s >= oldest_s]
         for pooled in expired:
@@ -327,21 +341,49 @@
         if self._is_bound_to_user:
             target = target._replace(user=organisation)
         started_s = trio.current_time()
+        self._check_reconnect(started_s)
         timeout_s = min(self._settings.connect_timeout_s, deadline_s - started_s)
         connection = None
         self._open += 1
         try:
             connection = await self._driver.connect(target, max(timeout_s, 0.0))
         except base.DriverError as error:
-            raise verdicts.build_not_run(
-                503,
-                INSTANCE_UNREACHABLE,
-                f"no connection to {self._target.host}:{self._target.port}: {error}",
-                RETRY_AFTER_MS,
-            ) from error
+            self._note_refusal(error)
+            raise self._build_unreachable(RETRY_AFTER_MS) from error
         finally:
             if connection is None:
                 self._open -= 1
         now_s = trio.current_time()
+        self._refusal = ""
+        self._reconnect_s = RECONNECT_MIN_S
         self._connect_s += NEWEST_WEIGHT * (now_s - started_s - self._connect_s)
         return PooledConnection(connection, now_s)
+
+    def _check_reconnect(self, now_s: float) -> None:
+        """Let one request a pause try again after a refused connection.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            Not run.
+        """
+        if not self._refusal:
+            return
+        if now_s < self._connect_from_s:
+            left_ms = max(1, round((self._connect_from_s - now_s) * 1000))
+            raise self._build_unreachable(left_ms)
+        self._connect_from_s = now_s + self._reconnect_s
+
+    def _note_refusal(self, error: base.DriverError) -> None:
+        self._refusal = str(error)
+        self._connect_from_s = trio.current_time() + self._reconnect_s
+        self._reconnect_s = min(2 * self._reconnect_s, RECONNECT_MAX_S)
+
+    def _build_unreachable(self, retry_after_ms: int) -> verdicts.RefusedError:
+        address = f"{self._target.host}:{self._target.port}"
+        return verdicts.build_not_run(
+            503,
+            INSTANCE_UNREACHABLE,
+            f"no connection to {address}: {self._refusal}",
+            retry_after_ms,
+        )
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -164,6 +164,7 @@
 
     async def connect(self, target, timeout_s):
         instance = self._world.instances[target.instance]
+        self._world.connects += 1
         with trio.move_on_after(timeout_s):
             await trio.sleep(0.01)
             while instance.is_silent:
@@ -184,8 +185,9 @@
 class World:
     """One group of three instances and one entry host that holds a lease."""
 
-    def __init__(self, max_connections=20):
+    def __init__(self, max_connections=20, divisor=1, least=0):
         self.log = []
+        self.connects = 0
         names = ("a", "b", "c")
         self.instances = {name: FakeInstance(name, name == "a", self) for name in names}
         self.admitted = []
@@ -205,11 +207,17 @@
             lambda capacity: fair_queue.FairQueue(capacity, 100),
             lambda server: False,
             backends.BackendOptions(
-                "bagmati", 1000, policies.DEFAULT_POLICY, pool.PoolSettings()
+                "bagmati",
+                1000,
+                policies.DEFAULT_POLICY,
+                pool.PoolSettings(),
+                least=least,
             ),
             random.Random(0),
         )
-        self.backends.share.receive_answer(catalog.encode_struct(build_share(1)), 0.0)
+        self.backends.share.receive_answer(
+            catalog.encode_struct(build_share(divisor)), 0.0
+        )
         self.parts = context.Parts(
             self.databases,
             self.groups,
--- /dev/null
+++ b/sedgeswitch/relay/tests/test_scarce_connections.py
@@ -0,0 +1,107 @@
+"""Loads under which connections to instances are scarce; no network."""
+
+import unittest
+
+import trio
+
+from sedgeswitch.drivers import sessions
+from sedgeswitch.pools import pool
+from sedgeswitch.relay.tests import builders
+from sedgeswitch.statements import backends
+from sedgeswitch.utils.tests import virtual_time
+
+HOSTS = 79
+CALLERS = 30
+
+
+def run_in_world(body, **options):
+    async def main():
+        await body(builders.World(**options))
+
+    virtual_time.run(main)
+
+
+class FewerConnectionsThanHostsTest(unittest.TestCase):
+    """Each instance takes 56 connections of 79 hosts together."""
+
+    def test_host_without_a_share_still_serves(self):
+        async def body(world):
+            session = world.build_session("bounded")
+            outcomes = await builders.run_texts(session, b"READ x", b"READ y")
+            self.assertEqual([None, None], [item.failure for item in outcomes])
+
+        run_in_world(body, max_connections=56, divisor=HOSTS, least=2)
+
+    def test_idle_connection_is_left_to_other_hosts_soon(self):
+        async def body(world):
+            await world.build_session().run(builders.build_step(b"READ x"))
+            server = world.backends.get_server("a")
+            connections = world.backends.get_pool(server, server.group)
+            await world.backends.close_idle(set(), trio.current_time())
+            self.assertEqual(1, connections.open_count)
+            await trio.sleep(backends.SCARCE_IDLE_TIMEOUT_S + 0.1)
+            await world.backends.close_idle(set(), trio.current_time())
+            self.assertEqual(0, connections.open_count)
+
+        run_in_world(body, max_connections=56, divisor=HOSTS, least=2)
+
+    def test_idle_connection_within_a_share_is_kept(self):
+        async def body(world):
+            await world.build_session().run(builders.build_step(b"READ x"))
+            server = world.backends.get_server("a")
+            await trio.sleep(backends.SCARCE_IDLE_TIMEOUT_S + 0.1)
+            await world.backends.close_idle(set(), trio.current_time())
+            connections = world.backends.get_pool(server, server.group)
+            self.assertEqual(1, connections.open_count)
+
+        run_in_world(body, max_connections=300, divisor=HOSTS, least=2)
+
+
+class RefusedConnectionsTest(unittest.TestCase):
+    """A full instance refuses connections while many callers wait for it."""
+
+    def test_callers_who_wait_ask_a_full_instance_a_few_times_a_second(self):
+        async def body(world):
+            for instance in world.instances.values():
+                instance.is_refusing = True
+            outcomes = []
+
+            async def call():
+                session = world.build_session()
+                outcomes.append(await session.run(builders.build_step(b"WRITE x 1")))
+
+            started_s = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for _ in range(CALLERS):
+                    nursery.start_soon(call)
+            duration_s = trio.current_time() - started_s
+            failures = {item.failure for item in outcomes}
+            self.assertEqual({sessions.Failure.OVERLOADED}, failures)
+            # Each connection of the share is tried once before the first refusal.
+            server = world.backends.get_server("a")
+            share = world.backends.get_pool(server, server.group).load.capacity
+            most = share + 4 + duration_s / pool.RECONNECT_MAX_S
+            self.assertLessEqual(world.connects, most)
+
+        run_in_world(body)
+
+    def test_connection_is_had_soon_after_the_instance_has_room(self):
+        async def body(world):
+            world.instances["a"].is_refusing = True
+            outcomes = []
+
+            async def call():
+                session = world.build_session()
+                outcomes.append(await session.run(builders.build_step(b"WRITE x 1")))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await trio.sleep(0.3)
+                world.instances["a"].is_refusing = False
+            self.assertIsNone(outcomes[0].failure)
+
+        run_in_world(body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -21,6 +21,9 @@
 
 SAME_ZONE_DISTANCE_S = 0.0005
 OTHER_ZONE_DISTANCE_S = 0.02
+# How long an idle connection is kept from other hosts where there are fewer than
+# hosts may want, in seconds; about the time between two statements of a host.
+SCARCE_IDLE_TIMEOUT_S = 1.0
 
 BuildSlots = collections.abc.Callable[[int], fair_queue.FairQueue]
 
@@ -38,6 +41,9 @@
     pool : pool.PoolSettings
     reserved : int
         Connections of an instance that hosts do not share.
+    least : int
+        Connections that this host may open where its share is smaller; the hosts
+        then take turns, and instances refuse what is too much.
     """
 
     availability_zone: str
@@ -45,6 +51,7 @@
     policy: str
     pool: pool.PoolSettings
     reserved: int = shares.RESERVED_CONNECTIONS
+    least: int = 0
 
 
 class _Kept(typing.NamedTuple):
@@ -183,7 +190,8 @@
             if (target.host, target.port) in left_alone:
                 await kept.connections.close()
             else:
-                await kept.connections.close_idle(now_s)
+                idle_s = self._get_idle_timeout_s(kept.max_connections)
+                await kept.connections.close_idle(now_s, idle_s)
 
     async def close_unannounced(self) -> None:
         """Close idle connections to instances that are no longer announced."""
@@ -202,8 +210,16 @@
 
     def _get_capacity(self, max_connections: int, divisor: int) -> int:
         shared = shares.get_capacity(max_connections, divisor, self._options.reserved)
+        if divisor > 0:
+            shared = max(shared, self._options.least)
         return min(self._options.connections_per_instance, shared)
 
+    def _get_idle_timeout_s(self, max_connections: int) -> float | None:
+        """Return how long an idle connection is kept, None for the pool's setting."""
+        divisor, reserved = self.share.divisor, self._options.reserved
+        shared = shares.get_capacity(max_connections, divisor, reserved)
+        return SCARCE_IDLE_TIMEOUT_S if shared < self._options.least else None
+
     def _limit(self, divisor: int) -> None:
         for kept in self._pools.values():
             capacity = self._get_capacity(kept.max_connections, divisor)
