Add a seeded fault soak of the real programs

Change: python -m soak starts control hosts, entry hosts and stand-in instances, each behind a loopback proxy, and draws overlapping faults from a seed: kills, stops, pauses, torn log tails, lag, deaf replicas, delays, resets, silence and one-way cuts. The load tool checks callers' promises; operators' changes must stay; processes must not end by themselves. A run of 14 s is part of the tests.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,76 @@
+"""Command of the soak: ``python -m soak``."""
+
+import pathlib
+import sys
+
+import cleo.application
+import cleo.commands.command
+import cleo.helpers
+import cleo.io.inputs.argv_input
+
+from benchmarks import processes
+from sedgeswitch.utils import checks
+from soak import run
+
+FIRST_PORT = 21000
+
+option = cleo.helpers.option
+
+
+class RunCommand(cleo.commands.command.Command):
+    """Run seeds one after the other."""
+
+    name = "run"
+    description = "Run the fleet under random faults and check its promises."
+    options = [
+        option("seeds", None, "One seed, or first-last.", flag=False, default="1"),
+        option("duration-s", None, "Of each run.", flag=False, default="30"),
+        option("first-port", None, "", flag=False, default=str(FIRST_PORT)),
+        option("folder", None, "For logs.", flag=False, default="run/soak"),
+    ]
+
+    def handle(self) -> int:
+        """Run the seeds; 1 if one of them broke a promise."""
+        processes.exit_on_sigterm()
+        failed = []
+        for seed in self._read_seeds():
+            result = run.run(self._build_options(seed))
+            print(
+                f"seed {seed}: {result.faults} faults, {result.changes} changes,"
+                f" {result.success_share:.4f} of requests done,"
+                f" {len(result.violations)} violations",
+                flush=True,
+            )
+            for violation in result.violations:
+                print(f"  seed {seed}: {violation}", flush=True)
+            if result.violations:
+                failed.append(seed)
+        print(f"failed seeds: {failed or 'none'}")
+        return 1 if failed else 0
+
+    def _read_seeds(self) -> range:
+        first, _, last = self.option("seeds").partition("-")
+        if not first.isdigit() or (last and not last.isdigit()):
+            raise checks.CheckError("--seeds", "N or N-M", self.option("seeds"))
+        return range(int(first), int(last or first) + 1)
+
+    def _build_options(self, seed: int) -> run.Options:
+        duration_s = float(self.option("duration-s"))
+        return run.Options(
+            seed,
+            checks.check_range("--duration-s", duration_s, 10.0),
+            int(self.option("first-port")),
+            pathlib.Path(self.option("folder")).resolve() / f"seed-{seed}",
+        )
+
+
+def main() -> int:
+    """Run the command line."""
+    application = cleo.application.Application("python -m soak")
+    application.add(RunCommand())
+    words = [sys.argv[0], "run", *sys.argv[1:]]
+    return application.run(cleo.io.inputs.argv_input.ArgvInput(words))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,261 @@
+"""The processes of a soak: control hosts, entry hosts and one database group."""
+
+import json
+import os
+import pathlib
+import signal
+import typing
+
+from benchmarks import callers
+from benchmarks import fleet as fleets
+from benchmarks import processes
+from sedgeswitch import settings as daemon_settings
+from sedgeswitch.keys import plain
+from sedgeswitch.utils import records
+from soak import proxy
+
+CONTROL_HOSTS = 3
+ENTRY_HOSTS = 3
+INSTANCES = 3
+ORGANISATIONS = ("lot-desk", "depots")
+RATE_PER_S = 400.0
+PORTS = 100
+START_TIMEOUT_S = 60.0
+# Ports of a soak, counted from its first one.
+_PEERS = 0
+_HTTP = 10
+_CALLERS = 20
+_INSTANCES = 30
+_REPLICATION = 40
+_INSTANCE_CONTROL = 50
+_PROXY = 60
+_GARBAGE = b"\x00torn"
+
+
+class Fleet:
+    """Processes of a soak, each reached through a link of a proxy.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Empty; for settings, logs and data.
+    first_port : int
+        First of `PORTS` free ports.
+    """
+
+    def __init__(self, folder: pathlib.Path, first_port: int):
+        self.folder = folder
+        self._first_port = first_port
+        self._keys = {name: plain.generate_key(os.urandom) for name in ORGANISATIONS}
+        self._commands: dict[str, tuple[str, list[str]]] = {}
+        self._running: dict[str, processes.Process] = {}
+        self.control = [f"c{number}" for number in range(1, CONTROL_HOSTS + 1)]
+        self.entry = [f"e{number}" for number in range(1, ENTRY_HOSTS + 1)]
+        self.instances = [f"i{number}" for number in range(1, INSTANCES + 1)]
+        self.proxy = proxy.Proxy(self._build_links())
+
+    @property
+    def names(self) -> list[str]:
+        """Names of all processes."""
+        return self.control + self.entry + self.instances
+
+    def start(self) -> None:
+        """Start everything and wait until each entry host has a lease."""
+        self.proxy.start()
+        for name in self.control:
+            self._start_daemon(name, "control")
+        processes.wait_until(self.has_leader, START_TIMEOUT_S, "a leader")
+        for name in self.entry:
+            self._start_daemon(name, "entry")
+        for number, name in enumerate(self.instances):
+            self._start_instance(name, number)
+
+    def stop(self) -> None:
+        """End every process."""
+        for name, process in self._running.items():
+            if process.is_running:
+                self.send_signal(name, signal.SIGCONT)
+        processes.stop_all(self._running.values())
+        self.proxy.stop()
+
+    def start_process(self, name: str) -> None:
+        """Start a process, again if it has ended."""
+        module, arguments = self._commands[name]
+        logs = self.folder / "logs"
+        self._running[name] = processes.Process(name, module, arguments, logs)
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a running process that this fleet started."""
+        if self._running[name].is_running:
+            os.kill(self._running[name].pid, number)
+
+    def wait_ended(self, name: str) -> None:
+        """Wait until a process has ended; one that does not is killed."""
+        self._running[name].wait()
+
+    def list_ended(self) -> list[str]:
+        """Return the processes that are not running."""
+        return [name for name, item in self._running.items() if not item.is_running]
+
+    def tear_log(self, host_id: str) -> None:
+        """Add garbage to what a killed control host wrote after its last sync."""
+        for path in (self.folder / host_id).rglob("*-wal"):
+            with path.open("ab") as log:
+                log.write(_GARBAGE)
+
+    def change_instance(self, name: str, **faults: typing.Any) -> None:
+        """Set faults of a stand-in instance, if it answers."""
+        port = self._get_port(_INSTANCE_CONTROL, self.instances.index(name))
+        fleets.exchange(port, "POST", "/faults", faults)
+
+    def exchange_control(
+        self, host_id: str, method: str, path: str, body: typing.Any = None
+    ) -> tuple[int, typing.Any]:
+        """Return the status and body of a request to a control host.
+
+        Raises
+        ------
+        OSError
+            If there was no answer.
+        """
+        port = self._get_port(_HTTP, self.control.index(host_id))
+        return fleets.exchange(port, method, path, body)
+
+    def has_leader(self) -> bool:
+        """Return whether a control host leads."""
+        return self.find_leader() is not None
+
+    def find_leader(self) -> str | None:
+        """Return the control host that leads, None if none answers so."""
+        for host_id in self.control:
+            try:
+                status, _ = self.exchange_control(host_id, "GET", "/v1/configuration")
+            except OSError:
+                continue
+            if status == 200:
+                return host_id
+        return None
+
+    def build_operations(self) -> list[dict]:
+        """Return the change that configures the organisations and the group."""
+        operations: list[dict] = []
+        for name, key in self._keys.items():
+            limit = {"rate_per_s": RATE_PER_S, "burst": 2 * RATE_PER_S}
+            operations += [
+                {"operation": "set_organisation", "name": name, **limit},
+                {
+                    "operation": "set_key",
+                    "organisation": name,
+                    "key_id": key.key_id,
+                    "digest": key.digest,
+                },
+            ]
+        group = {"database": "lots", "ack_instances": 2, "replicas_may_serve": True}
+        selector = {
+            "organisations": "*",
+            "work": "*",
+            "access": ["read", "write"],
+            "groups": "*",
+        }
+        return [
+            *operations,
+            {"operation": "set_group", "name": callers.GROUP, "group": group},
+            {"operation": "set_selector", "name": "all", "selector": selector},
+        ]
+
+    def build_load_arguments(self) -> list[str]:
+        """Return what the load tool needs to reach the entry hosts."""
+        organisations = [
+            {
+                "organisation": name,
+                "key": key.plain,
+                "groups": [callers.GROUP],
+                "rate_per_s": RATE_PER_S,
+                "burst": 2 * RATE_PER_S,
+            }
+            for name, key in self._keys.items()
+        ]
+        path = self.folder / "organisations.json"
+        path.write_text(json.dumps(organisations))
+        entry = [f"{proxy.HOST}:{self._get_link(name).port}" for name in self.entry]
+        mix = processes.ROOT / "examples" / "daura-lots" / "mix.json"
+        return [
+            *("--entry", ",".join(entry)),
+            *("--organisations", str(path)),
+            *("--mix", str(mix)),
+        ]
+
+    def _get_port(self, kind: int, number: int) -> int:
+        return self._first_port + kind + number
+
+    def _get_link(self, name: str) -> proxy.Link:
+        return self.proxy.links[name]
+
+    def _build_links(self) -> dict[str, proxy.Link]:
+        targets = {
+            **{name: self._get_port(_PEERS, n) for n, name in enumerate(self.control)},
+            **{name: self._get_port(_CALLERS, n) for n, name in enumerate(self.entry)},
+            **{
+                name: self._get_port(_INSTANCES, n)
+                for n, name in enumerate(self.instances)
+            },
+        }
+        return {
+            name: proxy.Link(self._get_port(_PROXY, n), target)
+            for n, (name, target) in enumerate(targets.items())
+        }
+
+    def _start_daemon(self, host_id: str, role: str) -> None:
+        is_control = role == "control"
+        number = (self.control if is_control else self.entry).index(host_id)
+        settings = daemon_settings.Settings(
+            host_id=host_id,
+            roles=(role,),
+            availability_zone=fleets.ZONES[number],
+            region="region-1",
+            data_folder=str(self.folder / host_id),
+            callers=daemon_settings.Listen(
+                proxy.HOST, self._get_port(_HTTP if is_control else _CALLERS, number)
+            ),
+            peers=daemon_settings.Listen(
+                proxy.HOST,
+                self._get_port(
+                    _PEERS, number if is_control else number + len(self.control)
+                ),
+            ),
+            control_hosts=tuple(
+                daemon_settings.ControlHost(
+                    name,
+                    proxy.HOST,
+                    self._get_link(name).port,
+                    self._get_port(_HTTP, place),
+                )
+                for place, name in enumerate(self.control)
+            ),
+        )
+        path = self.folder / f"{host_id}.json"
+        path.write_text(json.dumps(records.to_plain(settings)))
+        self._commands[host_id] = ("sedgeswitch.daemon", ["--settings", str(path)])
+        self.start_process(host_id)
+
+    def _start_instance(self, name: str, number: int) -> None:
+        others = [n for n in range(INSTANCES) if n != number]
+        peers = [f"{proxy.HOST}:{self._get_port(_REPLICATION, n)}" for n in others]
+        receivers = [
+            f"{proxy.HOST}:{self._get_port(_CALLERS, n)}" for n in range(ENTRY_HOSTS)
+        ]
+        arguments = [
+            *("--instance", name, "--group", callers.GROUP),
+            *("--data-folder", str(self.folder / name)),
+            *("--port", str(self._get_port(_INSTANCES, number))),
+            *("--announced-port", str(self._get_link(name).port)),
+            *("--peer-port", str(self._get_port(_REPLICATION, number))),
+            *("--control-port", str(self._get_port(_INSTANCE_CONTROL, number))),
+            *("--peers", ",".join(peers)),
+            *("--announce-to", ",".join(receivers)),
+            *("--availability-zone", fleets.ZONES[number]),
+        ]
+        if number == 0:
+            arguments.append("--primary")
+        self._commands[name] = ("standin.instance", arguments)
+        self.start_process(name)
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,159 @@
+"""Tests of the soak's parts, and a short seeded run."""
+
+import itertools
+import pathlib
+import tempfile
+import unittest
+
+import trio
+import trio.testing
+
+from soak import faults
+from soak import operator
+from soak import proxy
+from soak import run
+
+SEED = 1
+DURATION_S = 14.0
+FIRST_PORT = 23400
+# Each that ever broke a promise, with a line on the cause.
+REGRESSION_SEEDS: dict[int, str] = {}
+
+
+class FakeFleet:
+    names = ["c1", "e1", "i1"]
+    control = ["c1"]
+    instances = ["i1"]
+
+    def __init__(self, organisations=(), version=0):
+        self.document = {"organisations": dict.fromkeys(organisations, {})}
+        self.version = version
+
+    def find_leader(self):
+        return "c1"
+
+    def exchange_control(self, host_id, method, path, body=None):
+        return 200, {"version": self.version, "document": self.document}
+
+
+class PlanTest(unittest.TestCase):
+    def test_equal_seeds_give_equal_plans(self):
+        plans = [faults.plan_faults(FakeFleet(), 7, 60.0) for _ in range(2)]
+        self.assertEqual(plans[0], plans[1])
+        self.assertNotEqual(plans[0], faults.plan_faults(FakeFleet(), 8, 60.0))
+
+    def test_faults_overlap_and_end_before_the_run(self):
+        plan = faults.plan_faults(FakeFleet(), 7, 120.0)
+        ends_s = [fault.at_s + fault.duration_s for fault in plan]
+        self.assertTrue(
+            any(
+                first.at_s + first.duration_s > second.at_s
+                for first, second in itertools.pairwise(plan)
+            )
+        )
+        self.assertLess(max(ends_s), 120.0)
+        self.assertEqual(set(faults.list_kinds()), {fault.kind for fault in plan})
+
+
+class OperatorTest(unittest.TestCase):
+    def check(self, given):
+        operators = operator.Operators(given)
+        operators.acknowledged = [operator.Acknowledged(3, "added-1")]
+        operators.check()
+        return operators.violations
+
+    def test_acknowledged_change_that_is_gone_is_a_violation(self):
+        self.assertEqual([], self.check(FakeFleet(["added-1"], 3)))
+        self.assertEqual(1, len(self.check(FakeFleet([], 3))))
+
+    def test_older_configuration_is_a_violation(self):
+        self.assertEqual(1, len(self.check(FakeFleet(["added-1"], 2))))
+
+
+class LinkTest(unittest.TestCase):
+    """Connections through a link to an echo server."""
+
+    def play(self, body):
+        streams = []
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                echo = await nursery.start(trio.serve_tcp, self.echo, 0)
+                target_port = echo[0].socket.getsockname()[1]
+                link = proxy.Link(0, target_port)
+                listeners = await nursery.start(link.serve)
+                port = listeners[0].socket.getsockname()[1]
+
+                async def connect():
+                    streams.append(await trio.open_tcp_stream(proxy.HOST, port))
+                    return streams[-1]
+
+                await body(link, connect)
+                for stream in streams:
+                    await trio.aclose_forcefully(stream)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    async def echo(self, stream):
+        async for data in stream:
+            await stream.send_all(data)
+
+    async def ask(self, stream, timeout_s=0.3):
+        with trio.move_on_after(timeout_s):
+            await stream.send_all(b"x")
+            return await stream.receive_some(1)
+        return None
+
+    def test_cut_holds_bytes_back_until_it_ends(self):
+        async def body(link, connect):
+            stream = await connect()
+            self.assertEqual(b"x", await self.ask(stream, 5.0))
+            for way in proxy.Way:
+                link.cut_ways = {way}
+                self.assertIsNone(await self.ask(stream))
+                link.cut_ways = set()
+                with trio.fail_after(5.0):
+                    self.assertEqual(b"x", await stream.receive_some(1))
+
+        self.play(body)
+
+    def test_silence_ends_open_connections_only(self):
+        async def body(link, connect):
+            stream = await connect()
+            self.assertEqual(b"x", await self.ask(stream, 5.0))
+            link.silence()
+            self.assertIsNone(await self.ask(stream))
+            self.assertEqual(b"x", await self.ask(await connect(), 5.0))
+
+        self.play(body)
+
+    def test_reset_breaks_open_connections(self):
+        async def body(link, connect):
+            stream = await connect()
+            self.assertEqual(b"x", await self.ask(stream, 5.0))
+            link.reset()
+            with self.assertRaises(trio.BrokenResourceError), trio.fail_after(5.0):
+                while await stream.receive_some(1):
+                    pass
+                raise trio.BrokenResourceError
+
+        self.play(body)
+
+
+class ShortRunTest(unittest.TestCase):
+    def test_seeds_break_no_promise(self):
+        for seed in (SEED, *REGRESSION_SEEDS):
+            with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
+                options = run.Options(
+                    seed, DURATION_S, FIRST_PORT, pathlib.Path(folder) / "seed"
+                )
+                result = run.run(options)
+                self.assertEqual([], result.violations)
+                self.assertGreater(result.faults, 0)
+                self.assertGreater(result.changes, 0)
+                self.assertGreater(result.success_share, 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standin/instance/announcer.py
+++ b/standin/instance/announcer.py
@@ -51,7 +51,8 @@
 async def _announce_to(
     instance: server.Instance, port: int, receiver: addresses.Address
 ) -> None:
-    body = msgspec.json.encode(build_announcement(instance.settings, port))
+    announced_port = instance.settings.announced_port or port
+    body = msgspec.json.encode(build_announcement(instance.settings, announced_port))
     request = http1.Request("POST", PATH, {"connection": "close"}, body)
     while True:
         await instance.wait_thawed()
--- a/standin/instance/settings.py
+++ b/standin/instance/settings.py
@@ -22,6 +22,8 @@
         IP number that the instance listens on and announces.
     port, peer_port, control_port : int
         Ports for clients, the other instances and the tests; 0 for any.
+    announced_port : int
+        Port that is announced to entry hosts; 0 for `port`.
     is_first_primary : bool
         Whether an instance without data starts as the primary.
     peers, announce_to : tuple of Address
@@ -49,6 +51,7 @@
     port: int = 0
     peer_port: int = 0
     control_port: int = 0
+    announced_port: int = 0
     is_first_primary: bool = False
     peers: tuple[addresses.Address, ...] = ()
     announce_to: tuple[addresses.Address, ...] = ()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-TEST_FOLDERS = ("sedgeswitch", "standin")
+TEST_FOLDERS = ("sedgeswitch", "standin", "soak")
 
 
 class CountingResult(unittest.TextTestResult):
