--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -139,6 +139,7 @@
             knowledge,
             decisions.DecisionLog(),
             fleet.FleetAdmission(self.wallet).admit,
+            rng,
         )
 
     async def run(self) -> None:
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -16,6 +16,7 @@
 from sedgeswitch.transport import hints
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import pauses
 
 CALL_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 5.0
@@ -146,30 +147,6 @@
         self._order.insert(0, hint.host_id)
 
 
-class Pauses:
-    """Pauses after calls that failed one after the other.
-
-    Parameters
-    ----------
-    rng : random.Random
-        Keeps hosts from calling at the same moments.
-    """
-
-    def __init__(self, rng: random.Random):
-        self._rng = rng
-        self._longest_s = RETRY_DELAY_S
-
-    def reset(self) -> None:
-        """Note a call that was answered."""
-        self._longest_s = RETRY_DELAY_S
-
-    def draw(self) -> float:
-        """Return the pause after one more failure, in seconds."""
-        longest_s = self._longest_s
-        self._longest_s = min(2 * longest_s, LONGEST_RETRY_DELAY_S)
-        return longest_s * self._rng.uniform(0.5, 1.0)
-
-
 class Heart:
     """Renews the host's lease and carries the sections of the slices.
 
@@ -299,20 +276,23 @@
             listener(until_s)
 
     async def _beat_forever(self) -> None:
-        pauses = Pauses(self._rng)
+        failed = self._build_pauses()
         while True:
             delay_s = self._interval_s
             try:
                 if await self.beat():
                     delay_s = 0.0
-                pauses.reset()
+                failed.reset()
             except failures.CallError as error:
                 self._note_failure(error, clocks.get_now_s())
-                delay_s = pauses.draw()
+                delay_s = failed.draw()
             with trio.move_on_after(delay_s):
                 await self._wake.wait()
             self._wake = trio.Event()
 
+    def _build_pauses(self) -> pauses.Pauses:
+        return pauses.Pauses(RETRY_DELAY_S, LONGEST_RETRY_DELAY_S, self._rng)
+
     def _note_failure(self, error: failures.CallError, now_s: float) -> None:
         level = "WARNING" if error.code == MALFORMED else "DEBUG"
         loguru.logger.log(level, "heartbeat failed: {}", error)
@@ -321,16 +301,16 @@
             loguru.logger.warning("lease lost", reason=str(error))
 
     async def _watch_forever(self) -> None:
-        pauses = Pauses(self._rng)
+        failed = self._build_pauses()
         while True:
             watch = messages.Watch(self._versions, int(WATCH_TIMEOUT_S * 1000))
             try:
                 answer = await self._control.call(watch, WATCH_TIMEOUT_S + 1.0)
                 _check_type(answer, messages.WatchAnswer)
             except failures.CallError:
-                await trio.sleep(pauses.draw())
+                await trio.sleep(failed.draw())
                 continue
-            pauses.reset()
+            failed.reset()
             if answer.is_changed:
                 self.wake()
                 # The heartbeat brings the new versions before the next watch.
--- a/sedgeswitch/membership/tests/test_lost_leader.py
+++ b/sedgeswitch/membership/tests/test_lost_leader.py
@@ -1,6 +1,5 @@
 """Many hosts look for a new leader at the same time; no network."""
 
-import random
 import unittest
 import unittest.mock
 
@@ -69,16 +68,5 @@
         virtual_time.run(body)
 
 
-class PausesTest(unittest.TestCase):
-    def test_pauses_grow_up_to_the_longest_and_differ(self):
-        pauses = heart.Pauses(random.Random(1))
-        drawn = [pauses.draw() for _ in range(20)]
-        self.assertLessEqual(max(drawn), heart.LONGEST_RETRY_DELAY_S)
-        self.assertGreater(min(drawn[5:]), heart.LONGEST_RETRY_DELAY_S / 2)
-        self.assertGreater(len(set(drawn[5:])), 10)
-        pauses.reset()
-        self.assertLessEqual(pauses.draw(), heart.RETRY_DELAY_S)
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -1,8 +1,11 @@
 """What every session of a host shares."""
 
 import collections.abc
+import random
 import typing
 
+import trio
+
 from sedgeswitch.databases import sections as database_sections
 from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import entry_section
@@ -18,7 +21,12 @@
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import pauses
 
+# Pauses before a statement that an instance had no slot for is sent there again, in
+# seconds: the first is about the time of a statement and doubles up to the last.
+RETRY_DELAY_S = 0.03
+LONGEST_RETRY_DELAY_S = 0.2
 # Time without a request after which an outage is taken for a new one, in seconds.
 OUTAGE_MEMORY_S = 2.0
 
@@ -41,6 +49,7 @@
     admit : callable
         ``await admit(organisation, deadline_s)`` returns once one more operation
         fits into the organisation's rate; raises `verdicts.RefusedError`.
+    rng : random.Random
     """
 
     databases: database_sections.EntrySection
@@ -51,6 +60,7 @@
     knowledge: "Knowledge"
     decisions: decisions.DecisionLog
     admit: Admit
+    rng: random.Random
 
 
 class Knowledge:
@@ -83,14 +93,17 @@
             state = instances.InstanceState(
                 False, positions.Position(permit.timeline, position.lsn)
             )
-            self._evidence[permit.primary] = (state, now_s)
+            self._evidence[permit.primary] = (state, sent_s)
 
     def get_evidence(
         self, instance: str, max_age_s: float
     ) -> instances.InstanceState | None:
         """Return the state that a primary's answers show, None if it is too old."""
-        state, told_s = self._evidence.get(instance, (None, float("-inf")))
-        return state if clocks.get_now_s() - told_s <= max_age_s else None
+        state, sent_s = self._evidence.get(instance, (None, float("-inf")))
+        age_s = clocks.get_now_s() - sent_s
+        if state is None or age_s > max_age_s:
+            return None
+        return state._replace(asked_s=trio.current_time() - age_s)
 
     def note_reply(self, instance: str, reply: sessions.Reply) -> None:
         """Note what any instance told."""
@@ -127,6 +140,11 @@
         return history
 
 
+def build_pauses(parts: Parts) -> pauses.Pauses:
+    """Return the pauses of one statement that is tried again."""
+    return pauses.Pauses(RETRY_DELAY_S, LONGEST_RETRY_DELAY_S, parts.rng)
+
+
 def get_primary(parts: Parts, permit: table.WritePermit) -> directory.BackendServer:
     """Return the primary that a permit names.
 
--- a/sedgeswitch/relay/tests/test_scarce_connections.py
+++ b/sedgeswitch/relay/tests/test_scarce_connections.py
@@ -6,6 +6,7 @@
 
 from sedgeswitch.drivers import sessions
 from sedgeswitch.pools import pool
+from sedgeswitch.relay import context
 from sedgeswitch.relay.tests import builders
 from sedgeswitch.statements import backends
 from sedgeswitch.utils.tests import virtual_time
@@ -103,5 +104,34 @@
         run_in_world(body)
 
 
+class BusyInstanceTest(unittest.TestCase):
+    """The primary has no slot for any statement for a while."""
+
+    def test_statement_is_sent_again_a_few_times_a_second(self):
+        async def body(world):
+            busy = [sessions.Failure.OVERLOADED] * 1000
+            world.instances["a"].failures = busy
+            started_s = trio.current_time()
+            outcome = await world.build_session().run(builders.build_step(b"WRITE x 1"))
+            duration_s = trio.current_time() - started_s
+            self.assertEqual(sessions.Failure.OVERLOADED, outcome.failure)
+            sent = 1000 - len(busy)
+            # The pauses reach their longest with the fourth.
+            most = 4 + duration_s / (context.LONGEST_RETRY_DELAY_S / 2)
+            self.assertLessEqual(sent, most)
+
+        run_in_world(body)
+
+    def test_statement_runs_soon_after_a_slot_is_free(self):
+        async def body(world):
+            world.instances["a"].failures = [sessions.Failure.OVERLOADED] * 3
+            started_s = trio.current_time()
+            outcome = await world.build_session().run(builders.build_step(b"WRITE x 1"))
+            self.assertIsNone(outcome.failure)
+            self.assertLess(trio.current_time() - started_s, 0.35)
+
+        run_in_world(body)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sedgeswitch/relay/transactions.py
+++ b/sedgeswitch/relay/transactions.py
@@ -14,9 +14,6 @@
 from sedgeswitch.relay import writes
 from sedgeswitch.utils import clocks
 
-# Pause before a statement that an instance had no slot for is sent again, in
-# seconds.
-RETRY_DELAY_S = 0.03
 # Longest time for ending a transaction on a connection that is to be kept.
 ROLL_BACK_TIMEOUT_S = 1.0
 
@@ -173,6 +170,7 @@
         """Return the reply, None if the connection is lost or silent."""
         link = self._link
         knowledge = self._parts.knowledge
+        refused = context.build_pauses(self._parts)
         with trio.move_on_at(deadline_s):
             while True:
                 try:
@@ -183,9 +181,10 @@
                 knowledge.note_reply(link.server.instance, reply)
                 is_refused = reply.failure is sessions.Failure.OVERLOADED
                 is_open = reply.is_in_transaction and not reply.is_transaction_failed
-                is_late = trio.current_time() + RETRY_DELAY_S >= deadline_s
+                pause_s = refused.draw()
+                is_late = trio.current_time() + pause_s >= deadline_s
                 if not (is_refused and is_open) or is_late:
                     return reply
-                await trio.sleep(RETRY_DELAY_S)
+                await trio.sleep(pause_s)
         knowledge.note_silence(link.server.instance)
         return None
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -21,8 +21,6 @@
         sessions.Failure.UNKNOWN_STATEMENT,
     ]
 )
-# Pause before an instance that has refused is asked again, in seconds.
-RETRY_DELAY_S = 0.03
 
 
 class Writer:
@@ -47,6 +45,7 @@
             ``IN_DOUBT`` if the write may have run, else a failure which says that
             nothing is kept.
         """
+        refused = context.build_pauses(self._parts)
         while True:
             permit = await reads.wait_permit(
                 self._parts, access.database.group, deadline_s
@@ -60,10 +59,11 @@
             if reply.failure is None:
                 confirm(self._parts, permit, reply)
                 return reply
-            is_late = trio.current_time() + RETRY_DELAY_S >= deadline_s
+            pause_s = refused.draw()
+            is_late = trio.current_time() + pause_s >= deadline_s
             if reply.failure not in _NOT_RUN or is_late:
                 return reply
-            await trio.sleep(RETRY_DELAY_S)
+            await trio.sleep(pause_s)
 
     async def _run_under(
         self,
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -22,8 +22,8 @@
 SAME_ZONE_DISTANCE_S = 0.0005
 OTHER_ZONE_DISTANCE_S = 0.02
 # How long an idle connection is kept from other hosts where there are fewer than
-# hosts may want, in seconds; about the time between two statements of a host.
-SCARCE_IDLE_TIMEOUT_S = 1.0
+# hosts may want, in seconds; several times what opening one takes.
+SCARCE_IDLE_TIMEOUT_S = 0.25
 
 BuildSlots = collections.abc.Callable[[int], fair_queue.FairQueue]
 
--- /dev/null
+++ b/sedgeswitch/utils/tests/test_pauses.py
@@ -0,0 +1,27 @@
+"""Tests of pauses between attempts."""
+
+import random
+import unittest
+
+from sedgeswitch.utils import pauses
+
+
+class PausesTest(unittest.TestCase):
+    def test_pauses_grow_up_to_the_longest_and_differ(self):
+        given = pauses.Pauses(0.05, 0.25, random.Random(1))
+        drawn = [given.draw() for _ in range(20)]
+        self.assertLessEqual(drawn[0], 0.05)
+        self.assertLessEqual(max(drawn), 0.25)
+        self.assertGreaterEqual(min(drawn[5:]), 0.125)
+        self.assertGreater(len(set(drawn[5:])), 10)
+
+    def test_success_starts_anew(self):
+        given = pauses.Pauses(0.05, 0.25, random.Random(1))
+        for _ in range(5):
+            given.draw()
+        given.reset()
+        self.assertLessEqual(given.draw(), 0.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
