Share the positions of primaries by heartbeats

Hosts without a recent position of their own send reads to the primary; a busy primary told none, so that the reads kept it busy. Ruled out: paused or lagging replicas; the other instances refused nothing. Change: hosts use the positions that watchers report and the leader spreads, with their greatest age; the age of a position taken from a statement counts from when that was sent. A busy primary's position counts too, and a read that met a busy primary tries replicas again. Tests: two reads that fail without it (test_sessions).

--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -151,6 +151,23 @@
             if name in state.instances
         ]
 
+    def get_primary_position(
+        self, group: str, now_s: float
+    ) -> tuple[positions.Position, float] | None:
+        """Return a position of a group's primary that any entry host was told.
+
+        Returns
+        -------
+        tuple of positions.Position and float, or None
+            The position, and how long ago the primary was asked for it at most, in
+            seconds; None if neither is known.
+        """
+        state = self._table.get_group(group)
+        for view in self.get_replicas(group, now_s):
+            if view.instance == state.primary and view.is_usable:
+                return None if view.age_s is None else (view.position, view.age_s)
+        return None
+
     def _receive_observations(
         self, observations: typing.Iterable[ttypes.GroupObservation]
     ) -> None:
--- a/sedgeswitch/groups/instances.py
+++ b/sedgeswitch/groups/instances.py
@@ -44,10 +44,13 @@
     in_recovery : bool
         True for a replica.
     position : positions.Position
+    asked_s : float or None
+        When the instance was asked, on trio's clock, if that was before the probe.
     """
 
     in_recovery: bool
     position: positions.Position
+    asked_s: float | None = None
 
 
 class PromotionOrder(typing.NamedTuple):
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -259,7 +259,8 @@
         if group is None or name != group.primary or state.in_recovery:
             return
         if state.position.timeline == group.timeline:
-            self._history.add_sample(state.position, sent_s)
+            asked_s = sent_s if state.asked_s is None else min(sent_s, state.asked_s)
+            self._history.add_sample(state.position, asked_s)
 
 
 def _is_stuck(
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -40,7 +40,12 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_CONNECTIONS = 2000
 GROUP_SETTINGS = groups_settings.GroupSettings(
-    promote_timeout_s=5.0, removal_delay_s=5.0, replica_interval_s=1.5
+    promote_timeout_s=5.0,
+    removal_delay_s=5.0,
+    replica_interval_s=1.5,
+    # With each heartbeat, so that reads of bounded age find a position.
+    observation_interval_s=0.4,
+    observed_groups=8,
 )
 
 
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -24,8 +24,6 @@
 # Time without a primary after which its return is no longer waited for, in
 # seconds; most changes of primary are over by then.
 OUTAGE_PATIENCE_S = 3.0
-# Pause before the primary is tried again, in seconds.
-RETRY_DELAY_S = 0.02
 
 # ``await run(link, floor)`` on a connection that is held.
 Run = collections.abc.Callable[
@@ -101,36 +99,68 @@
         steps.FailedError
             If no instance gave a result in time.
         """
-        group = access.database.group
-        if access.database.freshness is not documents.Freshness.PRIMARY:
-            tried: set[str] = set()
-            while server := self._choose_replica(access, session_floor, tried):
-                tried.add(server.instance)
-                floor = self._get_floor(access, session_floor)
-                if floor is None:
-                    break
-                until_s = self._get_until_s(deadline_s)
-                placement = await self._try_replica(
-                    access, server, floor, until_s, run, is_kept
-                )
-                if placement is not None:
-                    return placement
-        return await self._run_on_primary(access, group, deadline_s, run, is_kept)
+
+        async def run_on_replicas() -> Placement | None:
+            return await self._run_on_replicas(
+                access, session_floor, deadline_s, run, is_kept
+            )
+
+        placement = await run_on_replicas()
+        if placement is not None:
+            return placement
+        return await self._run_on_primary(
+            access, deadline_s, run, is_kept, run_on_replicas
+        )
+
+    async def _run_on_replicas(
+        self,
+        access: accesses.Access,
+        session_floor: positions.Position | None,
+        deadline_s: float,
+        run: Run,
+        is_kept: bool,
+    ) -> Placement | None:
+        """Return where a read has run, None if no replica will do."""
+        if access.database.freshness is documents.Freshness.PRIMARY:
+            return None
+        tried: set[str] = set()
+        while server := self._choose_replica(access, session_floor, tried):
+            tried.add(server.instance)
+            floor = self._get_floor(access, session_floor)
+            if floor is None:
+                return None
+            until_s = self._get_until_s(deadline_s)
+            placement = await self._try_replica(
+                access, server, floor, until_s, run, is_kept
+            )
+            if placement is not None:
+                return placement
+        return None
 
     def _get_floor(
         self, access: accesses.Access, session_floor: positions.Position | None
     ) -> positions.Position | None:
         """Return what a replica must hold, None if it can't be told."""
-        history = self._parts.knowledge.get_history(access.database.group)
-        required = history.get_required(
-            clocks.get_now_s(), access.database.max_staleness_s
-        )
+        required = self._get_required(access.database)
         if required is None:
             return None
         if access.database.freshness is documents.Freshness.SESSION:
             return context.merge_floors(required, session_floor)
         return required
 
+    def _get_required(self, database: documents.Database) -> positions.Position | None:
+        """Return a position that is recent enough, of this host's or the fleet's."""
+        now_s = clocks.get_now_s()
+        history = self._parts.knowledge.get_history(database.group)
+        required = history.get_required(now_s, database.max_staleness_s)
+        if required is not None:
+            return required
+        shared = self._parts.observations.get_primary_position(database.group, now_s)
+        if shared is None:
+            return None
+        position, age_s = shared
+        return position if age_s <= database.max_staleness_s else None
+
     def _get_until_s(self, deadline_s: float) -> float:
         now_s = trio.current_time()
         try_s = max((deadline_s - now_s) * TRY_TIME_SHARE, LEAST_TRY_S)
@@ -189,18 +219,21 @@
     async def _run_on_primary(
         self,
         access: accesses.Access,
-        group: str,
         deadline_s: float,
         run: Run,
         is_kept: bool,
+        run_on_replicas: collections.abc.Callable[
+            [], collections.abc.Awaitable[Placement | None]
+        ],
     ) -> Placement:
         last = steps.FailedError(
             sessions.Failure.OVERLOADED, "no primary; retry after 500 ms"
         )
         parts = self._parts
+        refused = context.build_pauses(parts)
         with trio.move_on_at(deadline_s):
             while True:
-                permit = await wait_permit(parts, group, deadline_s)
+                permit = await wait_permit(parts, access.database.group, deadline_s)
                 try:
                     server = context.get_primary(parts, permit)
                     sent_s = clocks.get_now_s()
@@ -214,14 +247,21 @@
                         if is_kept:
                             await _discard(placement.link)
                 except _MovedError as moved:
+                    # A busy primary tells its position too, and replicas then serve.
+                    parts.knowledge.note_primary(permit, sent_s, moved.reply)
+                    if placement := await run_on_replicas():
+                        return placement
                     last = steps.FailedError(moved.reply.failure, moved.reply.detail)
                 except steps.FailedError as error:
                     last = error
                     if not error.may_pass:
                         raise
-                if trio.current_time() + RETRY_DELAY_S >= deadline_s:
+                    if placement := await run_on_replicas():
+                        return placement
+                pause_s = refused.draw()
+                if trio.current_time() + pause_s >= deadline_s:
                     break
-                await trio.sleep(RETRY_DELAY_S)
+                await trio.sleep(pause_s)
             raise last
         # A read that has run somewhere without an answer keeps nothing either.
         raise steps.FailedError(
--- a/sedgeswitch/relay/session.py
+++ b/sedgeswitch/relay/session.py
@@ -17,6 +17,7 @@
 from sedgeswitch.relay import steps
 from sedgeswitch.relay import transactions
 from sedgeswitch.relay import writes
+from sedgeswitch.utils import clocks
 
 MS_PER_S = 1000.0
 
@@ -172,6 +173,7 @@
     async def _admit(self, deadline_s: float) -> accesses.Access:
         """Check and count an operation that begins."""
         access = self.check()
+        self._parts.observations.note_use(access.database.group, clocks.get_now_s())
         if access.is_limited:
             asked_s = trio.current_time()
             try:
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -177,6 +177,18 @@
 class FakeObservations:
     def __init__(self):
         self.acknowledged = []
+        self.used = set()
+        self.told = None
+
+    def note_use(self, group, now_s):
+        self.used.add(group)
+
+    def get_primary_position(self, group, now_s):
+        """Return what another host was told, as (position, age)."""
+        if self.told is None:
+            return None
+        position, asked_s = self.told
+        return position, now_s - asked_s
 
     def note_acknowledged(self, group, position):
         self.acknowledged.append((group, position))
@@ -227,6 +239,7 @@
             context.Knowledge(self.groups),
             decisions.DecisionLog(),
             self.admit,
+            random.Random(0),
         )
 
     def announce(self, name, place, max_connections=20, is_leaving=False):
--- a/sedgeswitch/relay/tests/test_sessions.py
+++ b/sedgeswitch/relay/tests/test_sessions.py
@@ -41,6 +41,34 @@
 
         run_in_world(body)
 
+    def test_position_that_another_host_was_told_spares_the_primary(self):
+        async def body(world):
+            position = world.instances["a"].position
+            world.observations.told = (position, trio.current_time())
+            session = world.build_session("bounded")
+            outcome = await session.run(builders.build_step(b"READ x"))
+            self.assertIn(outcome.signature, (b"signed-b", b"signed-c"))
+            await trio.sleep(builders.STALENESS_S + 0.1)
+            outcome = await session.run(builders.build_step(b"READ x"))
+            self.assertEqual(b"signed-a", outcome.signature)
+            self.assertEqual({builders.GROUP}, world.observations.used)
+
+        run_in_world(body)
+
+    def test_position_of_a_busy_primary_lets_replicas_serve(self):
+        async def body(world):
+            world.instances["a"].failures = [FAILURE.OVERLOADED] * 1000
+            first = await world.build_session("bounded").run(
+                builders.build_step(b"READ x")
+            )
+            second = await world.build_session("bounded").run(
+                builders.build_step(b"READ x")
+            )
+            self.assertIn(second.signature, (b"signed-b", b"signed-c"))
+            self.assertIn(first.signature, (b"signed-b", b"signed-c"))
+
+        run_in_world(body)
+
     def test_replica_that_lacks_an_old_commit_is_passed_over(self):
         async def body(world):
             writer = world.build_session("primary")
