Replace connections between hosts that have gone silent

Ruled out: load of the followers, missing hints, the hosts' links. Change: a connection that answers nothing for 0.5 s though it owes answers is replaced, whoever gave up waiting; watches are late on purpose and don't count. Test: fails first (test_reconnect).

--- a/sedgeswitch/daemon/tests/test_heavy_days.py
+++ b/sedgeswitch/daemon/tests/test_heavy_days.py
@@ -204,7 +204,7 @@
         self.answer = answer
         self.calls = 0
 
-    async def call(self, message, timeout_s):
+    async def call(self, message, timeout_s, is_prompt=True):
         self.calls += 1
         with trio.move_on_after(timeout_s):
             if self.answer is None:
--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -85,7 +85,8 @@
         if is_prompt and self._owed_since_s is None:
             self._owed_since_s = clocks.get_now_s()
         try:
-            answer = await self._peers[host_id].call(message, timeout_s)
+            called = self._peers[host_id]
+            answer = await called.call(message, timeout_s, is_prompt)
             if host_id == self._order[0]:
                 self._owed_since_s = None
             if host_id != self._answering:
--- a/sedgeswitch/transport/peer.py
+++ b/sedgeswitch/transport/peer.py
@@ -21,6 +21,9 @@
 SEND_TIMEOUT_S = 2.0
 # After a silent partition TCP may wait minutes before it sends again.
 RECONNECT_AFTER_TIMEOUTS = 3
+# Time without any answer, while some are owed, after which a connection is taken for
+# silent, in seconds; many times the way between two regions and back.
+SILENCE_LIMIT_S = 0.5
 
 
 class Address(typing.NamedTuple):
@@ -71,6 +74,8 @@
         self._receiving = trio.CancelScope()
         self._running = trio.CancelScope()
         self._timeouts = 0
+        # Since when the peer has answered nothing, though it should have.
+        self._owed_since_s: float | None = None
 
     @property
     def is_connected(self) -> bool:
@@ -107,7 +112,9 @@
                 await self._wake.wait()
             self._wake = trio.Event()
 
-    async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
+    async def call(
+        self, message: typing.Any, timeout_s: float, is_prompt: bool = True
+    ) -> typing.Any:
         """Send a request and return its reply.
 
         Parameters
@@ -116,6 +123,9 @@
             A Thrift struct of the catalogue.
         timeout_s : float
             How long to wait for the reply, in seconds.
+        is_prompt : bool
+            Whether the peer answers at once; a connection on which it does not is
+            replaced.
 
         Raises
         ------
@@ -129,6 +139,8 @@
             raise failures.CallError(
                 "unreachable", str(self.address), verdicts.Verdict.NOT_RUN
             )
+        if is_prompt and self._owed_since_s is None:
+            self._owed_since_s = trio.current_time()
         self._next_request_id += 1
         request_id = self._next_request_id
         pending = self._pending[request_id] = _Pending()
@@ -138,6 +150,9 @@
                 await pending.done.wait()
         finally:
             self._pending.pop(request_id, None)
+            # Also where the caller has given up earlier.
+            if is_prompt and not pending.done.is_set():
+                self._check_silence(stream)
         if not pending.done.is_set():
             self._count_timeout(stream)
         return self._read_answer(pending)
@@ -147,6 +162,11 @@
         if self._timeouts >= RECONNECT_AFTER_TIMEOUTS:
             self._drop(stream)
 
+    def _check_silence(self, stream: trio.abc.Stream) -> None:
+        since_s = self._owed_since_s
+        if since_s is not None and trio.current_time() - since_s >= SILENCE_LIMIT_S:
+            self._drop(stream)
+
     async def _send(
         self, stream: trio.abc.Stream, request_id: int, message: typing.Any
     ) -> None:
@@ -194,6 +214,7 @@
         self._stream = stream
         self._connected.set()
         self._timeouts = 0
+        self._owed_since_s = None
         self._receiving = trio.CancelScope()
         reader = frames.FrameReader(stream)
         try:
@@ -213,6 +234,7 @@
 
     def _settle(self, frame: frames.Frame) -> None:
         self._timeouts = 0
+        self._owed_since_s = None
         # A late answer finds no pending call and goes to nobody else.
         pending = self._pending.pop(frame.request_id, None)
         if pending is not None:
--- a/sedgeswitch/transport/tests/test_reconnect.py
+++ b/sedgeswitch/transport/tests/test_reconnect.py
@@ -6,11 +6,14 @@
 import trio
 import trio.testing
 
+from sedgeswitch import verdicts
+from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
 from sedgeswitch.utils.tests import virtual_time
 
 # What callers behind a cut are owed once the cut has healed.
 CONNECTED_WITHIN_S = 0.9
+FAILURE = failures.CallError("none", "", verdicts.Verdict.NOT_RUN)
 
 
 class Path:
@@ -51,5 +54,62 @@
                 virtual_time.run(body, heals_s)
 
 
+class SilentConnectionTest(unittest.TestCase):
+    """An open connection goes silent for good, without a reset; new ones work."""
+
+    def test_silent_connection_is_replaced_soon(self):
+        async def body():
+            opened = []
+
+            async def open_stream(_host, _port):
+                ours, other = trio.testing.memory_stream_pair()
+                opened.append(other)
+                return ours
+
+            async def give_up_early(calling):
+                # As callers do that have a shorter time of their own.
+                with trio.move_on_after(0.15):
+                    await calling.call(failures.build_failure(FAILURE), 0.5)
+
+            calling = peer.Peer(peer.Address("10.0.0.1", 1))
+            with mock.patch.object(trio, "open_tcp_stream", open_stream):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(calling.run)
+                    await calling.wait_connected()
+                    started_s = trio.current_time()
+                    while len(opened) < 2:
+                        await give_up_early(calling)
+                        await trio.sleep(0.05)
+                    replaced_s = trio.current_time() - started_s
+                    nursery.cancel_scope.cancel()
+            self.assertLess(replaced_s, 2 * peer.SILENCE_LIMIT_S)
+
+        virtual_time.run(body)
+
+    def test_late_answer_by_design_is_no_silence(self):
+        async def body():
+            opened = []
+
+            async def open_stream(_host, _port):
+                ours, other = trio.testing.memory_stream_pair()
+                opened.append(other)
+                return ours
+
+            calling = peer.Peer(peer.Address("10.0.0.1", 1))
+            with mock.patch.object(trio, "open_tcp_stream", open_stream):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(calling.run)
+                    await calling.wait_connected()
+                    with self.assertRaises(failures.CallError):
+                        await calling.call(
+                            failures.build_failure(FAILURE), 3.0, is_prompt=False
+                        )
+                    self.assertTrue(calling.is_connected)
+                    self.assertEqual(1, len(opened))
+                    nursery.cancel_scope.cancel()
+
+        virtual_time.run(body)
+
+
 if __name__ == "__main__":
     unittest.main()
