--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -238,6 +238,8 @@
         while True:
             if not self.heart.is_lease_valid(clocks.get_now_s()):
                 self.backends.share.drop()
+            fenced = relay_groups.list_fenced(self.groups.get_groups())
+            self.backends.leave_room(fenced)
             await self.backends.close_surplus()
             await self.backends.close_unannounced()
             await self.backends.close_idle(set(), trio.current_time())
--- a/sedgeswitch/daemon/relay_groups.py
+++ b/sedgeswitch/daemon/relay_groups.py
@@ -7,6 +7,7 @@
 from sedgeswitch.databases import documents
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import instances
+from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.membership import directory
 
 # Tokens in hand outlast the election of a leader, and their lifetime the lease. The
@@ -64,6 +65,18 @@
         ]
 
 
+def list_fenced(
+    states: collections.abc.Iterable[ttypes.Group],
+) -> set[str]:
+    """Return the instances of the groups whose primary is being changed."""
+    return {
+        name
+        for state in states
+        if state.phase == ttypes.GroupPhase.FENCED
+        for name in state.instances
+    }
+
+
 class Tolerance(typing.NamedTuple):
     """What may pass beyond an organisation's limit.
 
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -46,6 +46,8 @@
     # With each heartbeat, so that reads of bounded age find a position.
     observation_interval_s=0.4,
     observed_groups=8,
+    # An instance that serves a whole group alone takes long to accept a connection.
+    read_timeout_s=1.0,
 )
 
 
--- a/sedgeswitch/relay/tests/test_scarce_connections.py
+++ b/sedgeswitch/relay/tests/test_scarce_connections.py
@@ -4,7 +4,9 @@
 
 import trio
 
+from sedgeswitch.daemon import relay_groups
 from sedgeswitch.drivers import sessions
+from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import context
 from sedgeswitch.relay.tests import builders
@@ -58,6 +60,50 @@
         run_in_world(body, max_connections=300, divisor=HOSTS, least=2)
 
 
+class FencedGroupTest(unittest.TestCase):
+    """All connections of the last replica are taken when the leader needs one."""
+
+    def test_hosts_leave_room_while_the_primary_is_changed(self):
+        async def body(world):
+            server = world.backends.get_server("b")
+            connections = world.backends.get_pool(server, server.group)
+            capacity = connections.load.capacity
+            deadline_s = trio.current_time() + 1
+            held = [
+                await connections.acquire("ward-4", deadline_s) for _ in range(capacity)
+            ]
+            world.backends.leave_room({"b"})
+            for pooled in held:
+                await connections.release(pooled, trio.current_time())
+            await world.backends.close_surplus()
+            self.assertEqual(capacity - 1, connections.open_count)
+            world.backends.leave_room(())
+            self.assertEqual(capacity, connections.load.capacity)
+
+        run_in_world(body)
+
+    def test_last_connection_of_a_host_is_kept(self):
+        async def body(world):
+            server = world.backends.get_server("b")
+            connections = world.backends.get_pool(server, server.group)
+            world.backends.leave_room({"b"})
+            self.assertEqual(1, connections.load.capacity)
+
+        run_in_world(body, max_connections=20, divisor=15)
+
+    def test_instances_of_fenced_groups_are_listed(self):
+        async def body(world):
+            fenced = ttypes.GroupPhase.FENCED
+            world.change_group(1, "a", 2, fenced)
+            states = world.groups.get_groups()
+            self.assertEqual({"a", "b", "c"}, relay_groups.list_fenced(states))
+            world.promote("b", 2, 3)
+            states = world.groups.get_groups()
+            self.assertEqual(set(), relay_groups.list_fenced(states))
+
+        run_in_world(body)
+
+
 class RefusedConnectionsTest(unittest.TestCase):
     """A full instance refuses connections while many callers wait for it."""
 
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -92,6 +92,7 @@
         self._options = options
         self._rng = rng
         self._pools: dict[base.Target, _Kept] = {}
+        self._spared: frozenset[str] = frozenset()
         self.share = shares.EntryShare(self._fits, self._limit)
 
     def get_servers(self, group: str) -> list[directory.BackendServer]:
@@ -130,6 +131,17 @@
             self._limit(self.share.divisor)
         return kept.connections
 
+    def leave_room(self, instances: collections.abc.Iterable[str]) -> None:
+        """Open one connection less than the share to these instances only.
+
+        With all hosts doing so, the leader can connect to instances whose
+        connections are all taken, to order a change of primary.
+        """
+        spared = frozenset(instances)
+        if spared != self._spared:
+            self._spared = spared
+            self._limit(self.share.divisor)
+
     async def close_surplus(self) -> None:
         """Close idle connections beyond this host's share of an instance."""
         for kept in list(self._pools.values()):
@@ -221,8 +233,10 @@
         return SCARCE_IDLE_TIMEOUT_S if shared < self._options.least else None
 
     def _limit(self, divisor: int) -> None:
-        for kept in self._pools.values():
+        for target, kept in self._pools.items():
             capacity = self._get_capacity(kept.max_connections, divisor)
+            if target.instance in self._spared:
+                capacity = max(capacity - 1, min(capacity, 1))
             kept.connections.set_capacity(capacity)
 
     def _fits(self, divisor: int) -> bool:
