Tell the other instances to follow a new primary

Change: once a primary is promoted, the others get the order to step down below its timeline and to resume, beside the wait for the entry hosts.

--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -132,8 +132,11 @@
         The group serves already. Whoever watches for the next failure of the
         group need not wait for this.
         """
-        with contextlib.suppress(groups_control.LeadershipLostError):
-            await self._wait_for_holders(self._get_state().version)
+        state = self._control.machine.get_group(self._group)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._let_follow, state)
+            with contextlib.suppress(groups_control.LeadershipLostError):
+                await self._wait_for_holders(state.version)
         report = report._replace(learn_s=self._take_phase_s())
         self._control.record_report(report)
         return report
@@ -276,6 +279,18 @@
                         self._settings.read_timeout_s,
                     )
 
+    async def _let_follow(self, group: ttypes.Group) -> None:
+        """Let the other instances follow the new primary, the old one among them."""
+        async with trio.open_nursery() as nursery:
+            for instance in self._control.directory.get_instances(self._group):
+                if instance.instance != group.primary:
+                    nursery.start_soon(
+                        self._control.orders.follow,
+                        instance.target,
+                        group.timeline,
+                        self._settings.read_timeout_s,
+                    )
+
     def _decide_on(
         self,
         group: ttypes.Group,
--- a/sedgeswitch/groups/instances.py
+++ b/sedgeswitch/groups/instances.py
@@ -91,6 +91,12 @@
     async def unfence(self, target: typing.Any, timeout_s: float) -> None:
         """Let a replica follow its primary again."""
 
+    async def follow(self, target: typing.Any, timeline: int, timeout_s: float) -> None:
+        """Let an instance follow the primary of `timeline`.
+
+        One that leads an older timeline gives that up, if it has this ability.
+        """
+
     async def promote(self, order: PromotionOrder, timeout_s: float) -> None:
         """Order a promotion, which may take effect late or never."""
 
@@ -142,6 +148,15 @@
         """Tell an instance to promote itself."""
         await _query_once(self._driver, order.target, PROMOTE_QUERY, timeout_s)
 
+    async def follow(
+        self,
+        target: typing.Any,  # noqa: ARG002
+        timeline: int,  # noqa: ARG002
+        timeout_s: float,  # noqa: ARG002
+    ) -> None:
+        """Do nothing: the instances find the primary themselves."""
+        await trio.lowlevel.checkpoint()
+
     async def unfence(
         self,
         target: typing.Any,  # noqa: ARG002
--- a/sedgeswitch/groups/tests/test_fencing.py
+++ b/sedgeswitch/groups/tests/test_fencing.py
@@ -54,6 +54,11 @@
         self.fenced.discard(target)
         self.orders.append(("unfence", target))
 
+    async def follow(self, target, timeline, timeout_s):
+        await trio.sleep(0.01)
+        self.fenced.discard(target)
+        self.orders.append(("follow", target, timeline))
+
     async def promote(self, order, timeout_s):
         await trio.sleep(0.01)
         self.orders.append(("promote", order.instance, order.leadership_term))
@@ -63,7 +68,8 @@
 
 
 class World:
-    def __init__(self, states, floor):
+    def __init__(self, states, floor, is_learned=False):
+        self.is_learned = is_learned
         self.orders = FakeOrders(states)
         self.machine = machine.GroupsMachine()
         register = ttypes.RegisterGroup("g", "a", 1, NAMES)
@@ -87,7 +93,9 @@
             lambda group, name: (name,), lambda report: None, self.orders,
             lambda group, version: self.floor,
         )  # fmt: skip
-        return await failover.Failover(control, 7, "g", "test", 0.0).run()
+        change = failover.Failover(control, 7, "g", "test", 0.0)
+        report = await change.run()
+        return await change.wait_learned(report) if self.is_learned else report
 
 
 class FailoverTest(unittest.TestCase):
@@ -100,6 +108,13 @@
         self.assertLess(kinds.index("fence"), kinds.index("promote"))
         self.assertIn(("promote", "b", 7), world.orders.orders)
 
+    def test_others_are_told_to_follow_the_new_primary(self):
+        states = {"b": build_state(60), "c": build_state(55)}
+        world = World(states, FLOOR, is_learned=True)
+        virtual_time.run(world.change)
+        told = [order[1:] for order in world.orders.orders if order[0] == "follow"]
+        self.assertEqual([("a", 2), ("c", 2)], sorted(told))
+
     def test_one_replica_with_every_acknowledged_write_is_enough(self):
         world = World({"c": build_state(50)}, FLOOR)
         self.assertEqual("c", virtual_time.run(world.change).new_primary)
--- a/sedgeswitch/platform/instance_driver.py
+++ b/sedgeswitch/platform/instance_driver.py
@@ -146,6 +146,10 @@
         """Let a replica follow its primary again."""
         return await self._ask_state(b"RESUME")
 
+    async def step_down(self, timeline: int) -> instances.InstanceState:
+        """Make a primary of a lower timeline a replica."""
+        return await self._ask_state(b"STEPDOWN %d" % timeline)
+
     async def close(self) -> None:
         """Close the connection; closing it twice does nothing."""
         self._is_open = False
@@ -371,6 +375,15 @@
         """Let a replica follow its primary again."""
         await self._ask(target, timeout_s, LineConnection.unfence)
 
+    async def follow(
+        self, target: base.Target, timeline: int, timeout_s: float
+    ) -> None:
+        """Let an instance follow the primary of a timeline."""
+        await self._ask(
+            target, timeout_s, lambda connection: connection.step_down(timeline)
+        )
+        await self.unfence(target, timeout_s)
+
     async def _ask(
         self,
         target: base.Target,
