Require positions that a new primary's log has

Lines of a trial: the shared position was told under the new timeline, in which nothing was written yet, so that every replica lacked it; and hosts kept the positions of the replaced primary, above the new ones, and noted none. Ruled out: replicas that lag or are paused (they were at the same number). Tests fail first: test_shared_positions, test_freshness.

--- a/sedgeswitch/groups/control_section.py
+++ b/sedgeswitch/groups/control_section.py
@@ -220,4 +220,5 @@
             timeline=view.position.timeline,
             lsn=view.position.lsn,
             age_ms=age_ms,
+            log_timeline=view.log_timeline,
         )
--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -29,12 +29,15 @@
         A position that it has reached; None if it never answered.
     age_s : float or None
         Greatest age of its data now; None if it is not known.
+    log_timeline : int or None
+        See `instances.InstanceState`.
     """
 
     instance: str
     is_usable: bool
     position: positions.Position | None
     age_s: float | None
+    log_timeline: int | None = None
 
 
 class _Observed(typing.NamedTuple):
@@ -154,7 +157,7 @@
     def get_primary_position(
         self, group: str, now_s: float
     ) -> tuple[positions.Position, float] | None:
-        """Return a position of a group's primary that any entry host was told.
+        """Return a position of a primary's log that any entry host was told.
 
         Returns
         -------
@@ -164,8 +167,12 @@
         """
         state = self._table.get_group(group)
         for view in self.get_replicas(group, now_s):
-            if view.instance == state.primary and view.is_usable:
-                return None if view.age_s is None else (view.position, view.age_s)
+            if view.instance != state.primary or not view.is_usable:
+                continue
+            if view.age_s is None:
+                return None
+            timeline = view.log_timeline or view.position.timeline
+            return positions.Position(timeline, view.position.lsn), view.age_s
         return None
 
     def _receive_observations(
@@ -236,4 +243,5 @@
         is_usable=item.is_usable and is_current,
         position=position,
         age_s=age_s,
+        log_timeline=item.log_timeline,
     )
--- a/sedgeswitch/groups/health.py
+++ b/sedgeswitch/groups/health.py
@@ -36,12 +36,15 @@
         Greatest age of the instance's data now; None if it is not known.
     is_reachable : bool
         Whether a watcher that reported lately does not suspect the instance.
+    log_timeline : int or None
+        See `instances.InstanceState`.
     """
 
     in_recovery: bool
     position: positions.Position
     age_s: float | None
     is_reachable: bool
+    log_timeline: int | None = None
 
 
 class _Report(typing.NamedTuple):
@@ -173,4 +176,10 @@
         waited_s = now_s - report.received_s
         age_s = item.age_ms / units.MS_PER_S + report.delay_s + waited_s
     position = positions.Position(item.timeline, item.lsn)
-    return InstanceView(item.in_recovery, position, age_s, is_reachable=False)
+    return InstanceView(
+        item.in_recovery,
+        position,
+        age_s,
+        is_reachable=False,
+        log_timeline=item.log_timeline,
+    )
--- a/sedgeswitch/groups/instances.py
+++ b/sedgeswitch/groups/instances.py
@@ -46,11 +46,15 @@
     position : positions.Position
     asked_s : float or None
         When the instance was asked, on trio's clock, if that was before the probe.
+    log_timeline : int or None
+        Timeline in which the log ends, where it may be an earlier one than that of
+        `position`, as on a primary before its first write.
     """
 
     in_recovery: bool
     position: positions.Position
     asked_s: float | None = None
+    log_timeline: int | None = None
 
 
 class PromotionOrder(typing.NamedTuple):
--- a/sedgeswitch/groups/messages.thrift
+++ b/sedgeswitch/groups/messages.thrift
@@ -114,6 +114,8 @@
   7: optional i64 timeline,
   8: optional i64 lsn,
   9: optional i32 age_ms,
+  // Where the log ends in an earlier timeline than the instance's.
+  10: optional i64 log_timeline,
 }
 
 struct GroupHealth {
@@ -147,6 +149,7 @@
   3: optional i64 timeline,
   4: optional i64 lsn,
   5: optional i32 age_ms,
+  6: optional i64 log_timeline,
 }
 
 struct GroupObservation {
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -183,6 +183,7 @@
         report.in_recovery = record.state.in_recovery
         report.timeline = record.state.position.timeline
         report.lsn = record.state.position.lsn
+        report.log_timeline = record.state.log_timeline
         age_s = self._history.get_age_s(record.state.position, now_s)
         if age_s is not None:
             report.age_ms = units.get_ms(age_s)
--- a/sedgeswitch/platform/instance_driver.py
+++ b/sedgeswitch/platform/instance_driver.py
@@ -273,7 +273,9 @@
         return instances.InstanceState(True, position)
     # A primary's log shows its term only after the first commit under it.
     return instances.InstanceState(
-        False, positions.Position(int(fields[1]), position.lsn)
+        False,
+        positions.Position(int(fields[1]), position.lsn),
+        log_timeline=position.timeline,
     )
 
 
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -89,9 +89,11 @@
             return
         now_s = clocks.get_now_s()
         if self._groups.is_permit_valid(permit, now_s):
-            self.get_history(permit.group).note(sent_s, position)
+            self.get_history(permit.group).note(sent_s, position, permit.timeline)
             state = instances.InstanceState(
-                False, positions.Position(permit.timeline, position.lsn)
+                False,
+                positions.Position(permit.timeline, position.lsn),
+                log_timeline=position.timeline,
             )
             self._evidence[permit.primary] = (state, sent_s)
 
--- a/sedgeswitch/relay/freshness.py
+++ b/sedgeswitch/relay/freshness.py
@@ -32,9 +32,22 @@
 
     def __init__(self):
         self._samples: collections.deque[_Sample] = collections.deque()
-
-    def note(self, sent_s: float, position: positions.Position) -> None:
-        """Add what the primary told; call it under a valid permit only."""
+        self._timeline = 0
+
+    def note(self, sent_s: float, position: positions.Position, timeline: int) -> None:
+        """Add what the primary told; call it under a valid permit only.
+
+        Parameters
+        ----------
+        sent_s : float
+        position : positions.Position
+        timeline : int
+            That the primary leads; writes of an earlier primary that a later one
+            lacks are undone, so that its positions no longer count.
+        """
+        if timeline != self._timeline:
+            self._timeline = timeline
+            self._samples.clear()
         samples = self._samples
         if samples and position < samples[-1].position:
             # Told before the newest one, which covers as much.
--- a/sedgeswitch/relay/tests/test_probes.py
+++ b/sedgeswitch/relay/tests/test_probes.py
@@ -48,7 +48,7 @@
         async def body(world, driver, connection):
             await world.build_session().run(builders.build_step(b"READ x"))
             state = await connection.read_state()
-            self.assertEqual((False, positions.Position(1, 0), 0.0), tuple(state))
+            self.assertEqual((False, positions.Position(1, 0), 0.0, 1), tuple(state))
             self.assertEqual(0, driver.opened)
 
         self.run_probe(body)
