Refuse at once where no leader has answered for longer than an election

Change: requests wait for an unanswered draw up to 0.8 s, and no more once draws have gone unanswered for 2.5 s. The test fails first.

--- a/sedgeswitch/admission/settings.py
+++ b/sedgeswitch/admission/settings.py
@@ -49,6 +49,8 @@
         Longest wait of a request for a draw.
     leader_wait_s : float
         Longest wait of a request while draws go unanswered.
+    outage_patience_s : float
+        Time without an answered draw after which requests no longer wait for one.
     allowance_after_s : float
         Time without an answered draw after which a host refills its stock itself,
         at the rate that the leader allowed it.
@@ -69,6 +71,7 @@
     reserve_share: float = 0.25
     wait_s: float = 0.2
     leader_wait_s: float = 1.0
+    outage_patience_s: float = 2.5
     allowance_after_s: float = 0.7
     host_memory_s: float = 60.0
     demand_window_s: float = 0.25
--- a/sedgeswitch/daemon/relay_groups.py
+++ b/sedgeswitch/daemon/relay_groups.py
@@ -19,6 +19,8 @@
     demand_window_s=2.0,
     host_share_max=0.3,
     reserve_share=0.1,
+    # The longest objective of most callers.
+    leader_wait_s=0.8,
     # A draw costs a leader on a small host about a millisecond.
     draws_max_per_s=400.0,
 )
--- a/sedgeswitch/daemon/tests/test_heavy_days.py
+++ b/sedgeswitch/daemon/tests/test_heavy_days.py
@@ -49,6 +49,8 @@
         self.cut_hosts = set()
         self.admitted_s = []
         self.refused_s = []
+        # How long each refused request had waited.
+        self.waits_s = []
 
     def replace_leader(self, now_s, term):
         self.leader = grantor.Grantor(lambda: self.hosts, self.options)
@@ -75,11 +77,13 @@
                 nursery.start_soon(self.request, fleet.FleetAdmission(item))
 
     async def request(self, admission):
+        asked_s = trio.current_time()
         try:
             await admission.admit(ORGANISATION, trio.current_time() + 1.0)
             self.admitted_s.append(trio.current_time())
         except verdicts.RefusedError:
             self.refused_s.append(trio.current_time())
+            self.waits_s.append(trio.current_time() - asked_s)
 
     async def run(self, rate_per_s, duration_s, scenario):
         async with trio.open_nursery() as nursery:
@@ -171,6 +175,16 @@
         silent = [time for time in world.refused_s if 4 <= time <= 7.8]
         self.assertLessEqual(len(silent), 0.01 * 60 * DEMAND_SHARE * 3.8)
 
+    def test_flood_at_hosts_behind_a_long_cut_is_refused_at_once(self):
+        world = self.play(5.0, cut_all_hosts, rate_per_s=60.0)
+        late = [
+            waited_s
+            for time, waited_s in zip(world.refused_s, world.waits_s, strict=True)
+            if 7.0 <= time <= 7.8
+        ]
+        self.assertTrue(late)
+        self.assertLess(max(late), 0.01)
+
     def test_hosts_without_traffic_do_not_hold_tokens_back(self):
         # Ten times as many hosts as the organisation has requests per second.
         hosts = [f"entry-{number}" for number in range(80)]
