--- a/soak/operator.py
+++ b/soak/operator.py
@@ -30,7 +30,7 @@
     def __init__(self, fleet: fleets.Fleet):
         self._fleet = fleet
         self._is_stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run)
+        self._thread = threading.Thread(target=self._run, daemon=True)
         self.acknowledged: list[Acknowledged] = []
         self.violations: list[str] = []
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -132,7 +132,7 @@
         self._token: trio.lowlevel.TrioToken | None = None
         self._scope = trio.CancelScope()
         self._is_started = threading.Event()
-        self._thread = threading.Thread(target=trio.run, args=(self._run,))
+        self._thread = threading.Thread(target=trio.run, args=(self._run,), daemon=True)
 
     def start(self) -> None:
         """Start to forward."""
@@ -142,8 +142,9 @@
 
     def stop(self) -> None:
         """End all connections."""
-        self._token.run_sync_soon(self._scope.cancel)
-        self._thread.join()
+        if self._thread.is_alive():
+            self._token.run_sync_soon(self._scope.cancel)
+            self._thread.join(START_TIMEOUT_S)
 
     def change(
         self, name: str, change: typing.Callable[..., None], *arguments: typing.Any
