Share what both kinds of entry hosts run

Cause: the relay's entry host repeated the other's lease, tokens, urgent heartbeats and farewell; and the report to a new leader that it gained was missing beside. Change: daemon.entry_core.EntryCore, as ControlCore is for control hosts; the constants that control.py only passed on are gone. Behaviour: the relay's is the same, but that its farewell's log line reads like the other's; hosts for HTTP callers now report to a new leader at once, too.

--- a/benchmarks/capacity_leader.py
+++ b/benchmarks/capacity_leader.py
@@ -25,6 +25,7 @@
 from sedgeswitch.configuration import machine as configuration_machine
 from sedgeswitch.configuration import operations
 from sedgeswitch.daemon import control
+from sedgeswitch.daemon import control_core
 from sedgeswitch.draining import messages as draining_messages
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
@@ -171,15 +172,15 @@
         now_s = trio.current_time()
         sections = {
             control.CONFIGURATION: self._build_configuration_report(is_first),
-            control.GROUPS: self._build_groups_report(host_id, is_first, now_s),
-            control.DIRECTORY: self._build_directory_report(number, is_first),
+            control_core.GROUPS: self._build_groups_report(host_id, is_first, now_s),
+            control_core.DIRECTORY: self._build_directory_report(number, is_first),
             control.DRAINING: catalog.encode_struct(
                 draining_messages.DrainReport(self.configuration.version, {})
             ),
-            control.MEMBERS: catalog.encode_struct(
+            control_core.MEMBERS: catalog.encode_struct(
                 messages.Members(-1 if is_first else self.members.version, [])
             ),
-            control.SHARES: catalog.encode_struct(
+            control_core.SHARES: catalog.encode_struct(
                 pool_messages.ShareReport(len(self.members.members))
             ),
         }
@@ -236,7 +237,7 @@
             self.follower.build_report(0.0)
             self.follower.receive_answer(body, 0.0)
         told = catalog.decode_struct(
-            messages.DirectoryAnswer, answer.sections[control.DIRECTORY]
+            messages.DirectoryAnswer, answer.sections[control_core.DIRECTORY]
         )
         self.epoch, self.version = told.epoch, told.version
 
@@ -262,13 +263,13 @@
     def _register(self) -> None:
         register = self.registrar.register_section
         register(control.CONFIGURATION, distributor.Distributor(self.configuration))
-        register(control.GROUPS, self.section)
-        register(control.DIRECTORY, self.directory)
+        register(control_core.GROUPS, self.section)
+        register(control_core.DIRECTORY, self.directory)
         register(
             control.DRAINING, draining_sections.ControlSection(self._get_holder_ids)
         )
-        register(control.SHARES, shares.ControlShares(self._get_holder_ids))
-        register(control.MEMBERS, member_sections.ControlSection(self.members))
+        register(control_core.SHARES, shares.ControlShares(self._get_holder_ids))
+        register(control_core.MEMBERS, member_sections.ControlSection(self.members))
 
     def _get_holder_ids(self, now_s: float) -> list[str]:
         return [member.host_id for member in self.registrar.leases.get_holders(now_s)]
--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -29,11 +29,7 @@
 from sedgeswitch.utils import clocks
 
 CONFIGURATION = configuration_machine.NAME
-GROUPS = control_core.GROUPS
-DIRECTORY = control_core.DIRECTORY
 DRAINING = "draining"
-MEMBERS = control_core.MEMBERS
-SHARES = control_core.SHARES
 REPLACE_TIMEOUT_S = 30.0
 
 
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -3,30 +3,26 @@
 import random
 import secrets
 
-import loguru
 import trio
 
 from sedgeswitch import settings as daemon_settings
 from sedgeswitch import verdicts
-from sedgeswitch.admission import drawing
 from sedgeswitch.admission import fair_queue
 from sedgeswitch.admission import fleet
-from sedgeswitch.admission import messages as admission_messages
-from sedgeswitch.admission import wallet
 from sedgeswitch.callers import routes
 from sedgeswitch.configuration import follower
 from sedgeswitch.daemon import adapters
 from sedgeswitch.daemon import announcements
 from sedgeswitch.daemon import control
+from sedgeswitch.daemon import control_core
+from sedgeswitch.daemon import entry_core
 from sedgeswitch.daemon import homes
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import entry_section as groups_sections
 from sedgeswitch.groups import settings as groups_settings
-from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import entry_peers
-from sedgeswitch.membership import heart
 from sedgeswitch.membership import machine
 from sedgeswitch.membership import member_sections
 from sedgeswitch.observability import metrics
@@ -41,18 +37,12 @@
 from sedgeswitch.statements import service
 from sedgeswitch.statements import transactions
 from sedgeswitch.statements import writes
-from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
 
-DRAW_TIMEOUT_S = 0.5
-MAINTENANCE_INTERVAL_S = 0.1
-# Shortest time between two heartbeats that do not wait for their turn.
-URGENT_PAUSE_S = 0.02
 
-
-class EntryHost:
+class EntryHost(entry_core.EntryCore):
     """Everything that an entry host runs.
 
     Parameters
@@ -77,21 +67,23 @@
     ):
         self._settings = settings
         self._metrics = gauges
-        self._incarnation = secrets.token_hex(8)
         self._limits_version = 0
         self._has_settled = False
         self.configuration = follower.Follower()
-        self.groups = table.GroupTable()
-        self.directory = directory.EntryDirectory()
-        self.control_peers = heart.ControlPeers(
+        super().__init__(
+            machine.Member(
+                settings.host_id,
+                secrets.token_hex(8),
+                settings.availability_zone,
+                settings.peers.host,
+                settings.peers.port,
+            ),
             {
                 host.host_id: peer.Address(host.host, host.port)
                 for host in settings.control_hosts
-            }
-        )
-        self.heart = self._build_heart()
-        self.wallet = wallet.Wallet(
-            settings.host_id, self._incarnation, clocks.get_now_s()
+            },
+            settings.heartbeat_interval_s,
+            clocks.get_now_s(),
         )
         self.backends = self._build_backends(driver, rng)
         self.groups_section = self._build_groups(driver)
@@ -110,12 +102,8 @@
             await nursery.start(self.peers.run)
             await nursery.start(self.homes.floors.run)
             await nursery.start(self.writer.run_polls)
-            nursery.start_soon(self.control_peers.run)
-            nursery.start_soon(self.heart.run)
-            nursery.start_soon(self.groups_section.run)
-            nursery.start_soon(drawing.run, self.wallet, self._call_draw)
+            self._start_tasks(nursery)
             nursery.start_soon(self.transactions.run)
-            nursery.start_soon(self._beat_urgently)
             nursery.start_soon(self._maintain)
 
     def register_routes(self, router: routes.Router) -> None:
@@ -141,25 +129,7 @@
     async def leave(self) -> None:
         """Give up the lease, after the last request and transaction have ended."""
         await self.transactions.wait_idle()
-        # The share of connections goes to others with the lease.
-        await self.backends.close()
-        with trio.move_on_after(heart.CALL_TIMEOUT_S):
-            try:
-                await self.heart.leave()
-            except failures.CallError as error:
-                # The lease runs out by itself.
-                loguru.logger.info("no control host took the farewell: {}", error)
-
-    def _build_heart(self) -> heart.Heart:
-        settings = self._settings
-        identity = machine.Member(
-            settings.host_id,
-            self._incarnation,
-            settings.availability_zone,
-            settings.peers.host,
-            settings.peers.port,
-        )
-        return heart.Heart(identity, self.control_peers, settings.heartbeat_interval_s)
+        await super().leave()
 
     def _build_backends(
         self, driver: base.Driver, rng: random.Random
@@ -212,16 +182,12 @@
         draining = draining_sections.EntrySection(
             lambda: self.configuration.version, self._count_drained
         )
+        super()._register_sections()
         self.heart.register_section(control.CONFIGURATION, self.configuration)
-        self.heart.register_section(control.GROUPS, self.groups_section)
-        self.heart.register_section(control.DIRECTORY, self.directory)
         self.heart.register_section(control.DRAINING, draining)
         members = member_sections.EntrySection()
         members.register_listener(self.homes.set_members)
-        self.heart.register_section(control.MEMBERS, members)
-        self.heart.register_section(control.SHARES, self.backends.share)
-        self.heart.register_lapse_listener(self.backends.share.drop)
-        self.heart.register_lease_listener(self.groups.set_lease)
+        self.heart.register_section(control_core.MEMBERS, members)
         self.heart.register_lease_listener(self._follow_limits)
 
     def _build_services(self, tracer: traces.Tracer) -> None:
@@ -263,11 +229,6 @@
         limits = adapters.build_limits(self.configuration.document)
         self.wallet.set_limits(limits)
 
-    async def _call_draw(
-        self, request: admission_messages.Draw
-    ) -> admission_messages.DrawReply:
-        return await self.control_peers.call(request, DRAW_TIMEOUT_S)
-
     def _is_left_alone(self, item: directory.BackendServer) -> bool:
         """Return whether nothing should touch a drained backend server."""
         group = self.groups.get_group(item.group)
@@ -282,12 +243,6 @@
             if adapters.is_drained(self.configuration.document, item)
         }
 
-    async def _beat_urgently(self) -> None:
-        while True:
-            await self.groups_section.wait_urgent()
-            self.heart.wake()
-            await trio.sleep(URGENT_PAUSE_S)
-
     async def _maintain(self) -> None:
         while True:
             left_alone = {
@@ -296,7 +251,7 @@
                 if self._is_left_alone(item)
             }
             now_s = trio.current_time()
-            next_s = now_s + MAINTENANCE_INTERVAL_S
+            next_s = now_s + entry_core.MAINTENANCE_INTERVAL_S
             if self.heart.is_lease_valid(now_s):
                 next_s = min(next_s, self.heart.lease_until_s)
             else:
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -5,15 +5,11 @@
 import secrets
 import typing
 
-import loguru
 import trio
 
-from sedgeswitch.admission import drawing
 from sedgeswitch.admission import fair_queue
 from sedgeswitch.admission import fleet
-from sedgeswitch.admission import messages as admission_messages
-from sedgeswitch.admission import wallet
-from sedgeswitch.daemon import control_core
+from sedgeswitch.daemon import entry_core
 from sedgeswitch.daemon import relay_groups
 from sedgeswitch.databases import documents
 from sedgeswitch.databases import machine as database_machine
@@ -21,9 +17,6 @@
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import settings as groups_settings
-from sedgeswitch.groups import table
-from sedgeswitch.membership import directory
-from sedgeswitch.membership import heart
 from sedgeswitch.membership import machine as members_machine
 from sedgeswitch.observability import decisions
 from sedgeswitch.pools import pool
@@ -33,16 +26,10 @@
 from sedgeswitch.routing import policies
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
-from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import clocks
 from sedgeswitch.utils import uptime
 
-# Longest wait for the leader's answer to a draw of tokens, in seconds.
-DRAW_TIMEOUT_S = 0.5
-MAINTENANCE_INTERVAL_S = 0.1
-# Shortest time between two heartbeats that do not wait for their turn.
-URGENT_PAUSE_S = 0.02
 # Statements that wait for a connection to one instance at most.
 MAX_QUEUE_LENGTH = 200
 # For the leader, and for connections that an instance has not seen closed yet.
@@ -78,7 +65,7 @@
     tolerance: relay_groups.Tolerance
 
 
-class RelayEntry:
+class RelayEntry(entry_core.EntryCore):
     """Everything that such an entry host runs.
 
     Parameters
@@ -98,21 +85,16 @@
         rng: random.Random,
     ):
         self._options = options
-        incarnation = secrets.token_hex(8)
         self.databases = database_sections.EntrySection(decode)
-        self.groups = table.GroupTable()
-        self.directory = directory.EntryDirectory()
-        self.control_peers = heart.ControlPeers(options.control_addresses)
-        self.heart = heart.Heart(
+        super().__init__(
             members_machine.Member(
-                options.host_id, incarnation, options.availability_zone, *options.peers
+                options.host_id,
+                secrets.token_hex(8),
+                options.availability_zone,
+                *options.peers,
             ),
-            self.control_peers,
+            options.control_addresses,
             options.heartbeat_interval_s,
-        )
-        self.wallet = wallet.Wallet(
-            options.host_id,
-            incarnation,
             clocks.get_now_s() - uptime.get_uptime_s(),
             relay_groups.ADMISSION,
         )
@@ -128,8 +110,6 @@
             options.groups,
             tells_acknowledged=True,
         )
-        # A new leader reserves tokens for hosts that it has not heard.
-        self.control_peers.register_leader_listener(self.wallet.request_report)
         self._register_sections()
         self._parts = context.Parts(
             self.databases,
@@ -146,13 +126,7 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.control_peers.run)
-            nursery.start_soon(self.heart.run)
-            nursery.start_soon(self.groups_section.run)
-            nursery.start_soon(
-                drawing.run, self.wallet, self._call_draw, relay_groups.ADMISSION
-            )
-            nursery.start_soon(self._beat_urgently)
+            self._start_tasks(nursery)
             nursery.start_soon(self._maintain)
 
     def build_session(self, database_name: str, key: str) -> session.Session:
@@ -178,16 +152,6 @@
             "links_waited_for": sum(load.waiting for load in loads),
         }
 
-    async def leave(self) -> None:
-        """Give up the lease, after the last session has ended."""
-        await self.backends.close()
-        with trio.move_on_after(heart.CALL_TIMEOUT_S):
-            try:
-                await self.heart.leave()
-            except failures.CallError as error:
-                # The lease runs out by itself.
-                loguru.logger.info("lease not given up: {}", error)
-
     def _build_backends(
         self, driver: typing.Any, rng: random.Random
     ) -> backends.Backends:
@@ -209,13 +173,8 @@
         )
 
     def _register_sections(self) -> None:
-        register = self.heart.register_section
-        register(database_machine.NAME, self.databases)
-        register(control_core.GROUPS, self.groups_section)
-        register(control_core.DIRECTORY, self.directory)
-        register(control_core.SHARES, self.backends.share)
-        self.heart.register_lapse_listener(self.backends.share.drop)
-        self.heart.register_lease_listener(self.groups.set_lease)
+        super()._register_sections()
+        self.heart.register_section(database_machine.NAME, self.databases)
         self.databases.register_listener(self._follow_limits)
 
     def _follow_limits(self) -> None:
@@ -224,17 +183,6 @@
         )
         self.wallet.set_limits(limits)
 
-    async def _call_draw(
-        self, request: admission_messages.Draw
-    ) -> admission_messages.DrawReply:
-        return await self.control_peers.call(request, DRAW_TIMEOUT_S)
-
-    async def _beat_urgently(self) -> None:
-        while True:
-            await self.groups_section.wait_urgent()
-            self.heart.wake()
-            await trio.sleep(URGENT_PAUSE_S)
-
     async def _maintain(self) -> None:
         while True:
             if not self.heart.is_lease_valid(clocks.get_now_s()):
@@ -244,4 +192,4 @@
             await self.backends.close_surplus()
             await self.backends.close_unannounced()
             await self.backends.close_idle(set(), trio.current_time())
-            await trio.sleep(MAINTENANCE_INTERVAL_S)
+            await trio.sleep(entry_core.MAINTENANCE_INTERVAL_S)
