Pass a read as one value, and ask for its floor once

Cause: five methods of the reader handed on the same five values, one of them as a closure; the floor was computed for the choice of a replica and again for the try; closing a connection to undo its work was written twice. Change: a _Read value, one floor a try, Link.discard. Behaviour stays.

--- a/sedgeswitch/relay/links.py
+++ b/sedgeswitch/relay/links.py
@@ -40,6 +40,12 @@
         with trio.CancelScope(shield=True):
             await self._pool.release(self._pooled, trio.current_time(), is_observed)
 
+    async def discard(self, is_observed: bool = True) -> None:
+        """Close the connection, which undoes what is open on it."""
+        with trio.CancelScope(shield=True):
+            await self.connection.close()
+            await self.release(is_observed)
+
 
 async def acquire_link(
     backends: statement_backends.Backends,
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -62,6 +62,16 @@
     permit: table.WritePermit | None
 
 
+class _Read(typing.NamedTuple):
+    """A read that looks for an instance; see `Reader.run`."""
+
+    access: accesses.Access
+    session_floor: positions.Position | None
+    deadline_s: float
+    run: Run
+    is_kept: bool
+
+
 class Reader:
     """Runs reads on replicas that are fresh enough, else on the primary.
 
@@ -99,53 +109,33 @@
         steps.FailedError
             If no instance gave a result in time.
         """
+        read = _Read(access, session_floor, deadline_s, run, is_kept)
+        placement = await self._run_on_replicas(read)
+        return placement or await self._run_on_primary(read)
 
-        async def run_on_replicas() -> Placement | None:
-            return await self._run_on_replicas(
-                access, session_floor, deadline_s, run, is_kept
-            )
-
-        placement = await run_on_replicas()
-        if placement is not None:
-            return placement
-        return await self._run_on_primary(
-            access, deadline_s, run, is_kept, run_on_replicas
-        )
-
-    async def _run_on_replicas(
-        self,
-        access: accesses.Access,
-        session_floor: positions.Position | None,
-        deadline_s: float,
-        run: Run,
-        is_kept: bool,
-    ) -> Placement | None:
+    async def _run_on_replicas(self, read: _Read) -> Placement | None:
         """Return where a read has run, None if no replica will do."""
-        if access.database.freshness is documents.Freshness.PRIMARY:
+        if read.access.database.freshness is documents.Freshness.PRIMARY:
             return None
         tried: set[str] = set()
-        while server := self._choose_replica(access, session_floor, tried):
-            tried.add(server.instance)
-            floor = self._get_floor(access, session_floor)
-            if floor is None:
+        while True:
+            floor = self._get_floor(read)
+            server = self._choose_replica(read.access, floor, tried)
+            if server is None:
                 return None
-            until_s = self._get_until_s(deadline_s)
-            placement = await self._try_replica(
-                access, server, floor, until_s, run, is_kept
-            )
+            tried.add(server.instance)
+            placement = await self._try_replica(read, server, floor)
             if placement is not None:
                 return placement
-        return None
 
-    def _get_floor(
-        self, access: accesses.Access, session_floor: positions.Position | None
-    ) -> positions.Position | None:
+    def _get_floor(self, read: _Read) -> positions.Position | None:
         """Return what a replica must hold, None if it can't be told."""
-        required = self._get_required(access.database)
+        database = read.access.database
+        required = self._get_required(database)
         if required is None:
             return None
-        if access.database.freshness is documents.Freshness.SESSION:
-            return context.merge_floors(required, session_floor)
+        if database.freshness is documents.Freshness.SESSION:
+            return context.merge_floors(required, read.session_floor)
         return required
 
     def _get_required(self, database: documents.Database) -> positions.Position | None:
@@ -169,11 +159,10 @@
     def _choose_replica(
         self,
         access: accesses.Access,
-        session_floor: positions.Position | None,
+        floor: positions.Position | None,
         tried: set[str],
     ) -> directory.BackendServer | None:
         """Return the best replica that has not been tried, None if none will do."""
-        floor = self._get_floor(access, session_floor)
         group = self._parts.groups.get_group(access.database.group)
         if floor is None or group is None:
             return None
@@ -193,21 +182,14 @@
         return ordered[0] if ordered else None
 
     async def _try_replica(
-        self,
-        access: accesses.Access,
-        server: directory.BackendServer,
-        floor: positions.Position,
-        until_s: float,
-        run: Run,
-        is_kept: bool,
+        self, read: _Read, server: directory.BackendServer, floor: positions.Position
     ) -> Placement | None:
         """Return where a read has run, None if another place should be tried."""
         reply = None
+        until_s = self._get_until_s(read.deadline_s)
         with trio.move_on_at(until_s):
             try:
-                return await self._run_once(
-                    access, server, floor, until_s, run, is_kept
-                )
+                return await self._run_once(read, server, floor, until_s)
             except _MovedError as moved:
                 reply = moved.reply
             except steps.FailedError:
@@ -216,47 +198,37 @@
             self._parts.knowledge.note_silence(server.instance)
         return None
 
-    async def _run_on_primary(
-        self,
-        access: accesses.Access,
-        deadline_s: float,
-        run: Run,
-        is_kept: bool,
-        run_on_replicas: collections.abc.Callable[
-            [], collections.abc.Awaitable[Placement | None]
-        ],
-    ) -> Placement:
+    async def _run_on_primary(self, read: _Read) -> Placement:
         last = steps.FailedError(
             sessions.Failure.OVERLOADED, "no primary; retry after 500 ms"
         )
         parts = self._parts
+        group, deadline_s = read.access.database.group, read.deadline_s
         refused = context.build_pauses(parts)
         with trio.move_on_at(deadline_s):
             while True:
-                permit = await wait_permit(parts, access.database.group, deadline_s)
+                permit = await wait_permit(parts, group, deadline_s)
                 try:
                     server = context.get_primary(parts, permit)
                     sent_s = clocks.get_now_s()
                     with parts.interrupter.interruptible(permit):
-                        placement = await self._run_once(
-                            access, server, None, deadline_s, run, is_kept
-                        )
+                        placement = await self._run_once(read, server, None, deadline_s)
                         parts.knowledge.note_primary(permit, sent_s, placement.reply)
                         if parts.groups.is_permit_valid(permit, clocks.get_now_s()):
                             return placement._replace(permit=permit)
-                        if is_kept:
-                            await _discard(placement.link)
+                        if read.is_kept:
+                            await placement.link.discard()
                 except _MovedError as moved:
                     # A busy primary tells its position too, and replicas then serve.
                     parts.knowledge.note_primary(permit, sent_s, moved.reply)
-                    if placement := await run_on_replicas():
+                    if placement := await self._run_on_replicas(read):
                         return placement
                     last = steps.FailedError(moved.reply.failure, moved.reply.detail)
                 except steps.FailedError as error:
                     last = error
                     if not error.may_pass:
                         raise
-                    if placement := await run_on_replicas():
+                    if placement := await self._run_on_replicas(read):
                         return placement
                 pause_s = refused.draw()
                 if trio.current_time() + pause_s >= deadline_s:
@@ -271,15 +243,13 @@
 
     async def _run_once(
         self,
-        access: accesses.Access,
+        read: _Read,
         server: directory.BackendServer,
         floor: positions.Position | None,
         until_s: float,
-        run: Run,
-        is_kept: bool,
     ) -> Placement:
         link = await links.acquire_link(
-            self._parts.backends, server, access.organisation, until_s
+            self._parts.backends, server, read.access.organisation, until_s
         )
         is_left = False
         reply = None
@@ -288,7 +258,7 @@
             is_limited = floor is not None
             limit_s = until_s if is_limited else self._get_until_s(until_s)
             with trio.move_on_at(limit_s):
-                reply = await run(link, floor)
+                reply = await read.run(link, floor)
             if reply is None:
                 self._parts.knowledge.note_silence(server.instance)
                 raise steps.FailedError(
@@ -299,7 +269,7 @@
             self._parts.knowledge.note_reply(server.instance, reply)
             if reply.failure in _MOVABLE:
                 raise _MovedError(reply)
-            is_left = is_kept and reply.failure is None
+            is_left = read.is_kept and reply.failure is None
             return Placement(link, reply, None)
         except sessions.ConnectionLostError as error:
             self._parts.knowledge.note_silence(server.instance)
@@ -345,8 +315,3 @@
             )
         with trio.move_on_at(deadline_s):
             await parts.groups.wait_changed()
-
-
-async def _discard(link: links.Link) -> None:
-    await link.connection.close()
-    await link.release()
--- a/sedgeswitch/relay/transactions.py
+++ b/sedgeswitch/relay/transactions.py
@@ -130,9 +130,7 @@
         """Close the connection, which undoes the work of the transaction."""
         link, self._link = self._link, None
         if link is not None:
-            with trio.CancelScope(shield=True):
-                await link.connection.close()
-                await link.release(is_observed=False)
+            await link.discard(is_observed=False)
 
     def _is_permit_valid(self) -> bool:
         now_s = clocks.get_now_s()
