Check an operation's access once, and look at the primary alone

Cause: each operation decoded its access twice, for the deadline and to be admitted; the position of a primary was found by building the views of all instances. Change: admission returns the deadline with the access; one view is built. Behaviour stays.

--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -172,14 +172,17 @@
             seconds; None if neither is known.
         """
         state = self._table.get_group(group)
-        for view in self.get_replicas(group, now_s):
-            if view.instance != state.primary or not view.is_usable:
-                continue
-            if view.age_s is None:
-                return None
-            timeline = view.log_timeline or view.position.timeline
-            return positions.Position(timeline, view.position.lsn), view.age_s
-        return None
+        observed = self._observed.get(group)
+        if state is None or observed is None:
+            return None
+        item = observed.by_instance.get(state.primary)
+        if item is None:
+            return None
+        view = _build_replica(state, state.primary, item, observed, now_s)
+        if not view.is_usable or view.age_s is None:
+            return None
+        timeline = view.log_timeline or view.position.timeline
+        return positions.Position(timeline, view.position.lsn), view.age_s
 
     def _receive_observations(
         self, observations: typing.Iterable[ttypes.GroupObservation]
--- a/sedgeswitch/relay/session.py
+++ b/sedgeswitch/relay/session.py
@@ -170,9 +170,10 @@
         self.is_failed = False
         self._is_expired = False
 
-    async def _admit(self, deadline_s: float) -> accesses.Access:
-        """Check and count an operation that begins."""
+    async def _admit(self, started_s: float) -> tuple[accesses.Access, float]:
+        """Check and count an operation that begins; return its deadline, too."""
         access = self.check()
+        deadline_s = self._get_deadline_s(access, started_s)
         self._parts.observations.note_use(access.database.group, clocks.get_now_s())
         if access.is_limited:
             asked_s = trio.current_time()
@@ -186,7 +187,7 @@
                     sessions.Failure.OVERLOADED,
                     f"{refusal.code}: retry after {refusal.retry_after_ms} ms",
                 ) from error
-        return access
+        return access, deadline_s
 
     def _get_deadline_s(self, access: accesses.Access, started_s: float) -> float:
         return started_s + access.database.statement_timeout_s
@@ -216,8 +217,7 @@
             return steps.build_failure(
                 sessions.Failure.MALFORMED, "a transaction is open already"
             )
-        started_s = trio.current_time()
-        access = await self._admit(self._get_deadline_s(self.check(), started_s))
+        access, _ = await self._admit(trio.current_time())
         self._transaction = transactions.Transaction(
             self._parts,
             self._reader,
@@ -290,8 +290,7 @@
             deadline_s = self._get_deadline_s(transaction.access, started_s)
             reply = await transaction.run(run, is_write, self._values, deadline_s)
             return steps.build_outcome(reply)
-        deadline_s = self._get_deadline_s(self.check(), started_s)
-        access = await self._admit(deadline_s)
+        access, deadline_s = await self._admit(started_s)
         if is_write:
             reply = await self._writer.run(access, deadline_s, run)
             self._note_commit(access, reply)
