--- a/sedgeswitch/admission/recovery.py
+++ b/sedgeswitch/admission/recovery.py
@@ -18,20 +18,15 @@
         How long the host's process had been running.
     memories : dict of str to messages.BucketMemory
         The last bucket states that the host was told, by organisation.
-    in_hand : dict of str to int
-        Tokens that the host held, by organisation.
-    allowed_per_s : dict of str to float
-        What it was allowed to refill itself with until it reported.
-    refilled : dict of str to int
-        Tokens that it has refilled itself with since its last grant.
+    holdings : dict of str to messages.Holding
+        What the host held, and what it might refill itself with until then, by
+        organisation.
     """
 
     arrived_s: float
     uptime_s: float
     memories: dict[str, messages.BucketMemory]
-    in_hand: dict[str, int]
-    allowed_per_s: dict[str, float]
-    refilled: dict[str, int]
+    holdings: dict[str, messages.Holding]
 
 
 class Recovery:
@@ -63,15 +58,13 @@
             now_s,
             draw.uptime_s,
             memories,
-            {name: holding.in_hand for name, holding in holdings.items()},
-            {name: holding.allowance_per_s for name, holding in holdings.items()},
-            {name: holding.refilled for name, holding in holdings.items()},
+            holdings,
         )
 
     def get_allowed_per_s(self, organisation: str) -> float:
         """Return what all hosts that have reported might refill themselves with."""
-        reports = self._reports.values()
-        return sum(report.allowed_per_s.get(organisation, 0.0) for report in reports)
+        holdings = _list_holdings(self._reports.values(), organisation)
+        return sum(holding.allowance_per_s for holding in holdings)
 
     def get_unknown(self, host_ids: typing.Collection[str]) -> int:
         """Return how many of the hosts have not reported."""
@@ -101,7 +94,8 @@
         level = memory.bucket + rate_per_s * elapsed_s * self._get_slow_factor()
         level = min(level, limit.burst - memory.held)
         level = max(level, self._get_level_idle(organisation, limit, latest, reports))
-        return level - sum(report.refilled.get(organisation, 0) for report in reports)
+        holdings = _list_holdings(reports, organisation)
+        return level - sum(holding.refilled for holding in holdings)
 
     def _get_level_idle(
         self,
@@ -132,8 +126,8 @@
         level = memory.bucket + rate_per_s * (idle_since_s - told_s)
         level = min(level, limit.burst - memory.held)
         level += rate_per_s * (self._started_s - idle_since_s)
-        in_hand = sum(report.in_hand.get(organisation, 0) for report in reports)
-        return min(level, limit.burst - in_hand)
+        holdings = _list_holdings(reports, organisation)
+        return min(level, limit.burst - sum(item.in_hand for item in holdings))
 
     def _get_level_unused(
         self,
@@ -157,6 +151,13 @@
         return (1 - self._settings.drift) / (1 + self._settings.drift)
 
 
+def _list_holdings(
+    reports: typing.Iterable[HostReport], organisation: str
+) -> list[messages.Holding]:
+    found = (report.holdings.get(organisation) for report in reports)
+    return [holding for holding in found if holding is not None]
+
+
 def _get_order(report: HostReport, organisation: str) -> tuple[int, int]:
     memory = report.memories[organisation]
     return memory.term, memory.index
