Leave room at instances wherever a capacity is chosen

Cause: the room for the leader was taken off in one of the two places that choose a pool's capacity, so that a pool made while a primary is changed left none. Change: one method for both; the share is computed in one place. Test fails first (test_room_is_left_by_pools_that_are_made_meanwhile).

--- a/sedgeswitch/relay/tests/test_scarce_connections.py
+++ b/sedgeswitch/relay/tests/test_scarce_connections.py
@@ -82,6 +82,18 @@
 
         run_in_world(body)
 
+    def test_room_is_left_by_pools_that_are_made_meanwhile(self):
+        async def body(world):
+            world.backends.leave_room({"b"})
+            capacities = {}
+            for name in ("b", "c"):
+                server = world.backends.get_server(name)
+                pooled = world.backends.get_pool(server, server.group)
+                capacities[name] = pooled.load.capacity
+            self.assertEqual(capacities["c"] - 1, capacities["b"])
+
+        run_in_world(body)
+
     def test_last_connection_of_a_host_is_kept(self):
         async def body(world):
             server = world.backends.get_server("b")
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -117,7 +117,8 @@
         )
         kept = self._pools.get(target)
         if kept is None:
-            capacity = self._get_capacity(server.max_connections, self.share.divisor)
+            divisor = self.share.divisor
+            capacity = self._get_spared(target, server.max_connections, divisor)
             connections = pool.InstancePool(
                 self._driver,
                 target,
@@ -220,23 +221,32 @@
         for kept in self._pools.values():
             await kept.connections.close()
 
+    def _get_share(self, max_connections: int, divisor: int) -> int:
+        return shares.get_capacity(max_connections, divisor, self._options.reserved)
+
     def _get_capacity(self, max_connections: int, divisor: int) -> int:
-        shared = shares.get_capacity(max_connections, divisor, self._options.reserved)
+        shared = self._get_share(max_connections, divisor)
         if divisor > 0:
             shared = max(shared, self._options.least)
         return min(self._options.connections_per_instance, shared)
 
+    def _get_spared(
+        self, target: base.Target, max_connections: int, divisor: int
+    ) -> int:
+        """Return the capacity, less the room that is left at a spared instance."""
+        capacity = self._get_capacity(max_connections, divisor)
+        if target.instance in self._spared:
+            return max(capacity - 1, min(capacity, 1))
+        return capacity
+
     def _get_idle_timeout_s(self, max_connections: int) -> float | None:
         """Return how long an idle connection is kept, None for the pool's setting."""
-        divisor, reserved = self.share.divisor, self._options.reserved
-        shared = shares.get_capacity(max_connections, divisor, reserved)
+        shared = self._get_share(max_connections, self.share.divisor)
         return SCARCE_IDLE_TIMEOUT_S if shared < self._options.least else None
 
     def _limit(self, divisor: int) -> None:
         for target, kept in self._pools.items():
-            capacity = self._get_capacity(kept.max_connections, divisor)
-            if target.instance in self._spared:
-                capacity = max(capacity - 1, min(capacity, 1))
+            capacity = self._get_spared(target, kept.max_connections, divisor)
             kept.connections.set_capacity(capacity)
 
     def _fits(self, divisor: int) -> bool:
