Accept callers of both edges by one function

Change: transport.sockets.accept_until serves connections until the listening ends; the HTTP edge and the line edge had it each. Behaviour stays.

--- a/sedgeswitch/callers/routes.py
+++ b/sedgeswitch/callers/routes.py
@@ -9,6 +9,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.callers import connection as connections
 from sedgeswitch.callers import http
+from sedgeswitch.transport import sockets
 
 Endpoint = collections.abc.Callable[
     [http.Request, tuple[str, ...]], collections.abc.Awaitable[http.Response]
@@ -137,15 +138,10 @@
     ) -> None:
         """Accept connections until cancelled or drained."""
         async with trio.open_nursery() as nursery:
-            with self._listening:
-                nursery.start_soon(self._check_deadlines)
-                await trio.serve_tcp(
-                    self._serve_connection,
-                    port,
-                    host=host,
-                    handler_nursery=nursery,
-                    task_status=task_status,
-                )
+            nursery.start_soon(self._check_deadlines)
+            await sockets.accept_until(
+                self._listening, self._serve_connection, host, port, task_status
+            )
 
     async def _check_deadlines(self) -> None:
         while not (self._listening.cancel_called and not self._connections):
--- a/sedgeswitch/platform/client_server.py
+++ b/sedgeswitch/platform/client_server.py
@@ -4,6 +4,7 @@
 
 from sedgeswitch.platform import client_edge
 from sedgeswitch.relay import session as relay_sessions
+from sedgeswitch.transport import sockets
 
 # How long new connections are still taken once the balancer may know that this
 # host leaves, in seconds; it asks once a second and believes the second answer.
@@ -39,15 +40,9 @@
         task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept connections until cancelled or drained."""
-        async with trio.open_nursery() as nursery:
-            with self._listening:
-                await trio.serve_tcp(
-                    self._serve_connection,
-                    port,
-                    host=host,
-                    handler_nursery=nursery,
-                    task_status=task_status,
-                )
+        await sockets.accept_until(
+            self._listening, self._serve_connection, host, port, task_status
+        )
 
     async def drain(self, grace_s: float) -> None:
         """Let running work finish and end every connection.
--- a/sedgeswitch/transport/sockets.py
+++ b/sedgeswitch/transport/sockets.py
@@ -1,5 +1,6 @@
-"""Sending at once what a socket takes without waiting."""
+"""Accepting connections, and sending at once what a socket takes."""
 
+import collections.abc
 import os
 
 import trio
@@ -33,3 +34,34 @@
         return 0
     except OSError as error:
         raise trio.BrokenResourceError(str(error)) from error
+
+
+async def accept_until(
+    listening: trio.CancelScope,
+    handler: collections.abc.Callable[
+        [trio.SocketStream], collections.abc.Awaitable[None]
+    ],
+    host: str,
+    port: int,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accept connections until `listening` is cancelled, and wait for their tasks.
+
+    Parameters
+    ----------
+    listening : trio.CancelScope
+    handler : callable
+        ``await handler(stream)`` serves one connection.
+    host : str
+        IP number to listen on.
+    port : int
+    """
+    async with trio.open_nursery() as nursery:
+        with listening:
+            await trio.serve_tcp(
+                handler,
+                port,
+                host=host,
+                handler_nursery=nursery,
+                task_status=task_status,
+            )
