Share the start of a fleet and of one-command programs

Cause: the soak wrote again the change that configures a benchmark's fleet, and the third copy of how a program runs its only command. Change: benchmarks.service.build_operations and standin.commands.run_program serve all; a test's silent host is written once. The benchmarks' limit has twice the burst, which nothing reaches.

--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -14,6 +14,8 @@
 INSTANCES = 3
 CONTROL_HOSTS = 3
 ORGANISATION = "lot-desk"
+# Far above what one machine can send.
+RATE_PER_S = 1e6
 DATABASE = "lots"
 READY_TIMEOUT_S = 60.0
 CREATE_SQL = (
@@ -101,29 +103,7 @@
 
     def build_operations(self) -> list[dict]:
         """Return the change that configures the organisation and the group."""
-        group = {"database": DATABASE, "ack_instances": 2, "replicas_may_serve": True}
-        selector = {
-            "organisations": "*",
-            "work": "*",
-            "access": ["read", "write"],
-            "groups": "*",
-        }
-        return [
-            {
-                "operation": "set_organisation",
-                "name": ORGANISATION,
-                "rate_per_s": 1e6,
-                "burst": 1e6,
-            },
-            {
-                "operation": "set_key",
-                "organisation": ORGANISATION,
-                "key_id": self.key.key_id,
-                "digest": self.key.digest,
-            },
-            {"operation": "set_group", "name": callers.GROUP, "group": group},
-            {"operation": "set_selector", "name": "all", "selector": selector},
-        ]
+        return build_operations({ORGANISATION: self.key}, RATE_PER_S)
 
     def start_instances(self) -> None:
         """Start the stand-in instances; the first is the primary."""
@@ -166,3 +146,41 @@
         except OSError:
             return False
         return status == 200
+
+
+def build_operations(
+    keys: typing.Mapping[str, plain.GeneratedKey], rate_per_s: float
+) -> list[dict]:
+    """Return the change that configures organisations and the group of callers.
+
+    Parameters
+    ----------
+    keys : mapping of str to plain.GeneratedKey
+        Key of each organisation.
+    rate_per_s : float
+        Limit of each of them.
+    """
+    group = {"database": DATABASE, "ack_instances": 2, "replicas_may_serve": True}
+    selector = {
+        "organisations": "*",
+        "work": "*",
+        "access": ["read", "write"],
+        "groups": "*",
+    }
+    operations: list[dict] = []
+    for name, key in keys.items():
+        limit = {"rate_per_s": rate_per_s, "burst": 2 * rate_per_s}
+        operations += [
+            {"operation": "set_organisation", "name": name, **limit},
+            {
+                "operation": "set_key",
+                "organisation": name,
+                "key_id": key.key_id,
+                "digest": key.digest,
+            },
+        ]
+    return [
+        *operations,
+        {"operation": "set_group", "name": callers.GROUP, "group": group},
+        {"operation": "set_selector", "name": "all", "selector": selector},
+    ]
--- a/sedgeswitch/transport/tests/test_reconnect.py
+++ b/sedgeswitch/transport/tests/test_reconnect.py
@@ -54,17 +54,24 @@
                 virtual_time.run(body, heals_s)
 
 
+class SilentHost:
+    """Takes connections and answers nothing."""
+
+    def __init__(self):
+        self.others = []
+
+    async def open(self, _host, _port):
+        ours, other = trio.testing.memory_stream_pair()
+        self.others.append(other)
+        return ours
+
+
 class SilentConnectionTest(unittest.TestCase):
     """An open connection goes silent for good, without a reset; new ones work."""
 
     def test_silent_connection_is_replaced_soon(self):
         async def body():
-            opened = []
-
-            async def open_stream(_host, _port):
-                ours, other = trio.testing.memory_stream_pair()
-                opened.append(other)
-                return ours
+            silent = SilentHost()
 
             async def give_up_early(calling):
                 # As callers do that have a shorter time of their own.
@@ -72,12 +79,12 @@
                     await calling.call(failures.build_failure(FAILURE), 0.5)
 
             calling = peer.Peer(peer.Address("10.0.0.1", 1))
-            with mock.patch.object(trio, "open_tcp_stream", open_stream):
+            with mock.patch.object(trio, "open_tcp_stream", silent.open):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(calling.run)
                     await calling.wait_connected()
                     started_s = trio.current_time()
-                    while len(opened) < 2:
+                    while len(silent.others) < 2:
                         await give_up_early(calling)
                         await trio.sleep(0.05)
                     replaced_s = trio.current_time() - started_s
@@ -88,15 +95,9 @@
 
     def test_late_answer_by_design_is_no_silence(self):
         async def body():
-            opened = []
-
-            async def open_stream(_host, _port):
-                ours, other = trio.testing.memory_stream_pair()
-                opened.append(other)
-                return ours
-
+            silent = SilentHost()
             calling = peer.Peer(peer.Address("10.0.0.1", 1))
-            with mock.patch.object(trio, "open_tcp_stream", open_stream):
+            with mock.patch.object(trio, "open_tcp_stream", silent.open):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(calling.run)
                     await calling.wait_connected()
@@ -105,7 +106,7 @@
                             failures.build_failure(FAILURE), 3.0, is_prompt=False
                         )
                     self.assertTrue(calling.is_connected)
-                    self.assertEqual(1, len(opened))
+                    self.assertEqual(1, len(silent.others))
                     nursery.cancel_scope.cancel()
 
         virtual_time.run(body)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,14 +3,13 @@
 import pathlib
 import sys
 
-import cleo.application
 import cleo.commands.command
 import cleo.helpers
-import cleo.io.inputs.argv_input
 
 from benchmarks import processes
 from sedgeswitch.utils import checks
 from soak import run
+from standin import commands
 
 FIRST_PORT = 21000
 
@@ -66,10 +65,7 @@
 
 def main() -> int:
     """Run the command line."""
-    application = cleo.application.Application("python -m soak")
-    application.add(RunCommand())
-    words = [sys.argv[0], "run", *sys.argv[1:]]
-    return application.run(cleo.io.inputs.argv_input.ArgvInput(words))
+    return commands.run_program("python -m soak", RunCommand())
 
 
 if __name__ == "__main__":
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 from benchmarks import callers
 from benchmarks import fleet as fleets
 from benchmarks import processes
+from benchmarks import service
 from sedgeswitch import settings as daemon_settings
 from sedgeswitch.keys import plain
 from sedgeswitch.utils import records
@@ -138,30 +139,7 @@
 
     def build_operations(self) -> list[dict]:
         """Return the change that configures the organisations and the group."""
-        operations: list[dict] = []
-        for name, key in self._keys.items():
-            limit = {"rate_per_s": RATE_PER_S, "burst": 2 * RATE_PER_S}
-            operations += [
-                {"operation": "set_organisation", "name": name, **limit},
-                {
-                    "operation": "set_key",
-                    "organisation": name,
-                    "key_id": key.key_id,
-                    "digest": key.digest,
-                },
-            ]
-        group = {"database": "lots", "ack_instances": 2, "replicas_may_serve": True}
-        selector = {
-            "organisations": "*",
-            "work": "*",
-            "access": ["read", "write"],
-            "groups": "*",
-        }
-        return [
-            *operations,
-            {"operation": "set_group", "name": callers.GROUP, "group": group},
-            {"operation": "set_selector", "name": "all", "selector": selector},
-        ]
+        return service.build_operations(self._keys, RATE_PER_S)
 
     def build_load_arguments(self) -> list[str]:
         """Return what the load tool needs to reach the entry hosts."""
--- a/standin/instance/__main__.py
+++ b/standin/instance/__main__.py
@@ -4,15 +4,14 @@
 import signal
 import sys
 
-import cleo.application
 import cleo.commands.command
 import cleo.helpers
-import cleo.io.inputs.argv_input
 import loguru
 import msgspec
 import trio
 
 from standin import addresses
+from standin import commands
 from standin.instance import program
 from standin.instance import settings
 
@@ -103,10 +102,7 @@
 
 def main() -> int:
     """Run the command line."""
-    application = cleo.application.Application("python -m standin.instance")
-    application.add(RunCommand())
-    words = [sys.argv[0], "run", *sys.argv[1:]]
-    return application.run(cleo.io.inputs.argv_input.ArgvInput(words))
+    return commands.run_program("python -m standin.instance", RunCommand())
 
 
 if __name__ == "__main__":
--- a/standin/load/__main__.py
+++ b/standin/load/__main__.py
@@ -4,14 +4,13 @@
 import sys
 import time
 
-import cleo.application
 import cleo.commands.command
 import cleo.helpers
-import cleo.io.inputs.argv_input
 import trio
 
 from sedgeswitch.utils import checks
 from standin import addresses
+from standin import commands
 from standin.load import _audit
 from standin.load import _mix
 from standin.load import _run
@@ -85,10 +84,7 @@
 
 def main() -> int:
     """Run the command line."""
-    application = cleo.application.Application("python -m standin.load")
-    application.add(RunCommand())
-    words = [sys.argv[0], "run", *sys.argv[1:]]
-    return application.run(cleo.io.inputs.argv_input.ArgvInput(words))
+    return commands.run_program("python -m standin.load", RunCommand())
 
 
 if __name__ == "__main__":
