Gather votes for requests that are ready made

Cause: _gather told three rounds apart by an argument that was none, empty or full. Change: each round builds its requests; _gather sends them and waits, for a quorum or for all. Behaviour stays.

--- a/sedgeswitch/agreement/election.py
+++ b/sedgeswitch/agreement/election.py
@@ -133,13 +133,19 @@
         """Stand as a candidate if no voter has known a leader."""
         state = self._state
         term = state.term
-        answers = await self._gather(term + 1, is_pre_vote=True, unled={})
+        requests = {
+            member: self._build_request(member, term + 1, is_pre_vote=True, run_id="")
+            for member in self._list_others()
+        }
+        # A host that is not back yet must not hold up the next attempt.
+        longest_s = self._settings.heartbeat_interval_s
+        answers = await self._gather(requests, longest_s, is_complete=True)
         is_unled = all(answer.is_unled for answer in answers.values())
         if not is_unled or not self._has_quorum(answers):
             return
         # Another host may have become a candidate meanwhile.
         if state.term == term and not state.has_known_leader and state.is_voter:
-            await self._campaign(answers)
+            await self._campaign({key: item.run_id for key, item in answers.items()})
 
     async def _watch_quorum(self) -> None:
         """Step down once no quorum has answered for an election timeout."""
@@ -168,22 +174,28 @@
     async def _stand(self) -> None:
         state = self._state
         state.become_follower(None)
-        answers = await self._gather(state.term + 1, is_pre_vote=True)
+        requests = {
+            member: self._build_request(member, state.term + 1, is_pre_vote=True)
+            for member in self._list_others()
+        }
+        longest_s = self._settings.election_timeout_min_s
+        answers = await self._gather(requests, longest_s)
         if not self._has_quorum(answers):
             await self._back_off()
             return
         if state.is_leader_live(clocks.get_now_s()) or not state.is_voter:
             return
-        if not await self._campaign(None):
+        if not await self._campaign({}):
             await self._back_off()
 
-    async def _campaign(self, unled: dict[str, _Answer] | None) -> bool:
+    async def _campaign(self, run_ids: typing.Mapping[str, str]) -> bool:
         """Ask for votes in a new term; return whether it need not be tried again.
 
         Parameters
         ----------
-        unled : dict of str to _Answer or None
-            What all voters have just answered, if none of them has known a leader.
+        run_ids : mapping of str to str
+            The runs that the voters have just told, if none of them has known a
+            leader; else empty.
         """
         state = self._state
         state.adopt_term(state.term + 1)
@@ -191,7 +203,14 @@
         state.vote(state.key)
         term = state.term
         await state.writer.wait()
-        answers = await self._gather(term, is_pre_vote=False, unled=unled)
+        requests = {
+            member: self._build_request(
+                member, term, is_pre_vote=False, run_id=run_ids.get(member.key)
+            )
+            for member in self._list_others()
+        }
+        longest_s = self._settings.election_timeout_min_s
+        answers = await self._gather(requests, longest_s)
         if state.role is not _ROLE.CANDIDATE or state.term != term:
             return True
         if self._has_quorum(answers):
@@ -204,60 +223,71 @@
         granted = {key for key, answer in answers.items() if answer.is_granted}
         return self._state.log.voter_set.has_quorum(granted | {self._state.key})
 
+    def _list_others(self) -> list[voters.Member]:
+        """Return the other voters."""
+        state = self._state
+        voter_set = state.log.voter_set
+        return [peer for peer in state.peers if voter_set.is_voter(peer.key)]
+
     async def _gather(
         self,
-        term: int,
-        is_pre_vote: bool,
-        unled: dict[str, _Answer] | None = None,
+        requests: typing.Mapping[voters.Member, messages.VoteRequest],
+        longest_s: float,
+        is_complete: bool = False,
     ) -> dict[str, _Answer]:
-        """Return the answers of the other voters, by their keys.
+        """Return the answers of voters, by their keys.
 
         Parameters
         ----------
-        term : int
-        is_pre_vote : bool
-        unled : dict of str to _Answer, optional
-            Earlier answers of the voters, none of whom has known a leader; empty
-            to ask all of them for that.
+        requests : mapping of voters.Member to messages.VoteRequest
+        longest_s : float
+            Longest wait for them.
+        is_complete : bool
+            Whether to wait for all of them instead of a quorum's votes.
         """
-        state = self._state
-        voter_set = state.log.voter_set
-        voters_asked = [peer for peer in state.peers if voter_set.is_voter(peer.key)]
-        answers = {member.key: _Answer() for member in voters_asked}
-        is_resuming = unled is not None and is_pre_vote
-        # A host that is not back yet must not hold up the next attempt.
-        longest_s = self._settings.election_timeout_min_s
-        if is_resuming:
-            longest_s = self._settings.heartbeat_interval_s
+        answers = {member.key: _Answer() for member in requests}
         with trio.move_on_after(longest_s):
             async with trio.open_nursery() as nursery:
 
-                async def ask(member: voters.Member) -> None:
-                    request = self._build_request(member, term, is_pre_vote)
-                    if unled is not None:
-                        request.is_unled = True
-                        request.unled_run_id = unled.get(member.key, _Answer()).run_id
+                async def ask(
+                    member: voters.Member, request: messages.VoteRequest
+                ) -> None:
                     answers[member.key] = await self._ask(member, request)
-                    if not is_resuming and self._has_quorum(answers):
+                    if not is_complete and self._has_quorum(answers):
                         nursery.cancel_scope.cancel()
 
-                for member in voters_asked:
-                    nursery.start_soon(ask, member)
+                for member, request in requests.items():
+                    nursery.start_soon(ask, member, request)
         return answers
 
     def _build_request(
-        self, member: voters.Member, term: int, is_pre_vote: bool
+        self,
+        member: voters.Member,
+        term: int,
+        is_pre_vote: bool,
+        run_id: str | None = None,
     ) -> messages.VoteRequest:
-        state = self._state
+        """Return what a voter is asked.
+
+        Parameters
+        ----------
+        member : voters.Member
+        term : int
+        is_pre_vote : bool
+        run_id : str or None
+            The run that the voter told, empty to ask for it; None unless this host
+            has known no leader.
+        """
+        log = self._state.log
         return messages.VoteRequest(
             term,
-            state.key,
+            self._state.key,
             member.incarnation,
-            state.log.last_index,
-            state.log.last_term,
+            log.last_index,
+            log.last_term,
             is_pre_vote,
-            is_unled=False,
-            unled_run_id="",
+            is_unled=run_id is not None,
+            unled_run_id=run_id or "",
         )
 
     async def _ask(
