Seed a host's pauses by its identity

Cause: the pauses between heartbeats that fail came from an unseeded generator, so that runs in virtual time differed. Change: seeded by the host and its run, which also differs between hosts. Tests: membership passed.

--- a/sedgeswitch/membership/heart.py
+++ b/sedgeswitch/membership/heart.py
@@ -172,7 +172,7 @@
         self._versions: dict[str, int] = {}
         self._wake = trio.Event()
         self._sequence = 0
-        self._rng = random.Random()
+        self._rng = random.Random(f"{identity.host_id}/{identity.incarnation}")
         self.lease_until_s = float("-inf")
         self._told_lease_until_s = float("-inf")
         self.is_leaving = False
