--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -199,12 +199,15 @@
         register(GROUPS, self.groups_section)
         register(DIRECTORY, self.directory)
         register(SHARES, self._build_shares())
-        register(MEMBERS, member_sections.ControlSection(self.members))
+        register(MEMBERS, self._build_members_section())
         self.heartbeat_server.register_leadership_listener(self._start_grants)
 
     def _build_directory(self, rng: random.Random) -> directory.ControlDirectory:
         return directory.ControlDirectory(rng)
 
+    def _build_members_section(self) -> member_sections.ControlSection:
+        return member_sections.ControlSection(self.members)
+
     def _build_shares(self) -> shares.ControlShares:
         return shares.ControlShares(self._get_holder_ids)
 
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -27,6 +27,7 @@
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import heartbeat_client
+from sedgeswitch.membership import member_sections
 from sedgeswitch.membership import server_machine
 from sedgeswitch.observability import metrics
 from sedgeswitch.pools import shares
@@ -230,6 +231,12 @@
     def _build_directory(self, rng: random.Random) -> directory.ControlDirectory:
         return directory.ControlDirectory(rng, lambda: self.servers.servers)
 
+    def _build_members_section(self) -> member_sections.ControlSection:
+        # Not urgent: hosts notice an unreachable holder themselves. If every member
+        # that registers made all hosts send a heartbeat, a start of many hosts would
+        # take the leader a quadratic number of heartbeats.
+        return member_sections.ControlSection(self.members, is_urgent=False)
+
     def _build_shares(self) -> shares.ControlShares:
         # Not strict: instances themselves refuse connections beyond their limit.
         return shares.ControlShares(self._get_holder_ids, is_strict=False)
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -9,17 +9,25 @@
 
 from sedgeswitch.admission import fair_queue
 from sedgeswitch.admission import fleet
+from sedgeswitch.daemon import control_core
 from sedgeswitch.daemon import entry_core
 from sedgeswitch.daemon import relay_groups
 from sedgeswitch.databases import documents
 from sedgeswitch.databases import machine as database_machine
 from sedgeswitch.databases import sections as database_sections
 from sedgeswitch.drivers import base
+from sedgeswitch.forwarding import forwarder
+from sedgeswitch.forwarding import holder
+from sedgeswitch.forwarding import messages
+from sedgeswitch.forwarding import placement
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.membership import entry_peers
 from sedgeswitch.membership import machine as members_machine
+from sedgeswitch.membership import member_sections
 from sedgeswitch.observability import decisions
 from sedgeswitch.pools import pool
+from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import probes
 from sedgeswitch.relay import session
@@ -27,6 +35,7 @@
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.transport import peer
+from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
 from sedgeswitch.utils import uptime
 
@@ -50,14 +59,15 @@
     host_id : str
     availability_zone : str
     peers : peer.Address
-        Address under which this host registers with the control hosts. It does not
-        listen there.
+        Address at which other hosts call this one.
     control_addresses : mapping of str to peer.Address
         Initial addresses of the control hosts, by their ids.
     heartbeat_interval_s : float
     groups : groups_settings.GroupSettings
     tolerance : relay_groups.Tolerance
         How far organisations may exceed their limits.
+    region_by_zone : mapping of str to str
+        Region of each availability zone.
     """
 
     host_id: str
@@ -67,6 +77,7 @@
     heartbeat_interval_s: float
     groups: groups_settings.GroupSettings
     tolerance: relay_groups.Tolerance
+    region_by_zone: collections.abc.Mapping[str, str]
 
 
 class RelayEntry(entry_core.EntryCore):
@@ -79,6 +90,8 @@
         Decodes the text of a configuration document.
     driver : sessions.SessionDriver
         Connects to backend servers.
+    peer_server : server.Server
+        Answers the calls of other entry hosts.
     rng : random.Random
     """
 
@@ -87,6 +100,7 @@
         options: EntryOptions,
         decode: documents.Decode,
         driver: typing.Any,
+        peer_server: server.Server,
         rng: random.Random,
     ):
         self._options = options
@@ -103,7 +117,9 @@
             clocks.get_now_s() - uptime.get_uptime_s(),
             relay_groups.ADMISSION,
         )
+        self._entry_peers = entry_peers.EntryPeers()
         self.backends = self._build_backends(driver, rng)
+        self.forwarder = self._build_forwarder()
         servers = relay_groups.RelayDirectory(
             lambda: self.directory.servers, lambda: self.databases.document
         )
@@ -121,19 +137,38 @@
             self.groups,
             self.groups_section,
             self.backends,
+            self.forwarder,
             interruption.Interrupter(self.groups),
             local_observations,
             decisions.DecisionLog(),
             fleet.FleetAdmission(self.host_limiter).admit,
             rng,
         )
+        self.holder = holder.Holder(
+            self._components._replace(
+                connector=connections.PoolConnector(self.backends)
+            )
+        )
+        peer_server.register_handler(messages.ForwardRequest, self.holder.answer)
 
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
+            await nursery.start(self._entry_peers.run)
+            nursery.start_soon(self.forwarder.run)
+            nursery.start_soon(self.holder.run)
             self._start_tasks(nursery)
             nursery.start_soon(self._maintain)
 
+    def stop_holding(self) -> None:
+        """Accept no further statements of other hosts' callers."""
+        self.holder.leave()
+
+    async def leave(self) -> None:
+        """Release the lease, after the last statement of other hosts has ended."""
+        await self.holder.wait_idle()
+        await super().leave()
+
     def build_session(self, database_name: str, key: str) -> session.Session:
         """Return a new session of a caller.
 
@@ -162,6 +197,8 @@
             "links_in_use": sum(load.in_use for load in loads),
             "links_idle": sum(load.idle for load in loads),
             "links_waited_for": sum(load.waiting for load in loads),
+            "transactions_held": self.holder.open_transactions,
+            "holders_unavailable": self.forwarder.count_unavailable(),
         }
 
     def _build_backends(
@@ -174,6 +211,7 @@
             pool.PoolSettings(),
             RESERVED_CONNECTIONS,
             MIN_CONNECTIONS,
+            self._options.region_by_zone,
         )
         return backends.Backends(
             self.directory,
@@ -182,12 +220,40 @@
             lambda server: False,  # noqa: ARG005
             options,
             rng,
+            self._count_holders,
+        )
+
+    def _build_forwarder(self) -> forwarder.Forwarder:
+        return forwarder.Forwarder(
+            forwarder.Options(
+                self._options.host_id,
+                RESERVED_CONNECTIONS,
+                lambda: self.databases.document.transaction_idle_s,
+            ),
+            placement.Placement(self._options.region_by_zone),
+            self._entry_peers,
+            connections.PoolConnector(self.backends),
         )
 
+    def _count_holders(self, instance: str) -> int:
+        server = self.directory.servers.get(instance)
+        return 0 if server is None else self.forwarder.count_holders(server)
+
     def _register_sections(self) -> None:
         super()._register_sections()
         self.heartbeat_client.register_section(database_machine.NAME, self.databases)
         self.databases.register_listener(self._update_limits)
+        members = member_sections.EntrySection()
+        members.register_listener(self._set_members)
+        self.heartbeat_client.register_section(control_core.MEMBERS, members)
+        self.directory.register_listener(self.backends.update_capacities)
+
+    def _set_members(
+        self, version: int, members: list[members_machine.Member], now_s: float
+    ) -> None:
+        self._entry_peers.set_members(members)
+        self.forwarder.set_members(version, members, now_s)
+        self.backends.update_capacities()
 
     def _update_limits(self) -> None:
         limits = relay_groups.build_limits(
--- /dev/null
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -0,0 +1,433 @@
+"""The caller's side: sends statements to the holders of an instance's connections."""
+
+import collections.abc
+import math
+import secrets
+import typing
+
+import loguru
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.drivers import sessions
+from sedgeswitch.forwarding import delays
+from sedgeswitch.forwarding import encoding
+from sedgeswitch.forwarding import messages
+from sedgeswitch.forwarding import placement
+from sedgeswitch.groups import positions
+from sedgeswitch.membership import directory
+from sedgeswitch.membership import entry_peers
+from sedgeswitch.membership import machine
+from sedgeswitch.observability import exposition
+from sedgeswitch.pools import pool
+from sedgeswitch.relay import connections
+from sedgeswitch.relay import failure_backoff
+from sedgeswitch.relay import steps
+from sedgeswitch.transport import catalog
+from sedgeswitch.transport import failures
+from sedgeswitch.utils import clocks
+
+# The holder gives up this long before the caller's host does, so that its answer says
+# whether the statement was sent to the instance, in seconds and as a share of the
+# time left. It is longer than the round trip between two regions.
+ANSWER_MARGIN_S = 0.05
+ANSWER_MARGIN_SHARE = 0.1
+MAX_MARGIN_SHARE = 0.5
+# Shortest time of a call, and its longest time if the caller sets no limit, in seconds.
+MIN_CALL_S = 0.001
+MAX_CALL_S = 30.0
+DISCARD_TIMEOUT_S = 1.0
+# Share of its time after which a cancelled call counts as unanswered.
+SILENCE_SHARE = 0.9
+# Bits of the ids of transactions, which their callers' hosts draw.
+_ID_BITS = 62
+# Service time recorded for an instance that had no free slot, in seconds.
+BUSY_SERVICE_S = 0.2
+# A statement that is forwarded needs no free connection at this host.
+_UNLIMITED_CAPACITY = 1_000_000
+_MS_PER_S = 1000
+
+
+class Options(typing.NamedTuple):
+    """What a forwarder knows of its host.
+
+    Attributes
+    ----------
+    host_id : str
+    reserved_connections : int
+        Connections of each instance that are not divided among its holders.
+    get_transaction_idle_s : callable
+        Returns the time after which an idle transaction is rolled back, in seconds.
+    """
+
+    host_id: str
+    reserved_connections: int
+    get_transaction_idle_s: collections.abc.Callable[[], float]
+
+
+class _HolderStates:
+    """Which holders recent calls have reached."""
+
+    def __init__(self, peers: entry_peers.EntryPeers):
+        self._peers = peers
+        self._members: dict[str, machine.Member] = {}
+        self._backoff = failure_backoff.FailureBackoff()
+        self._failed: set[str] = set()
+
+    def set_members(self, members: list[machine.Member]) -> None:
+        """Set the registered hosts; a restarted host is available again."""
+        by_id = {member.host_id: member for member in members}
+        for host_id in list(self._failed):
+            if by_id.get(host_id) != self._members.get(host_id):
+                self.record_success(host_id)
+        self._members = by_id
+
+    def is_available(self, host_id: str, now_s: float) -> bool:
+        """Return whether a statement may be sent to a host.
+
+        After a failure, it must be connected again, which its peer attempts in the
+        background.
+        """
+        if host_id not in self._failed:
+            return True
+        if self._backoff.is_in_backoff(host_id, now_s):
+            return False
+        return self._peers.is_connected(host_id)
+
+    def record_failure(self, host_id: str, now_s: float) -> None:
+        """Record that a host was unreachable, did not answer in time or refused."""
+        self._failed.add(host_id)
+        self._backoff.record_failure(host_id, now_s)
+
+    def record_success(self, host_id: str) -> None:
+        """Record an answer of a host."""
+        self._failed.discard(host_id)
+        self._backoff.record_success(host_id)
+
+    def count_unavailable(self) -> int:
+        """Return how many hosts failed the last call to them."""
+        return len(self._failed)
+
+
+class Forwarder:
+    """Acquires connections at the holders of an instance; implements `Connector`.
+
+    If this host is the first available holder itself, or no holder is available, the
+    connection is one of this host's own pool.
+
+    Parameters
+    ----------
+    options : Options
+    hosts : placement.Placement
+    peers : entry_peers.EntryPeers
+    local : connections.Connector
+        Acquires connections of this host's own pools.
+    """
+
+    def __init__(
+        self,
+        options: Options,
+        hosts: placement.Placement,
+        peers: entry_peers.EntryPeers,
+        local: connections.Connector,
+    ):
+        self._options = options
+        self._placement = hosts
+        self._peers = peers
+        self._local = local
+        self._states = _HolderStates(peers)
+        self._delays = delays.ServiceDelays()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Discard transactions that callers have given up, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await trio.sleep_forever()
+
+    def set_members(
+        self,
+        version: int,  # noqa: ARG002
+        members: list[machine.Member],
+        now_s: float,  # noqa: ARG002
+    ) -> None:
+        """Set the registered entry hosts."""
+        self._placement.set_members(members)
+        self._states.set_members(members)
+
+    def count_holders(self, server: directory.BackendServer) -> int:
+        """Return among how many hosts connections are divided, 0 if not to this one."""
+        selection = self._placement.select(self._build_location(server))
+        if self._options.host_id in (*selection.holders, *selection.substitutes):
+            return len(selection.holders)
+        return 0
+
+    def count_unavailable(self) -> int:
+        """Return how many hosts failed the last call to them."""
+        return self._states.count_unavailable()
+
+    async def acquire(
+        self, server: directory.BackendServer, organisation: str, deadline_s: float
+    ) -> connections.AcquiredConnection:
+        """Acquire a connection; see `connections.Connector.acquire`.
+
+        A forwarded connection is acquired by the holder, with the first statement.
+        """
+        host_id = self._choose_host(server, organisation, clocks.get_now_s())
+        if host_id == self._options.host_id:
+            return await self._local.acquire(server, organisation, deadline_s)
+        await trio.lowlevel.checkpoint()
+        return ForwardedConnection(self, host_id, server, organisation)
+
+    def get_load(
+        self, server: directory.BackendServer, organisation: str
+    ) -> pool.PoolLoad:
+        """Return the load of this host's pool, or what holders' answers show of it."""
+        now_s = clocks.get_now_s()
+        host_id = self._choose_host(server, organisation, now_s)
+        if host_id == self._options.host_id:
+            return self._local.get_load(server, organisation)
+        service_s = self._delays.get_service_s(server.instance, now_s)
+        return pool.PoolLoad(_UNLIMITED_CAPACITY, 0, 0, 1, service_s, 0.0)
+
+    async def call(
+        self, host_id: str, request: messages.ForwardRequest, timeout_s: float
+    ) -> messages.ForwardAnswer:
+        """Send a request to a holder and return its answer.
+
+        Raises
+        ------
+        steps.FailedError
+            ``OVERLOADED``, retryable, if the request was not sent.
+        sessions.ConnectionLostError
+            If there is no answer, so that the statement may have run.
+        """
+        started_s = trio.current_time()
+        try:
+            answer = await self._peers.call(host_id, request, timeout_s)
+        except failures.CallError as error:
+            self._states.record_failure(host_id, clocks.get_now_s())
+            exposition.FORWARDS.labels(error.code).inc()
+            raise _build_call_failure(host_id, error) from error
+        except trio.Cancelled:
+            # A cancellation before the end of the time says nothing about the holder.
+            if trio.current_time() - started_s >= SILENCE_SHARE * timeout_s:
+                self._states.record_failure(host_id, clocks.get_now_s())
+                exposition.FORWARDS.labels("timeout").inc()
+            raise
+        if not isinstance(answer, messages.ForwardAnswer):
+            raise sessions.ConnectionLostError(f"malformed answer of {host_id}")
+        self._record_answer(host_id, request.instance, answer)
+        return answer
+
+    def discard(self, host_id: str, request: messages.ForwardRequest) -> None:
+        """Have a holder discard a transaction, without waiting for its answer."""
+        self._nursery.start_soon(self._discard, host_id, request)
+
+    def get_transaction_idle_s(self) -> float:
+        """Return the time after which an idle transaction is rolled back."""
+        return self._options.get_transaction_idle_s()
+
+    async def _discard(self, host_id: str, request: messages.ForwardRequest) -> None:
+        try:
+            await self._peers.call(host_id, request, DISCARD_TIMEOUT_S)
+        except failures.CallError as error:
+            # The holder rolls the transaction back after its idle timeout.
+            loguru.logger.debug("{} did not discard a transaction: {}", host_id, error)
+
+    def _choose_host(
+        self, server: directory.BackendServer, organisation: str, now_s: float
+    ) -> str:
+        """Return the first available host of an instance, by default this one."""
+        own_id = self._options.host_id
+        location = self._build_location(server)
+        for host_id in self._placement.order_hosts(location, organisation):
+            if host_id == own_id or self._states.is_available(host_id, now_s):
+                return host_id
+        return own_id
+
+    def _build_location(self, server: directory.BackendServer) -> placement.Location:
+        shared = server.max_connections - self._options.reserved_connections
+        return placement.Location(
+            server.instance, server.availability_zone, max(shared, 0)
+        )
+
+    def _record_answer(
+        self, host_id: str, instance: str, answer: messages.ForwardAnswer
+    ) -> None:
+        now_s = clocks.get_now_s()
+        exposition.FORWARDS.labels(_OUTCOME_LABELS[answer.outcome]).inc()
+        if answer.is_holder_unavailable:
+            self._states.record_failure(host_id, now_s)
+            return
+        self._states.record_success(host_id)
+        service_s = (answer.service_ms or 0) / _MS_PER_S
+        if answer.failure == sessions.Failure.OVERLOADED.name:
+            service_s = max(service_s, BUSY_SERVICE_S)
+        self._delays.record(instance, service_s, now_s)
+
+
+class ForwardedConnection:
+    """A connection at a holder; implements `AcquiredConnection`, `SessionConnection`.
+
+    Outside a transaction, each statement is one call, for which the holder acquires a
+    connection of its pool. A transaction keeps that connection until it ends.
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        host_id: str,
+        server: directory.BackendServer,
+        organisation: str,
+    ):
+        self.server = server
+        self.connection = self
+        self.position: positions.Position | None = None
+        self._forwarder = forwarder
+        self._host_id = host_id
+        self._organisation = organisation
+        self._values: dict[bytes, bytes] = {}
+        self._sent_values: dict[bytes, bytes] = {}
+        # Id of the transaction that the holder keeps a connection for, if any.
+        self._transaction: int | None = None
+        self._is_in_transaction = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is outside any transaction."""
+        return self._transaction is None
+
+    async def set_session_values(
+        self, values: collections.abc.Mapping[bytes, bytes]
+    ) -> None:
+        """Set the session values that the holder sets before the next statement."""
+        self._values = dict(values)
+
+    async def run(
+        self,
+        statement: sessions.Statement,
+        shape: sessions.StatementShape | None = None,
+        floor: positions.Position | None = None,
+    ) -> sessions.Reply:
+        """Run one statement; see `sessions.SessionConnection.run`.
+
+        Raises
+        ------
+        steps.FailedError
+            If the statement was not sent to the instance.
+        sessions.ConnectionLostError
+            If it may have run.
+        """
+        return await self._call(
+            messages.Operation.RUN,
+            statement=encoding.encode_statement(statement, shape),
+            floor=encoding.encode_position(floor),
+        )
+
+    async def begin(
+        self, is_read_only: bool, floor: positions.Position | None = None
+    ) -> sessions.Reply:
+        """Begin a transaction; see `run` for the errors."""
+        idle_timeout_s = self._forwarder.get_transaction_idle_s()
+        # Drawn here, so that a transaction whose answer is lost can be discarded.
+        self._transaction = secrets.randbits(_ID_BITS)
+        return await self._call(
+            messages.Operation.BEGIN,
+            is_read_only=is_read_only,
+            floor=encoding.encode_position(floor),
+            idle_timeout_ms=round(idle_timeout_s * _MS_PER_S),
+        )
+
+    async def roll_back(self) -> sessions.Reply:
+        """Roll back the open transaction; see `run` for the errors."""
+        try:
+            return await self._call(messages.Operation.ROLL_BACK)
+        except steps.FailedError as error:
+            raise sessions.ConnectionLostError(error.detail) from error
+
+    async def release(self, is_observed: bool = True) -> None:  # noqa: ARG002
+        """Discard a transaction that is still open."""
+        await self.close()
+
+    async def discard(self, is_observed: bool = True) -> None:  # noqa: ARG002
+        """Roll back an open transaction by closing its connection."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Roll back an open transaction by closing its connection."""
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            request = self._build_request(messages.Operation.DISCARD, DISCARD_TIMEOUT_S)
+            request.transaction = transaction
+            self._forwarder.discard(self._host_id, request)
+
+    async def _call(
+        self, operation: messages.Operation, **fields: typing.Any
+    ) -> sessions.Reply:
+        left_s = trio.current_effective_deadline() - trio.current_time()
+        left_s = min(max(left_s, MIN_CALL_S), MAX_CALL_S)
+        margin_s = max(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * left_s)
+        margin_s = min(margin_s, MAX_MARGIN_SHARE * left_s)
+        request = self._build_request(operation, left_s - margin_s)
+        request.transaction = self._transaction
+        if not self._is_in_transaction or self._values != self._sent_values:
+            request.session_values = self._values or None
+            self._sent_values = self._values
+        for name, value in fields.items():
+            setattr(request, name, value)
+        answer = await self._forwarder.call(self._host_id, request, left_s)
+        return self._process_answer(answer)
+
+    def _build_request(
+        self, operation: messages.Operation, timeout_s: float
+    ) -> messages.ForwardRequest:
+        return messages.ForwardRequest(
+            self.server.instance,
+            self._organisation,
+            operation,
+            max(math.ceil(timeout_s * _MS_PER_S), 1),
+        )
+
+    def _process_answer(self, answer: messages.ForwardAnswer) -> sessions.Reply:
+        was_in_transaction = self._is_in_transaction
+        # The holder names a transaction in its answers for as long as it keeps it.
+        self._transaction = answer.transaction
+        self._is_in_transaction = answer.transaction is not None
+        detail = answer.detail or ""
+        if answer.outcome == messages.Outcome.NOT_RUN and was_in_transaction:
+            raise steps.FailedError(sessions.Failure.ABORTED, detail)
+        if answer.outcome == messages.Outcome.NOT_RUN:
+            raise steps.FailedError(
+                sessions.Failure.OVERLOADED, detail, bool(answer.is_retryable)
+            )
+        if answer.outcome != messages.Outcome.ANSWERED:
+            raise sessions.ConnectionLostError(detail)
+        try:
+            reply = encoding.decode_reply(answer)
+        except catalog.MessageError as error:
+            raise sessions.ConnectionLostError(str(error)) from error
+        if reply.position is not None:
+            self.position = reply.position
+        return reply
+
+
+def _build_call_failure(
+    host_id: str, error: failures.CallError
+) -> steps.FailedError | sessions.ConnectionLostError:
+    if error.verdict is verdicts.Verdict.NOT_RUN:
+        return steps.FailedError(
+            sessions.Failure.OVERLOADED,
+            f"{host_id} holds the connections and is unreachable ({error.code});"
+            " retry after 50 ms",
+            is_retryable=True,
+        )
+    return sessions.ConnectionLostError(f"no answer of {host_id}: {error.code}")
+
+
+# Labels of the metric of forwarded statements.
+_OUTCOME_LABELS = {
+    messages.Outcome.ANSWERED: "answered",
+    messages.Outcome.NOT_RUN: "not_run",
+    messages.Outcome.NO_ANSWER: "no_answer",
+}
--- /dev/null
+++ b/sedgeswitch/forwarding/holder.py
@@ -0,0 +1,350 @@
+"""The holder's side: runs the statements that other hosts forward to it."""
+
+import collections.abc
+import math
+
+import trio
+
+from sedgeswitch.drivers import sessions
+from sedgeswitch.forwarding import encoding
+from sedgeswitch.forwarding import messages
+from sedgeswitch.groups import positions
+from sedgeswitch.observability import exposition
+from sedgeswitch.relay import connections
+from sedgeswitch.relay import context
+from sedgeswitch.relay import steps
+from sedgeswitch.utils import clocks
+
+# Added to the idle timeout of a transaction, in seconds. The caller's host normally
+# ends it; this timeout is for a caller's host that has disappeared.
+IDLE_MARGIN_S = 1.0
+EXPIRE_INTERVAL_S = 0.5
+# Interval at which `wait_idle` checks whether the last statement has ended, in seconds.
+POLL_INTERVAL_S = 0.02
+_MS_PER_S = 1000
+
+Answer = collections.abc.Awaitable[messages.ForwardAnswer]
+Handler = collections.abc.Callable[..., Answer]
+_HANDLERS: dict[int, Handler] = {}
+
+
+def _register_operation(
+    operation: messages.Operation,
+) -> collections.abc.Callable[[Handler], Handler]:
+    """Return a decorator that registers the handler of an operation."""
+
+    def register(handler: Handler) -> Handler:
+        _HANDLERS[operation] = handler
+        return handler
+
+    return register
+
+
+class _Transaction:
+    """A transaction of another host's caller, and the connection that it is bound to.
+
+    Attributes
+    ----------
+    acquired : connections.AcquiredConnection or None
+        None until the transaction has begun.
+    scope : trio.CancelScope
+        Scope of the request that runs now.
+    is_running : bool
+        Whether a request of the transaction runs now.
+    expires_s : float
+        Time on trio's clock at which it is rolled back unless a request runs.
+    """
+
+    def __init__(self, idle_timeout_s: float):
+        self.idle_timeout_s = idle_timeout_s
+        self.acquired: connections.AcquiredConnection | None = None
+        self.scope = trio.CancelScope()
+        self.is_running = False
+        self.expires_s = math.inf
+
+
+class Holder:
+    """Runs forwarded statements over this host's pools.
+
+    Parameters
+    ----------
+    components : context.Components
+        Its connector acquires connections of this host's own pools.
+    """
+
+    def __init__(self, components: context.Components):
+        self._components = components
+        self._transactions: dict[int, _Transaction] = {}
+        self._running = 0
+        self._is_leaving = False
+
+    @property
+    def open_transactions(self) -> int:
+        """Number of transactions that this host keeps connections for."""
+        return len(self._transactions)
+
+    async def run(self) -> None:
+        """Roll back transactions whose caller's host has disappeared."""
+        while True:
+            await trio.sleep(EXPIRE_INTERVAL_S)
+            await self._expire(trio.current_time())
+
+    def leave(self) -> None:
+        """Accept no further statements, except those of open transactions."""
+        self._is_leaving = True
+
+    async def wait_idle(self) -> None:
+        """Wait until no statement runs and no transaction is open."""
+        while self._running or self._transactions:
+            await trio.sleep(POLL_INTERVAL_S)
+
+    async def answer(self, request: messages.ForwardRequest) -> messages.ForwardAnswer:
+        """Answer a request; every failure is an answer that says whether it has run."""
+        started_s = trio.current_time()
+        deadline_s = started_s + request.timeout_ms / _MS_PER_S
+        handler = _HANDLERS.get(request.operation)
+        if handler is None:
+            return _build_not_run("unknown operation")
+        self._running += 1
+        try:
+            answer = await handler(self, request, deadline_s)
+        finally:
+            self._running -= 1
+        answer.service_ms = round((trio.current_time() - started_s) * _MS_PER_S)
+        exposition.HELD.labels(_OUTCOME_LABELS[answer.outcome]).inc()
+        if answer.outcome != messages.Outcome.ANSWERED:
+            self._log_failure(request, answer)
+        return answer
+
+    @_register_operation(messages.Operation.RUN)
+    async def _run(
+        self, request: messages.ForwardRequest, deadline_s: float
+    ) -> messages.ForwardAnswer:
+        if request.transaction is not None:
+            return await self._run_in_transaction(request, deadline_s)
+        try:
+            acquired = await self._acquire(request, deadline_s)
+        except steps.FailedError as error:
+            return _build_refusal(error)
+        try:
+            return await self._send(acquired, request, deadline_s)
+        finally:
+            await acquired.release()
+
+    @_register_operation(messages.Operation.BEGIN)
+    async def _begin(
+        self, request: messages.ForwardRequest, deadline_s: float
+    ) -> messages.ForwardAnswer:
+        transaction_id = request.transaction
+        if transaction_id is None or transaction_id in self._transactions:
+            return _build_not_run("transaction: expected a new id")
+        idle_timeout_s = (request.idle_timeout_ms or 0) / _MS_PER_S
+        transaction = _Transaction(idle_timeout_s)
+        transaction.is_running = True
+        self._transactions[transaction_id] = transaction
+        answer = None
+        try:
+            with transaction.scope:
+                transaction.acquired = await self._acquire(request, deadline_s)
+                answer = await self._run_bound(
+                    transaction_id, transaction, request, deadline_s
+                )
+        except steps.FailedError as error:
+            answer = _build_refusal(error)
+        finally:
+            if answer is None or answer.transaction is None:
+                await self._discard(transaction_id)
+        return answer or _build_no_answer("the caller's host discarded the transaction")
+
+    @_register_operation(messages.Operation.ROLL_BACK)
+    async def _roll_back(
+        self, request: messages.ForwardRequest, deadline_s: float
+    ) -> messages.ForwardAnswer:
+        return await self._run_in_transaction(request, deadline_s)
+
+    @_register_operation(messages.Operation.DISCARD)
+    async def _discard_requested(
+        self,
+        request: messages.ForwardRequest,
+        deadline_s: float,  # noqa: ARG002
+    ) -> messages.ForwardAnswer:
+        transaction = self._transactions.get(request.transaction)
+        if transaction is not None and transaction.is_running:
+            # The request that runs discards the transaction.
+            transaction.scope.cancel()
+        else:
+            await self._discard(request.transaction)
+        return messages.ForwardAnswer(messages.Outcome.ANSWERED)
+
+    async def _run_in_transaction(
+        self, request: messages.ForwardRequest, deadline_s: float
+    ) -> messages.ForwardAnswer:
+        transaction = self._transactions.get(request.transaction)
+        if transaction is None:
+            return _build_not_run("the transaction is unknown or was rolled back")
+        if transaction.is_running:
+            return _build_not_run("another statement of the transaction is running")
+        transaction.scope = trio.CancelScope()
+        answer = None
+        try:
+            with transaction.scope:
+                answer = await self._run_bound(
+                    request.transaction, transaction, request, deadline_s
+                )
+        finally:
+            if answer is None:
+                await self._discard(request.transaction)
+        return answer or _build_no_answer("the caller's host discarded the transaction")
+
+    async def _run_bound(
+        self,
+        transaction_id: int,
+        transaction: _Transaction,
+        request: messages.ForwardRequest,
+        deadline_s: float,
+    ) -> messages.ForwardAnswer:
+        """Run a request of a transaction; release the connection at its end."""
+        acquired = transaction.acquired
+        transaction.is_running = True
+        try:
+            answer = await self._send(acquired, request, deadline_s)
+        finally:
+            transaction.is_running = False
+        if answer.outcome != messages.Outcome.ANSWERED:
+            await self._discard(transaction_id)
+        elif answer.is_in_transaction:
+            answer.transaction = transaction_id
+            idle_s = transaction.idle_timeout_s + IDLE_MARGIN_S
+            transaction.expires_s = trio.current_time() + idle_s
+        else:
+            self._transactions.pop(transaction_id, None)
+            await acquired.release(is_observed=False)
+        return answer
+
+    async def _acquire(
+        self, request: messages.ForwardRequest, deadline_s: float
+    ) -> connections.AcquiredConnection:
+        """Acquire a connection of this host's pool.
+
+        Raises
+        ------
+        steps.FailedError
+            If there is none. Nothing was sent to the instance.
+        """
+        components = self._components
+        server = components.backends.get_server(request.instance)
+        if self._is_leaving:
+            raise _HolderUnavailableError("the holder is shutting down")
+        if components.backends.share.divisor == 0:
+            raise _HolderUnavailableError("the holder has no lease")
+        if server is None:
+            raise _HolderUnavailableError(
+                f"{request.instance} is not announced to the holder"
+            )
+        return await components.connector.acquire(
+            server, request.organisation, deadline_s
+        )
+
+    async def _send(
+        self,
+        acquired: connections.AcquiredConnection,
+        request: messages.ForwardRequest,
+        deadline_s: float,
+    ) -> messages.ForwardAnswer:
+        """Send a request to the instance and return the answer of either."""
+        server = acquired.server
+        observations = self._components.local_observations
+        permit = self._components.groups.get_write_permit(
+            server.group, clocks.get_now_s()
+        )
+        sent_s = clocks.get_now_s()
+        reply = None
+        with trio.move_on_at(deadline_s):
+            try:
+                reply = await _send_operation(acquired.connection, request)
+            except sessions.ConnectionLostError as error:
+                observations.record_no_answer(server.instance)
+                return _build_no_answer(f"{server.instance}: {error}")
+        if reply is None:
+            observations.record_no_answer(server.instance)
+            return _build_no_answer(f"{server.instance} did not answer in time")
+        observations.record_reply(server.instance, reply)
+        if permit is not None and permit.primary == server.instance:
+            observations.record_primary_reply(permit, sent_s, reply)
+        return encoding.encode_reply(reply)
+
+    async def _expire(self, now_s: float) -> None:
+        for transaction_id, transaction in list(self._transactions.items()):
+            if transaction.expires_s <= now_s and not transaction.is_running:
+                await self._discard(transaction_id)
+
+    async def _discard(self, transaction_id: int | None) -> None:
+        """Close the connection of a transaction, which rolls it back."""
+        transaction = self._transactions.pop(transaction_id, None)
+        if transaction is not None and transaction.acquired is not None:
+            with trio.CancelScope(shield=True):
+                await transaction.acquired.discard(is_observed=False)
+
+    def _log_failure(
+        self, request: messages.ForwardRequest, answer: messages.ForwardAnswer
+    ) -> None:
+        statement_id = request.statement.statement_id if request.statement else b""
+        self._components.decisions.note(
+            f"forwarded statement {_OUTCOME_LABELS[answer.outcome]}",
+            trio.current_time(),
+            request=statement_id.decode(errors="replace"),
+            instance=request.instance,
+            timeout_ms=request.timeout_ms,
+            waited_ms=answer.service_ms,
+            detail=answer.detail,
+        )
+
+
+class _HolderUnavailableError(steps.FailedError):
+    """Raised when this host runs no statement, while another holder may."""
+
+    def __init__(self, detail: str):
+        super().__init__(sessions.Failure.OVERLOADED, detail, is_retryable=True)
+
+
+async def _send_operation(
+    connection: sessions.SessionConnection, request: messages.ForwardRequest
+) -> sessions.Reply:
+    """Send a request, and before it the session values that it names."""
+    floor: positions.Position | None = encoding.decode_position(request.floor)
+    if request.operation == messages.Operation.ROLL_BACK:
+        return await connection.roll_back()
+    is_begin = request.operation == messages.Operation.BEGIN
+    is_first = request.transaction is None or is_begin
+    # Within a transaction, values are sent only if they have changed.
+    if is_first or request.session_values is not None:
+        failed = await connection.set_session_values(request.session_values or {})
+        if failed is not None:
+            return failed
+    if is_begin:
+        return await connection.begin(bool(request.is_read_only), floor)
+    statement, shape = encoding.decode_statement(request.statement)
+    return await connection.run(statement, shape, floor)
+
+
+def _build_not_run(detail: str) -> messages.ForwardAnswer:
+    return messages.ForwardAnswer(messages.Outcome.NOT_RUN, detail=detail)
+
+
+def _build_refusal(error: steps.FailedError) -> messages.ForwardAnswer:
+    answer = _build_not_run(error.detail)
+    answer.is_retryable = error.is_retryable
+    answer.is_holder_unavailable = isinstance(error, _HolderUnavailableError) or None
+    return answer
+
+
+def _build_no_answer(detail: str) -> messages.ForwardAnswer:
+    return messages.ForwardAnswer(messages.Outcome.NO_ANSWER, detail=detail)
+
+
+# Labels of the metric of forwarded statements, and the ends of their log lines.
+_OUTCOME_LABELS = {
+    messages.Outcome.ANSWERED: "answered",
+    messages.Outcome.NOT_RUN: "not run",
+    messages.Outcome.NO_ANSWER: "not answered",
+}
--- /dev/null
+++ b/sedgeswitch/forwarding/messages.py
@@ -0,0 +1,9 @@
+"""Messages between the host of a caller and the holders of connections."""
+
+from sedgeswitch.forwarding.generated import ttypes
+from sedgeswitch.transport import catalog
+
+ForwardRequest = catalog.register_message(110, ttypes.ForwardRequest)
+ForwardAnswer = catalog.register_message(111, ttypes.ForwardAnswer)
+Operation = ttypes.Operation
+Outcome = ttypes.Outcome
--- /dev/null
+++ b/sedgeswitch/forwarding/messages.thrift
@@ -0,0 +1,76 @@
+namespace py sedgeswitch.forwarding.generated
+
+// What the holder of an instance's connections is asked to do. READ, WRITE and COMMIT
+// are all sent as RUN, with their text unchanged.
+enum Operation {
+  RUN = 1,
+  BEGIN = 2,
+  ROLL_BACK = 3,
+  // Closes the connection of a transaction, which rolls it back.
+  DISCARD = 4,
+}
+
+// Log position of an instance.
+struct Position {
+  1: required i64 timeline,
+  2: required i64 lsn,
+}
+
+struct PreparedShape {
+  1: required bool is_write,
+  2: required binary text,
+}
+
+struct Statement {
+  1: required binary statement_id,
+  2: required binary text,
+  // Set for the execution of a prepared statement.
+  3: optional binary prepared_arguments,
+  4: optional PreparedShape shape,
+}
+
+// From the host of a caller to a holder. It names the caller's organisation, but does
+// not contain its key. `transaction` is that of the answer to BEGIN.
+struct ForwardRequest {
+  1: required string instance,
+  2: required string organisation,
+  3: required Operation operation,
+  // Time after which the holder gives up and answers, in milliseconds.
+  4: required i32 timeout_ms,
+  5: optional i64 transaction,
+  6: optional map<binary, binary> session_values,
+  7: optional Statement statement,
+  8: optional Position floor,
+  9: optional bool is_read_only,
+  // For BEGIN: idle time after which the holder rolls the transaction back.
+  10: optional i32 idle_timeout_ms,
+}
+
+enum Outcome {
+  // The instance answered; the answer may be a failure.
+  ANSWERED = 1,
+  // Nothing was sent to the instance.
+  NOT_RUN = 2,
+  // The statement was sent to the instance, which did not answer in time.
+  NO_ANSWER = 3,
+}
+
+struct ForwardAnswer {
+  1: required Outcome outcome,
+  2: optional list<binary> rows,
+  3: optional binary signature,
+  // Name of the failure, absent if the statement succeeded.
+  4: optional string failure,
+  5: optional string detail,
+  6: optional bool is_in_transaction,
+  7: optional bool is_transaction_failed,
+  8: optional Position position,
+  9: optional i64 transaction,
+  // For NOT_RUN: whether another attempt may soon succeed.
+  10: optional bool is_retryable,
+  // For NOT_RUN: whether the reason is the holder's own state, so that another holder
+  // may run the statement.
+  11: optional bool is_holder_unavailable,
+  // Time that the holder and the instance took, in milliseconds.
+  12: optional i32 service_ms,
+}
--- /dev/null
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -0,0 +1,178 @@
+"""A fleet of entry hosts in memory that forward statements to each other."""
+
+import random
+
+import trio
+
+from sedgeswitch import verdicts
+from sedgeswitch.admission import fair_queue
+from sedgeswitch.forwarding import forwarder
+from sedgeswitch.forwarding import holder
+from sedgeswitch.forwarding import placement
+from sedgeswitch.membership import machine
+from sedgeswitch.observability import decisions
+from sedgeswitch.pools import pool
+from sedgeswitch.relay import connections
+from sedgeswitch.relay import context
+from sedgeswitch.relay import session
+from sedgeswitch.relay.tests import builders as relay_builders
+from sedgeswitch.routing import policies
+from sedgeswitch.statements import backends
+from sedgeswitch.statements import interruption
+from sedgeswitch.transport import catalog
+from sedgeswitch.transport import failures
+
+REGIONS = {"bagmati": "bagmati", "bagmati-b": "bagmati", "koshi": "koshi"}
+RESERVED_CONNECTIONS = 4
+LINK_DELAY_S = 0.001
+
+
+def build_member(host_id, zone="bagmati", incarnation="1"):
+    return machine.Member(host_id, incarnation, zone, "10.1.0.1", 7000)
+
+
+class FakePeers:
+    """Carries calls between the hosts of a `Fleet`, each encoded as on the wire."""
+
+    def __init__(self, fleet, own_id):
+        self._fleet = fleet
+        self._own_id = own_id
+
+    def is_connected(self, host_id):
+        return host_id not in self._fleet.dead
+
+    async def call(self, host_id, message, timeout_s):
+        fleet = self._fleet
+        if host_id in fleet.dead:
+            raise failures.CallError("unreachable", host_id, verdicts.Verdict.NOT_RUN)
+        body = catalog.encode_struct(message)
+        request = catalog.decode_struct(type(message), body)
+        fleet.calls.append((self._own_id, host_id, request.operation))
+        answer = None
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(LINK_DELAY_S)
+            while host_id in fleet.frozen:
+                await trio.sleep(0.01)
+            answer = await fleet.hosts[host_id].holder.answer(request)
+            if host_id in fleet.loses_answers:
+                raise failures.CallError(
+                    "connection_lost", host_id, verdicts.Verdict.MAY_HAVE_RUN
+                )
+            await trio.sleep(LINK_DELAY_S)
+        if answer is None:
+            raise failures.CallError("timeout", host_id, verdicts.Verdict.MAY_HAVE_RUN)
+        return catalog.decode_struct(type(answer), catalog.encode_struct(answer))
+
+
+class Host:
+    """One entry host; its sessions use the instances of the world."""
+
+    def __init__(self, fleet, member):
+        world = fleet.world
+        self.member = member
+        self.backends = backends.Backends(
+            world.servers,
+            relay_builders.FakeDriver(world),
+            lambda capacity: fair_queue.FairQueue(capacity, 100),
+            lambda server: False,
+            backends.BackendOptions(
+                member.availability_zone,
+                1000,
+                policies.DEFAULT_POLICY,
+                pool.PoolSettings(),
+                RESERVED_CONNECTIONS,
+                2,
+                REGIONS,
+            ),
+            random.Random(1),
+            lambda name: self.forwarder.count_holders(world.servers.servers[name]),
+        )
+        self.forwarder = forwarder.Forwarder(
+            forwarder.Options(member.host_id, RESERVED_CONNECTIONS, lambda: 3.0),
+            placement.Placement(REGIONS),
+            FakePeers(fleet, member.host_id),
+            connections.PoolConnector(self.backends),
+        )
+        self.components = context.Components(
+            world.databases,
+            world.groups,
+            world.observations,
+            self.backends,
+            self.forwarder,
+            interruption.Interrupter(world.groups),
+            context.LocalObservations(world.groups),
+            decisions.DecisionLog(),
+            world.admit,
+            random.Random(2),
+        )
+        local = connections.PoolConnector(self.backends)
+        self.holder = holder.Holder(self.components._replace(connector=local))
+        self.set_share(1)
+
+    def set_share(self, divisor):
+        share = relay_builders.build_share(divisor)
+        self.backends.share.receive_answer(catalog.encode_struct(share), 0.0)
+
+    def build_session(self, database="primary", key=relay_builders.KEY):
+        return session.Session(self.components, database, key)
+
+
+class Fleet:
+    """Several hosts in front of one group of three instances in one zone.
+
+    Attributes
+    ----------
+    calls : list of (str, str, int)
+        Caller's host, holder and operation of each forwarded request.
+    dead, frozen, loses_answers : set of str
+        Hosts that refuse connections, that do not answer, and whose connection is lost
+        after they have run a request.
+    """
+
+    def __init__(self, zones=("bagmati",) * 4, max_connections=20):
+        self.world = relay_builders.World(max_connections)
+        self.calls = []
+        self.dead = set()
+        self.frozen = set()
+        self.loses_answers = set()
+        members = [
+            build_member(f"host-{number}", zone) for number, zone in enumerate(zones)
+        ]
+        self.hosts = {member.host_id: Host(self, member) for member in members}
+        self.set_members(members)
+
+    def set_members(self, members):
+        for host in self.hosts.values():
+            host.forwarder.set_members(1, members, 0.0)
+            host.backends.update_capacities()
+
+    async def run(self, body):
+        """Run the background tasks of all hosts around ``body(fleet)``."""
+        async with trio.open_nursery() as nursery:
+            for host in self.hosts.values():
+                nursery.start_soon(host.forwarder.run)
+                nursery.start_soon(host.holder.run)
+            await trio.testing.wait_all_tasks_blocked()
+            await body(self)
+            nursery.cancel_scope.cancel()
+
+    def get_home(self, instance="a", organisation=relay_builders.ORGANISATION):
+        """Return the id of the first holder of an organisation's statements."""
+        server = self.world.servers.servers[instance]
+        location = placement.Location(
+            instance,
+            server.availability_zone,
+            server.max_connections - RESERVED_CONNECTIONS,
+        )
+        any_host = next(iter(self.hosts.values()))
+        order = any_host.forwarder._placement.order_hosts(location, organisation)
+        return order[0]
+
+    def get_other(self):
+        """Return a host that is not the first holder at the primary."""
+        home = self.get_home()
+        return next(host for name, host in self.hosts.items() if name != home)
+
+    def count_connections(self):
+        """Return how many connections were opened to instances."""
+        return self.world.connects
--- a/sedgeswitch/membership/entry_peers.py
+++ b/sedgeswitch/membership/entry_peers.py
@@ -45,6 +45,11 @@
                 connection.peer.close()
                 del self._connections[host_id]
 
+    def is_connected(self, host_id: str) -> bool:
+        """Return whether a connection to an entry host is open."""
+        connection = self._connections.get(host_id)
+        return connection is not None and connection.peer.is_connected
+
     async def call(
         self, host_id: str, message: typing.Any, timeout_s: float
     ) -> typing.Any:
--- a/sedgeswitch/membership/machine.py
+++ b/sedgeswitch/membership/machine.py
@@ -1,10 +1,14 @@
 """Replicated state: the registered entry hosts, which may hold a lease."""
 
+import collections
 import typing
 
 from sedgeswitch.membership import messages
 from sedgeswitch.transport import catalog
 
+# Changes kept for incremental answers; a host further behind gets all members.
+MAX_KEPT_CHANGES = 1000
+
 
 class Member(typing.NamedTuple):
     """An entry host that may hold a lease.
@@ -42,6 +46,10 @@
     def __init__(self):
         self.version = 0
         self.members: dict[str, Member] = {}
+        # Host ids of the last changes, one for each version.
+        self._changes: collections.deque[str] = collections.deque(
+            maxlen=MAX_KEPT_CHANGES
+        )
 
     def apply(self, index: int, body: bytes) -> bytes:  # noqa: ARG002
         """Register or remove one entry host.
@@ -56,12 +64,34 @@
         member = build_member(command)
         if not command.is_removal:
             self.members[member.host_id] = member
-            self.version += 1
+            self._record_change(member.host_id)
         elif self.members.get(member.host_id) == member:
             del self.members[member.host_id]
-            self.version += 1
+            self._record_change(member.host_id)
         return b""
 
+    def get_changes(self, version: int) -> list[messages.MemberCommand] | None:
+        """Return the commands that lead from an earlier version to the present one.
+
+        None if the changes since that version are no longer known. A host that has
+        been removed is named by a removal without further fields.
+        """
+        missed = self.version - version
+        if not 0 <= missed <= len(self._changes):
+            return None
+        changed = set(list(self._changes)[len(self._changes) - missed :])
+        return [self._build_change(host_id) for host_id in sorted(changed)]
+
+    def _build_change(self, host_id: str) -> messages.MemberCommand:
+        member = self.members.get(host_id)
+        if member is None:
+            return build_command(Member(host_id, "", "", "", 0), True)
+        return build_command(member, False)
+
+    def _record_change(self, host_id: str) -> None:
+        self.version += 1
+        self._changes.append(host_id)
+
     def save_snapshot(self) -> bytes:
         """Return the whole state."""
         commands = [build_command(member, False) for member in self.members.values()]
@@ -71,6 +101,7 @@
         """Replace the whole state by the one in a snapshot."""
         snapshot = catalog.decode_struct(messages.Members, body)
         self.version = snapshot.version
+        self._changes.clear()
         self.members = {
             command.host_id: build_member(command) for command in snapshot.members
         }
--- a/sedgeswitch/membership/messages.thrift
+++ b/sedgeswitch/membership/messages.thrift
@@ -82,10 +82,13 @@
 }
 
 // Snapshot of the registered entry hosts, and heartbeat section: a host reports its
-// version without members, and the answer holds all members if it is older.
+// version without members, and the answer holds all members if it is older. If
+// `is_partial` is true in a report, the host also takes the changes since its version;
+// if it is true in an answer, `members` are these changes.
 struct Members {
   1: required i64 version,
   2: required list<MemberCommand> members,
+  3: optional bool is_partial,
 }
 
 // Replicated state: records or removes a backend server, so that a new leader
--- a/sedgeswitch/observability/exposition.py
+++ b/sedgeswitch/observability/exposition.py
@@ -29,6 +29,18 @@
     ("outcome",),
     registry=REGISTRY,
 )
+FORWARDS = prometheus_client.Counter(
+    "sedgeswitch_forwards",
+    "Statements forwarded to the holder of a connection, by outcome.",
+    ("outcome",),
+    registry=REGISTRY,
+)
+HELD = prometheus_client.Counter(
+    "sedgeswitch_held_statements",
+    "Statements of other hosts' callers run as a holder, by outcome.",
+    ("outcome",),
+    registry=REGISTRY,
+)
 ADMISSION_SECONDS = prometheus_client.Histogram(
     "sedgeswitch_admission_seconds",
     "Time that operations waited for a token of their organisation.",
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -160,6 +160,8 @@
         """Drain connections and release the lease within the grace time."""
         loguru.logger.info("stopping", grace_s=self._settings.grace_s)
         self._is_shutting_down = True
+        if self._entry is not None:
+            self._entry.stop_holding()
         with trio.move_on_after(self._settings.grace_s - EXIT_MARGIN_S):
             if self._client_server is not None:
                 await self._client_server.drain(
@@ -223,13 +225,17 @@
             HEARTBEAT_INTERVAL_S,
             GROUP_SETTINGS,
             settings.tolerance,
+            settings.region_by_zone,
         )
+        serving = server.Server()
         self._entry = relay_entry.RelayEntry(
             options,
             documents.decode_document,
             instance_driver.LineDriver(),
+            serving,
             self._rng,
         )
+        await nursery.start(serving.serve, settings.ip, port)
         self._client_server = client_server.ClientServer(self._entry.build_session)
         await nursery.start(self._client_server.serve, *settings.clients)
         nursery.start_soon(self._entry.run)
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -15,7 +15,7 @@
 SERVES_CLIENTS = "front"
 SERVES_CONTROL = "control"
 # Offsets of the ports of the control role and of the entry role from the first of the
-# host's internal ports. The entry role registers its port but does not listen on it.
+# host's internal ports.
 CONTROL_PORT_INDEX = 0
 ENTRY_PORT_INDEX = 1
 
@@ -47,6 +47,8 @@
     serves: list[str]
     ip: str
     zone: str
+    # Region of each availability zone.
+    zones: typing.NotRequired[dict[str, str]]
     bindAddrs: dict[str, str]
     internalPorts: list[int]
     seeds: list[str]
@@ -68,6 +70,8 @@
         Whether the process is an entry host, a control host or both.
     ip : str
     availability_zone : str
+    region_by_zone : mapping of str to str
+        Region of each availability zone; empty if unknown.
     clients, readiness, control : peer.Address or None
         Addresses on which the process listens for client connections, readiness
         checks, and requests of operators and instances; None for what it does not
@@ -95,6 +99,7 @@
     serves_control: bool
     ip: str
     availability_zone: str
+    region_by_zone: typing.Mapping[str, str]
     clients: peer.Address | None
     readiness: peer.Address | None
     control: peer.Address | None
@@ -186,6 +191,7 @@
         serves_control=SERVES_CONTROL in document["serves"],
         ip=document["ip"],
         availability_zone=document["zone"],
+        region_by_zone=document.get("zones", {}),
         clients=_find_address(listen_addresses, "front"),
         readiness=_find_address(listen_addresses, "ready"),
         control=_find_address(listen_addresses, "control"),
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -1,4 +1,4 @@
-"""Acquires pooled connections to instances and releases them after use."""
+"""Acquires connections to instances and releases them after use."""
 
 import contextlib
 import typing
@@ -15,8 +15,8 @@
 PUBLIC_ORGANISATION = "public"
 
 
-class AcquiredConnection:
-    """A pooled connection in exclusive use by one statement or transaction.
+class AcquiredConnection(typing.Protocol):
+    """A connection in exclusive use by one statement or transaction.
 
     Attributes
     ----------
@@ -25,27 +25,17 @@
     connection : sessions.SessionConnection
     """
 
-    def __init__(
-        self,
-        server: directory.BackendServer,
-        instance_pool: pool.InstancePool,
-        pooled: pool.PooledConnection,
-    ):
-        self.server = server
-        self._pool = instance_pool
-        self._pooled = pooled
-        self.connection: sessions.SessionConnection = pooled.connection
+    server: directory.BackendServer
+    connection: sessions.SessionConnection
 
     async def release(self, is_observed: bool = True) -> None:
-        """Return the connection to its pool, which closes it if it is not usable.
+        """Return the connection, which is closed if it is not usable.
 
         Parameters
         ----------
         is_observed : bool
             See `admission.fair_queue.FairQueue.release`.
         """
-        with trio.CancelScope(shield=True):
-            await self._pool.release(self._pooled, trio.current_time(), is_observed)
 
     async def discard(self, is_observed: bool = True) -> None:
         """Close the connection, which rolls back a transaction open on it.
@@ -55,48 +45,99 @@
         is_observed : bool
             See `admission.fair_queue.FairQueue.release`.
         """
+
+
+class Connector(typing.Protocol):
+    """Acquires connections to instances."""
+
+    async def acquire(
+        self, server: directory.BackendServer, organisation: str, deadline_s: float
+    ) -> AcquiredConnection:
+        """Acquire a connection to an instance on behalf of an organisation.
+
+        Raises
+        ------
+        steps.FailedError
+            ``OVERLOADED`` if none is available by `deadline_s`, on trio's clock. No
+            statement has run. Retryable if the instance was unreachable.
+        """
+
+    def get_load(
+        self, server: directory.BackendServer, organisation: str
+    ) -> pool.PoolLoad:
+        """Return the load that an organisation's statement for an instance meets."""
+
+
+class PooledAcquiredConnection:
+    """A connection of this host's pool; implements `AcquiredConnection`."""
+
+    def __init__(
+        self,
+        server: directory.BackendServer,
+        instance_pool: pool.InstancePool,
+        pooled: pool.PooledConnection,
+    ):
+        self.server = server
+        self._pool = instance_pool
+        self._pooled = pooled
+        self.connection: sessions.SessionConnection = pooled.connection
+
+    async def release(self, is_observed: bool = True) -> None:
+        """Return the connection to its pool, which closes it if it is not usable."""
+        with trio.CancelScope(shield=True):
+            await self._pool.release(self._pooled, trio.current_time(), is_observed)
+
+    async def discard(self, is_observed: bool = True) -> None:
+        """Close the connection, which rolls back a transaction open on it."""
         with trio.CancelScope(shield=True):
             await self.connection.close()
             await self.release(is_observed)
 
 
-async def acquire_connection(
-    backends: statement_backends.Backends,
-    server: directory.BackendServer,
-    organisation: str,
-    deadline_s: float,
-) -> AcquiredConnection:
-    """Acquire a connection to an instance on behalf of an organisation.
-
-    Raises
-    ------
-    steps.FailedError
-        ``OVERLOADED`` if none is available by `deadline_s`, on trio's clock. No
-        statement has run. Retryable if the instance was unreachable.
+class PoolConnector:
+    """Acquires connections of this host's own pools; implements `Connector`.
+
+    Parameters
+    ----------
+    backends : backends.Backends
     """
-    instance_pool = backends.get_pool(server, server.group)
-    try:
-        pooled = await instance_pool.acquire(organisation, deadline_s)
-    except verdicts.RefusedError as error:
-        refusal = error.refusal
-        raise steps.FailedError(
-            sessions.Failure.OVERLOADED,
-            f"{server.instance}: {refusal.code}, {refusal.detail};"
-            f" retry after {refusal.retry_after_ms} ms",
-            is_retryable=refusal.code == pool.INSTANCE_UNREACHABLE,
-        ) from error
-    return AcquiredConnection(server, instance_pool, pooled)
+
+    def __init__(self, backends: statement_backends.Backends):
+        self._backends = backends
+
+    async def acquire(
+        self, server: directory.BackendServer, organisation: str, deadline_s: float
+    ) -> PooledAcquiredConnection:
+        """Acquire a pooled connection; see `Connector.acquire`."""
+        instance_pool = self._backends.get_pool(server, server.group)
+        try:
+            pooled = await instance_pool.acquire(organisation, deadline_s)
+        except verdicts.RefusedError as error:
+            refusal = error.refusal
+            raise steps.FailedError(
+                sessions.Failure.OVERLOADED,
+                f"{server.instance}: {refusal.code}, {refusal.detail};"
+                f" retry after {refusal.retry_after_ms} ms",
+                is_retryable=refusal.code == pool.INSTANCE_UNREACHABLE,
+            ) from error
+        return PooledAcquiredConnection(server, instance_pool, pooled)
+
+    def get_load(
+        self, server: directory.BackendServer, organisation: str
+    ) -> pool.PoolLoad:
+        """Return the load of this host's pool; see `Connector.get_load`."""
+        return self._backends.get_pool(server, server.group).get_load(organisation)
 
 
 @contextlib.asynccontextmanager
 async def hold_connection(
-    backends: statement_backends.Backends,
+    connector: Connector,
     server: directory.BackendServer,
     organisation: str,
     deadline_s: float,
 ) -> typing.AsyncIterator[AcquiredConnection]:
     """Acquire a connection and release it at the end of an ``async with`` block."""
-    acquired = await acquire_connection(backends, server, organisation, deadline_s)
+    acquired = await connector.acquire(server, organisation, deadline_s)
     try:
         yield acquired
     finally:
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -15,6 +15,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.observability import decisions
 from sedgeswitch.observability import exposition
+from sedgeswitch.relay import connections
 from sedgeswitch.relay import failure_backoff
 from sedgeswitch.relay import freshness
 from sedgeswitch.relay import steps
@@ -46,6 +47,7 @@
         Records the groups that callers use and the positions of acknowledged commits;
         returns positions of primaries that probes of any entry host observed.
     backends : backends.Backends
+    connector : connections.Connector
     interrupter : interruption.Interrupter
     local_observations : LocalObservations
     decisions : decisions.DecisionLog
@@ -61,6 +63,7 @@
     groups: table.GroupTable
     observations: entry_section.EntrySection
     backends: backends.Backends
+    connector: connections.Connector
     interrupter: interruption.Interrupter
     local_observations: "LocalObservations"
     decisions: decisions.DecisionLog
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -189,7 +189,11 @@
             and not local_observations.replicas.is_behind(server.instance, floor, now_s)
         ]
         ordered = self._components.backends.order_replicas(
-            eligible, group.primary, group.group, access.organisation
+            eligible,
+            group.primary,
+            lambda server: self._components.connector.get_load(
+                server, access.organisation
+            ),
         )
         return ordered[0] if ordered else None
 
@@ -274,8 +278,8 @@
         deadline_s: float,
     ) -> ReadResult:
         """Run a read on one instance; a `floor` is given for replicas only."""
-        acquired = await connections.acquire_connection(
-            self._components.backends, server, read.access.organisation, deadline_s
+        acquired = await self._components.connector.acquire(
+            server, read.access.organisation, deadline_s
         )
         is_handed_over = False
         reply = None
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -18,6 +18,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.observability import decisions
 from sedgeswitch.pools import pool
+from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import session
 from sedgeswitch.relay import steps
@@ -239,6 +240,7 @@
             self.groups,
             self.observations,
             self.backends,
+            connections.PoolConnector(self.backends),
             interruption.Interrupter(self.groups),
             context.LocalObservations(self.groups),
             decisions.DecisionLog(),
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -94,7 +94,7 @@
             components.interrupter.interruptible(permit),
         ):
             async with connections.hold_connection(
-                components.backends, server, access.organisation, deadline_s
+                components.connector, server, access.organisation, deadline_s
             ) as acquired:
                 # The permit may have ended while this write waited for a connection.
                 if not components.groups.is_permit_valid(permit, clocks.get_now_s()):
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -18,16 +18,22 @@
 from sedgeswitch.routing import policies
 from sedgeswitch.statements import requests
 from sedgeswitch.utils import checks
+from sedgeswitch.utils import records
 
 # Assumed network round trips to backend servers, in seconds.
 SAME_ZONE_ROUND_TRIP_S = 0.0005
-OTHER_ZONE_ROUND_TRIP_S = 0.02
+SAME_REGION_ROUND_TRIP_S = 0.003
+OTHER_REGION_ROUND_TRIP_S = 0.02
 # Idle timeout in seconds where an instance has too few connections for every host
 # to open its minimum, so that other hosts get a turn soon. Several times the time
 # that opening a connection takes.
 SCARCE_IDLE_TIMEOUT_S = 0.25
 
 BuildSlots = collections.abc.Callable[[int], fair_queue.FairQueue]
+GetLoad = collections.abc.Callable[[directory.BackendServer], pool.PoolLoad]
+# Returns between how many hosts the connections to an instance are divided if this
+# host is one of them, else 0.
+CountHolders = collections.abc.Callable[[str], int]
 
 
 class BackendOptions(typing.NamedTuple):
@@ -48,6 +54,8 @@
         Connections that this host may open to an instance even if its share is
         smaller. The hosts then take turns, and an instance refuses the connections
         beyond its limit.
+    region_by_zone : mapping of str to str
+        Region of each availability zone; empty if unknown.
     """
 
     availability_zone: str
@@ -56,6 +64,7 @@
     pool: pool.PoolSettings
     reserved: int = shares.RESERVED_CONNECTIONS
     min_connections: int = 0
+    region_by_zone: collections.abc.Mapping[str, str] = records.EMPTY_MAPPING
 
 
 class _PoolEntry(typing.NamedTuple):
@@ -79,6 +88,10 @@
     options : BackendOptions
     rng : random.Random
         Used by the routing policy.
+    count_holders : callable, optional
+        ``count_holders(instance)`` returns between how many hosts the connections to
+        an instance are divided if this host is one of them, else 0. By default, they
+        are divided as `share` says.
 
     Attributes
     ----------
@@ -94,7 +107,9 @@
         is_drained: collections.abc.Callable[[directory.BackendServer], bool],
         options: BackendOptions,
         rng: random.Random,
+        count_holders: CountHolders | None = None,
     ):
+        self._count_holders = count_holders
         self._servers = servers
         self._driver = driver
         self._build_slots = build_slots
@@ -160,6 +175,10 @@
             self._reserved_instances = reserved
             self._limit_pools(self.share.divisor)
 
+    def update_capacities(self) -> None:
+        """Limit the pools again, after the holders of connections have changed."""
+        self._limit_pools(self.share.divisor)
+
     async def close_surplus(self) -> None:
         """Close idle connections beyond this host's share of an instance."""
         for entry in list(self._pools.values()):
@@ -169,8 +188,7 @@
         self,
         servers: list[directory.BackendServer],
         primary: str,
-        database: str,
-        organisation: str | None = None,
+        get_load: GetLoad,
     ) -> list[directory.BackendServer]:
         """Return the replicas among `servers`, best first by the routing policy.
 
@@ -179,13 +197,13 @@
         servers : list of directory.BackendServer
         primary : str
             Instance id of the primary, which is left out.
-        database : str
-        organisation : str or None, optional
-            If given, only idle connections that this organisation used last count
-            as idle.
+        get_load : callable
+            Returns the load that a statement for a backend server meets.
         """
         eligible = [
-            self._build_candidate(server, database, organisation)
+            candidates.Candidate(
+                server, False, get_load(server), self._get_round_trip_s(server)
+            )
             for server in servers
             if server.instance != primary
         ]
@@ -230,7 +248,9 @@
             if (target.host, target.port) in drained_addresses:
                 await entry.instance_pool.close()
             else:
-                idle_s = self._get_idle_timeout_s(entry.max_connections)
+                idle_s = self._get_idle_timeout_s(
+                    target.instance, entry.max_connections
+                )
                 await entry.instance_pool.close_idle(now_s, idle_s)
 
     async def close_unannounced(self) -> None:
@@ -251,27 +271,30 @@
         for entry in self._pools.values():
             await entry.instance_pool.close()
 
-    def _get_share(self, max_connections: int, divisor: int) -> int:
+    def _get_share(self, instance: str, max_connections: int, divisor: int) -> int:
+        if self._count_holders is not None:
+            divisor = self._count_holders(instance)
         return shares.get_capacity(max_connections, divisor, self._options.reserved)
 
-    def _get_capacity(self, max_connections: int, divisor: int) -> int:
-        shared = self._get_share(max_connections, divisor)
-        if divisor > 0:
-            shared = max(shared, self._options.min_connections)
+    def _get_capacity(self, instance: str, max_connections: int, divisor: int) -> int:
+        if divisor == 0:
+            return 0
+        shared = self._get_share(instance, max_connections, divisor)
+        shared = max(shared, self._options.min_connections)
         return min(self._options.connections_per_instance, shared)
 
     def _get_capacity_less_reserved(
         self, target: base.Target, max_connections: int, divisor: int
     ) -> int:
         """Return the capacity; at a reserved instance one less, unless one is left."""
-        capacity = self._get_capacity(max_connections, divisor)
+        capacity = self._get_capacity(target.instance, max_connections, divisor)
         if target.instance in self._reserved_instances:
             return max(capacity - 1, min(capacity, 1))
         return capacity
 
-    def _get_idle_timeout_s(self, max_connections: int) -> float | None:
+    def _get_idle_timeout_s(self, instance: str, max_connections: int) -> float | None:
         """Return the idle timeout in seconds, None for the setting of the pool."""
-        shared = self._get_share(max_connections, self.share.divisor)
+        shared = self._get_share(instance, max_connections, self.share.divisor)
         return SCARCE_IDLE_TIMEOUT_S if shared < self._options.min_connections else None
 
     def _limit_pools(self, divisor: int) -> None:
@@ -284,20 +307,18 @@
     def _is_within_share(self, divisor: int) -> bool:
         return all(
             entry.instance_pool.open_count
-            <= self._get_capacity(entry.max_connections, divisor)
-            for entry in self._pools.values()
+            <= self._get_capacity(target.instance, entry.max_connections, divisor)
+            for target, entry in self._pools.items()
         )
 
-    def _build_candidate(
-        self,
-        server: directory.BackendServer,
-        database: str,
-        organisation: str | None = None,
-    ) -> candidates.Candidate:
-        is_near = server.availability_zone == self._options.availability_zone
-        round_trip_s = SAME_ZONE_ROUND_TRIP_S if is_near else OTHER_ZONE_ROUND_TRIP_S
-        load = self.get_pool(server, database).get_load(organisation)
-        return candidates.Candidate(server, False, load, round_trip_s)
+    def _get_round_trip_s(self, server: directory.BackendServer) -> float:
+        own_zone, zone = self._options.availability_zone, server.availability_zone
+        if zone == own_zone:
+            return SAME_ZONE_ROUND_TRIP_S
+        regions = self._options.region_by_zone
+        if own_zone in regions and regions[own_zone] == regions.get(zone):
+            return SAME_REGION_ROUND_TRIP_S
+        return OTHER_REGION_ROUND_TRIP_S
 
 
 async def run_statement(
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -95,8 +95,11 @@
             for server in work.eligibility.list_servers()
             if _is_fresh(views.get(server.instance), statement.max_age_ms)
         ]
-        return self._components.backends.order_replicas(
-            eligible, group.primary, work.database
+        host_backends = self._components.backends
+        return host_backends.order_replicas(
+            eligible,
+            group.primary,
+            lambda server: host_backends.get_pool(server, work.database).load,
         )
 
     def _get_views(self, group: str) -> dict[str, entry_section.ReplicaView]:
