Admit requests at the homes of their organisations

Cause: in a large fleet a host sees a request of an organisation so rarely that it holds no token of it, and the leader accepts 400 draws a second from all hosts together.

Ruled out: more prefetched tokens (a bucket is smaller than the number of hosts); a higher limit of draws (the leader's processor time).

Change: each organisation has one home a region, by rendezvous hashing; it draws the tokens for the callers of that region. A home that is unreachable, leaving or without the limit is replaced by the next one, then by the caller's own host.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -16,8 +16,10 @@
 from sedgeswitch.databases import machine as database_machine
 from sedgeswitch.databases import sections as database_sections
 from sedgeswitch.drivers import base
+from sedgeswitch.forwarding import admission as home_admission
 from sedgeswitch.forwarding import forwarder
 from sedgeswitch.forwarding import holder
+from sedgeswitch.forwarding import host_calls
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
 from sedgeswitch.groups import entry_section
@@ -118,8 +120,12 @@
             relay_groups.ADMISSION,
         )
         self._entry_peers = entry_peers.EntryPeers()
+        self._hosts = host_calls.HostCalls(self._entry_peers)
+        self._placement = placement.Placement(options.region_by_zone)
         self.backends = self._build_backends(driver, rng)
         self.forwarder = self._build_forwarder()
+        admit_locally = fleet.FleetAdmission(self.host_limiter).admit
+        self._home = home_admission.Home(admit_locally)
         servers = relay_groups.RelayDirectory(
             lambda: self.directory.servers, lambda: self.databases.document
         )
@@ -141,7 +147,13 @@
             interruption.Interrupter(self.groups),
             local_observations,
             decisions.DecisionLog(),
-            fleet.FleetAdmission(self.host_limiter).admit,
+            home_admission.HomeAdmission(
+                options.host_id,
+                options.availability_zone,
+                self._placement,
+                self._hosts,
+                admit_locally,
+            ).admit,
             rng,
         )
         self.holder = holder.Holder(
@@ -150,6 +162,7 @@
             )
         )
         peer_server.register_handler(messages.ForwardRequest, self.holder.answer)
+        peer_server.register_handler(messages.AdmitRequest, self._home.answer)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -163,6 +176,7 @@
     def stop_holding(self) -> None:
         """Accept no further statements of other hosts' callers."""
         self.holder.leave()
+        self._home.leave()
 
     async def leave(self) -> None:
         """Release the lease, after the last statement of other hosts has ended."""
@@ -198,7 +212,7 @@
             "links_idle": sum(load.idle for load in loads),
             "links_waited_for": sum(load.waiting for load in loads),
             "transactions_held": self.holder.open_transactions,
-            "holders_unavailable": self.forwarder.count_unavailable(),
+            "hosts_unavailable": self._hosts.count_unavailable(),
         }
 
     def _build_backends(
@@ -230,8 +244,8 @@
                 RESERVED_CONNECTIONS,
                 lambda: self.databases.document.transaction_idle_s,
             ),
-            placement.Placement(self._options.region_by_zone),
-            self._entry_peers,
+            self._placement,
+            self._hosts,
             connections.PoolConnector(self.backends),
         )
 
@@ -249,10 +263,14 @@
         self.directory.register_listener(self.backends.update_capacities)
 
     def _set_members(
-        self, version: int, members: list[members_machine.Member], now_s: float
+        self,
+        version: int,  # noqa: ARG002
+        members: list[members_machine.Member],
+        now_s: float,  # noqa: ARG002
     ) -> None:
         self._entry_peers.set_members(members)
-        self.forwarder.set_members(version, members, now_s)
+        self._hosts.set_members(members)
+        self._placement.set_members(members)
         self.backends.update_capacities()
 
     def _update_limits(self) -> None:
--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -12,16 +12,14 @@
 from sedgeswitch.drivers import sessions
 from sedgeswitch.forwarding import delays
 from sedgeswitch.forwarding import encoding
+from sedgeswitch.forwarding import host_calls
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
 from sedgeswitch.groups import positions
 from sedgeswitch.membership import directory
-from sedgeswitch.membership import entry_peers
-from sedgeswitch.membership import machine
 from sedgeswitch.observability import exposition
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
-from sedgeswitch.relay import failure_backoff
 from sedgeswitch.relay import steps
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
@@ -37,8 +35,6 @@
 MIN_CALL_S = 0.001
 MAX_CALL_S = 30.0
 DISCARD_TIMEOUT_S = 1.0
-# Share of its time after which a cancelled call counts as unanswered.
-SILENCE_SHARE = 0.9
 # Bits of the ids of transactions, which their callers' hosts draw.
 _ID_BITS = 62
 # Service time recorded for an instance that had no free slot, in seconds.
@@ -65,50 +61,6 @@
     get_transaction_idle_s: collections.abc.Callable[[], float]
 
 
-class _HolderStates:
-    """Which holders recent calls have reached."""
-
-    def __init__(self, peers: entry_peers.EntryPeers):
-        self._peers = peers
-        self._members: dict[str, machine.Member] = {}
-        self._backoff = failure_backoff.FailureBackoff()
-        self._failed: set[str] = set()
-
-    def set_members(self, members: list[machine.Member]) -> None:
-        """Set the registered hosts; a restarted host is available again."""
-        by_id = {member.host_id: member for member in members}
-        for host_id in list(self._failed):
-            if by_id.get(host_id) != self._members.get(host_id):
-                self.record_success(host_id)
-        self._members = by_id
-
-    def is_available(self, host_id: str, now_s: float) -> bool:
-        """Return whether a statement may be sent to a host.
-
-        After a failure, it must be connected again, which its peer attempts in the
-        background.
-        """
-        if host_id not in self._failed:
-            return True
-        if self._backoff.is_in_backoff(host_id, now_s):
-            return False
-        return self._peers.is_connected(host_id)
-
-    def record_failure(self, host_id: str, now_s: float) -> None:
-        """Record that a host was unreachable, did not answer in time or refused."""
-        self._failed.add(host_id)
-        self._backoff.record_failure(host_id, now_s)
-
-    def record_success(self, host_id: str) -> None:
-        """Record an answer of a host."""
-        self._failed.discard(host_id)
-        self._backoff.record_success(host_id)
-
-    def count_unavailable(self) -> int:
-        """Return how many hosts failed the last call to them."""
-        return len(self._failed)
-
-
 class Forwarder:
     """Acquires connections at the holders of an instance; implements `Connector`.
 
@@ -118,8 +70,8 @@
     Parameters
     ----------
     options : Options
-    hosts : placement.Placement
-    peers : entry_peers.EntryPeers
+    places : placement.Placement
+    hosts : host_calls.HostCalls
     local : connections.Connector
         Acquires connections of this host's own pools.
     """
@@ -127,15 +79,14 @@
     def __init__(
         self,
         options: Options,
-        hosts: placement.Placement,
-        peers: entry_peers.EntryPeers,
+        places: placement.Placement,
+        hosts: host_calls.HostCalls,
         local: connections.Connector,
     ):
         self._options = options
-        self._placement = hosts
-        self._peers = peers
+        self._placement = places
+        self._hosts = hosts
         self._local = local
-        self._states = _HolderStates(peers)
         self._delays = delays.ServiceDelays()
         self._nursery: trio.Nursery | None = None
 
@@ -145,16 +96,6 @@
             self._nursery = nursery
             await trio.sleep_forever()
 
-    def set_members(
-        self,
-        version: int,  # noqa: ARG002
-        members: list[machine.Member],
-        now_s: float,  # noqa: ARG002
-    ) -> None:
-        """Set the registered entry hosts."""
-        self._placement.set_members(members)
-        self._states.set_members(members)
-
     def count_holders(self, server: directory.BackendServer) -> int:
         """Return among how many hosts connections are divided, 0 if not to this one."""
         selection = self._placement.select(self._build_location(server))
@@ -162,10 +103,6 @@
             return len(selection.holders)
         return 0
 
-    def count_unavailable(self) -> int:
-        """Return how many hosts failed the last call to them."""
-        return self._states.count_unavailable()
-
     async def acquire(
         self, server: directory.BackendServer, organisation: str, deadline_s: float
     ) -> connections.AcquiredConnection:
@@ -202,22 +139,13 @@
         sessions.ConnectionLostError
             If there is no answer, so that the statement may have run.
         """
-        started_s = trio.current_time()
         try:
-            answer = await self._peers.call(host_id, request, timeout_s)
+            answer = await self._hosts.call(host_id, request, timeout_s)
         except failures.CallError as error:
-            self._states.record_failure(host_id, clocks.get_now_s())
-            exposition.FORWARDS.labels(error.code).inc()
             raise _build_call_failure(host_id, error) from error
-        except trio.Cancelled:
-            # A cancellation before the end of the time says nothing about the holder.
-            if trio.current_time() - started_s >= SILENCE_SHARE * timeout_s:
-                self._states.record_failure(host_id, clocks.get_now_s())
-                exposition.FORWARDS.labels("timeout").inc()
-            raise
         if not isinstance(answer, messages.ForwardAnswer):
             raise sessions.ConnectionLostError(f"malformed answer of {host_id}")
-        self._record_answer(host_id, request.instance, answer)
+        self._record_answer(request.instance, answer)
         return answer
 
     def discard(self, host_id: str, request: messages.ForwardRequest) -> None:
@@ -230,7 +158,7 @@
 
     async def _discard(self, host_id: str, request: messages.ForwardRequest) -> None:
         try:
-            await self._peers.call(host_id, request, DISCARD_TIMEOUT_S)
+            await self._hosts.call(host_id, request, DISCARD_TIMEOUT_S)
         except failures.CallError as error:
             # The holder rolls the transaction back after its idle timeout.
             loguru.logger.debug("{} did not discard a transaction: {}", host_id, error)
@@ -242,7 +170,7 @@
         own_id = self._options.host_id
         location = self._build_location(server)
         for host_id in self._placement.order_hosts(location, organisation):
-            if host_id == own_id or self._states.is_available(host_id, now_s):
+            if host_id == own_id or self._hosts.is_available(host_id, now_s):
                 return host_id
         return own_id
 
@@ -252,19 +180,14 @@
             server.instance, server.availability_zone, max(shared, 0)
         )
 
-    def _record_answer(
-        self, host_id: str, instance: str, answer: messages.ForwardAnswer
-    ) -> None:
-        now_s = clocks.get_now_s()
+    def _record_answer(self, instance: str, answer: messages.ForwardAnswer) -> None:
         exposition.FORWARDS.labels(_OUTCOME_LABELS[answer.outcome]).inc()
-        if answer.is_holder_unavailable:
-            self._states.record_failure(host_id, now_s)
+        if answer.is_host_unavailable:
             return
-        self._states.record_success(host_id)
         service_s = (answer.service_ms or 0) / _MS_PER_S
         if answer.failure == sessions.Failure.OVERLOADED.name:
             service_s = max(service_s, BUSY_SERVICE_S)
-        self._delays.record(instance, service_s, now_s)
+        self._delays.record(instance, service_s, clocks.get_now_s())
 
 
 class ForwardedConnection:
--- a/sedgeswitch/forwarding/holder.py
+++ b/sedgeswitch/forwarding/holder.py
@@ -334,7 +334,7 @@
 def _build_refusal(error: steps.FailedError) -> messages.ForwardAnswer:
     answer = _build_not_run(error.detail)
     answer.is_retryable = error.is_retryable
-    answer.is_holder_unavailable = isinstance(error, _HolderUnavailableError) or None
+    answer.is_host_unavailable = isinstance(error, _HolderUnavailableError) or None
     return answer
 
 
--- a/sedgeswitch/forwarding/messages.thrift
+++ b/sedgeswitch/forwarding/messages.thrift
@@ -70,7 +70,25 @@
   10: optional bool is_retryable,
   // For NOT_RUN: whether the reason is the holder's own state, so that another holder
   // may run the statement.
-  11: optional bool is_holder_unavailable,
+  11: optional bool is_host_unavailable,
   // Time that the holder and the instance took, in milliseconds.
   12: optional i32 service_ms,
 }
+
+// Asks a host that draws the tokens of an organisation to admit one request.
+struct AdmitRequest {
+  1: required string organisation,
+  // Time after which the host stops waiting for a token, in milliseconds.
+  2: required i32 timeout_ms,
+}
+
+struct AdmitAnswer {
+  1: required bool is_admitted,
+  // Whether the host draws no tokens for the organisation, so that another may.
+  2: optional bool is_host_unavailable,
+  // For a request that is refused by the organisation's limit.
+  3: optional string code,
+  4: optional string detail,
+  5: optional i32 retry_after_ms,
+  6: optional i32 status,
+}
--- a/sedgeswitch/forwarding/placement.py
+++ b/sedgeswitch/forwarding/placement.py
@@ -21,6 +21,8 @@
 MAX_HOLDERS = 4
 # Further hosts, in order, to which statements go if no holder is reachable.
 SUBSTITUTES = 2
+# Distance between zones of different regions.
+OTHER_REGION = 2
 
 
 class Location(typing.NamedTuple):
@@ -76,6 +78,7 @@
         self._region_by_zone = region_by_zone
         self._zone_by_host: dict[str, str] = {}
         self._selections: dict[Location, Selection] = {}
+        self._homes: dict[tuple[str, str], tuple[str, ...]] = {}
 
     def set_members(self, members: collections.abc.Iterable[machine.Member]) -> None:
         """Set the registered entry hosts."""
@@ -84,6 +87,7 @@
         if zone_by_host != self._zone_by_host:
             self._zone_by_host = zone_by_host
             self._selections = {}
+            self._homes = {}
 
     def select(self, location: Location) -> Selection:
         """Return the hosts on which an instance is placed.
@@ -113,15 +117,40 @@
         )
         return [*holders, *selection.substitutes]
 
+    def order_homes(self, organisation: str, zone: str) -> tuple[str, ...]:
+        """Return the hosts that draw an organisation's tokens for callers in a zone.
+
+        They are in the region of the zone; the first is the home, the others take its
+        place in order.
+        """
+        key = (organisation, self._region_by_zone.get(zone, zone))
+        homes = self._homes.get(key)
+        if homes is None:
+            hosts = [
+                host_id
+                for host_id, other in self._zone_by_host.items()
+                if self.get_distance(zone, other) < OTHER_REGION
+            ]
+            ranked = heapq.nlargest(
+                1 + SUBSTITUTES,
+                hosts,
+                key=lambda host_id: _get_weight(organisation, host_id),
+            )
+            homes = self._homes[key] = tuple(ranked)
+        return homes
+
     def get_distance(self, first_zone: str, second_zone: str) -> int:
-        """Return 0 for the same availability zone, 1 for the same region, else 2."""
+        """Return 0 for the same availability zone, 1 for the same region, else 2.
+
+        The last is `OTHER_REGION`.
+        """
         if first_zone == second_zone:
             return 0
         region = self._region_by_zone.get(first_zone)
         is_same_region = region is not None and region == self._region_by_zone.get(
             second_zone
         )
-        return 1 if is_same_region else 2
+        return 1 if is_same_region else OTHER_REGION
 
     def _select(self, location: Location) -> Selection:
         hosts_by_distance: dict[int, list[str]] = {}
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -6,8 +6,11 @@
 
 from sedgeswitch import verdicts
 from sedgeswitch.admission import fair_queue
+from sedgeswitch.forwarding import admission
 from sedgeswitch.forwarding import forwarder
 from sedgeswitch.forwarding import holder
+from sedgeswitch.forwarding import host_calls
+from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
 from sedgeswitch.membership import machine
 from sedgeswitch.observability import decisions
@@ -47,13 +50,17 @@
             raise failures.CallError("unreachable", host_id, verdicts.Verdict.NOT_RUN)
         body = catalog.encode_struct(message)
         request = catalog.decode_struct(type(message), body)
-        fleet.calls.append((self._own_id, host_id, request.operation))
+        host = fleet.hosts[host_id]
+        handler = host.home.answer
+        if isinstance(request, messages.ForwardRequest):
+            fleet.calls.append((self._own_id, host_id, request.operation))
+            handler = host.holder.answer
         answer = None
         with trio.move_on_after(timeout_s):
             await trio.sleep(LINK_DELAY_S)
             while host_id in fleet.frozen:
                 await trio.sleep(0.01)
-            answer = await fleet.hosts[host_id].holder.answer(request)
+            answer = await handler(request)
             if host_id in fleet.loses_answers:
                 raise failures.CallError(
                     "connection_lost", host_id, verdicts.Verdict.MAY_HAVE_RUN
@@ -87,12 +94,24 @@
             random.Random(1),
             lambda name: self.forwarder.count_holders(world.servers.servers[name]),
         )
+        self.placement = placement.Placement(REGIONS)
+        self.hosts = host_calls.HostCalls(FakePeers(fleet, member.host_id))
         self.forwarder = forwarder.Forwarder(
             forwarder.Options(member.host_id, RESERVED_CONNECTIONS, lambda: 3.0),
-            placement.Placement(REGIONS),
-            FakePeers(fleet, member.host_id),
+            self.placement,
+            self.hosts,
             connections.PoolConnector(self.backends),
         )
+        self.admission = admission.HomeAdmission(
+            member.host_id,
+            member.availability_zone,
+            self.placement,
+            self.hosts,
+            self.admit_locally,
+        )
+        self.home = admission.Home(self.admit_locally)
+        self.admitted = []
+        self.refusal = None
         self.components = context.Components(
             world.databases,
             world.groups,
@@ -102,17 +121,27 @@
             interruption.Interrupter(world.groups),
             context.LocalObservations(world.groups),
             decisions.DecisionLog(),
-            world.admit,
+            self.admission.admit,
             random.Random(2),
         )
         local = connections.PoolConnector(self.backends)
         self.holder = holder.Holder(self.components._replace(connector=local))
         self.set_share(1)
 
+    def set_members(self, members):
+        self.placement.set_members(members)
+        self.hosts.set_members(members)
+        self.backends.update_capacities()
+
     def set_share(self, divisor):
         share = relay_builders.build_share(divisor)
         self.backends.share.receive_answer(catalog.encode_struct(share), 0.0)
 
+    async def admit_locally(self, organisation, deadline_s):
+        if self.refusal is not None:
+            raise self.refusal
+        self.admitted.append(organisation)
+
     def build_session(self, database="primary", key=relay_builders.KEY):
         return session.Session(self.components, database, key)
 
@@ -143,8 +172,7 @@
 
     def set_members(self, members):
         for host in self.hosts.values():
-            host.forwarder.set_members(1, members, 0.0)
-            host.backends.update_capacities()
+            host.set_members(members)
 
     async def run(self, body):
         """Run the background tasks of all hosts around ``body(fleet)``."""
@@ -165,7 +193,7 @@
             server.max_connections - RESERVED_CONNECTIONS,
         )
         any_host = next(iter(self.hosts.values()))
-        order = any_host.forwarder._placement.order_hosts(location, organisation)
+        order = any_host.placement.order_hosts(location, organisation)
         return order[0]
 
     def get_other(self):
--- a/sedgeswitch/forwarding/tests/test_forwarding.py
+++ b/sedgeswitch/forwarding/tests/test_forwarding.py
@@ -167,8 +167,7 @@
     def test_two_hosts_that_disagree_about_members_both_work(self):
         async def body(fleet):
             first, second = list(fleet.hosts.values())[:2]
-            first.forwarder.set_members(2, [first.member], 0.0)
-            first.backends.update_capacities()
+            first.set_members([first.member])
             for host in (first, second, first, second):
                 [outcome] = await run_texts(host, b"WRITE x 1")
                 self.assertIsNone(outcome.failure)
@@ -204,7 +203,7 @@
             [outcome] = await run_texts(host, b"READ x")
             self.assertTrue(outcome.failure.has_no_effect)
             # The holder has answered, so it is still available.
-            self.assertEqual(0, host.forwarder.count_unavailable())
+            self.assertEqual(0, host.hosts.count_unavailable())
 
         run_in_fleet(body)
 
--- a/sedgeswitch/observability/exposition.py
+++ b/sedgeswitch/observability/exposition.py
@@ -41,6 +41,12 @@
     ("outcome",),
     registry=REGISTRY,
 )
+HOST_CALL_FAILURES = prometheus_client.Counter(
+    "sedgeswitch_host_call_failures",
+    "Calls to other entry hosts without a useful answer, by reason.",
+    ("reason",),
+    registry=REGISTRY,
+)
 ADMISSION_SECONDS = prometheus_client.Histogram(
     "sedgeswitch_admission_seconds",
     "Time that operations waited for a token of their organisation.",
