--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -43,9 +43,9 @@
 
 # Maximum number of statements that wait for a connection to one instance.
 MAX_QUEUE_LENGTH = 200
-# Connections of an instance that hosts do not share: for the leader, and for closed
-# connections that the instance still counts as open.
-RESERVED_CONNECTIONS = 4
+# Connections of an instance that holders do not share: for three watchers and the
+# leader, and for closed connections that the instance still counts as open.
+RESERVED_CONNECTIONS = 6
 # Connections that this host may open to each instance even if its share is smaller;
 # without them, one statement could not follow another.
 MIN_CONNECTIONS = 2
@@ -234,7 +234,7 @@
             lambda server: False,  # noqa: ARG005
             options,
             rng,
-            self._count_holders,
+            self._get_holding,
         )
 
     def _build_forwarder(self) -> forwarder.Forwarder:
@@ -249,9 +249,11 @@
             connections.PoolConnector(self.backends),
         )
 
-    def _count_holders(self, instance: str) -> int:
+    def _get_holding(self, instance: str) -> backends.Holding:
         server = self.directory.servers.get(instance)
-        return 0 if server is None else self.forwarder.count_holders(server)
+        if server is None:
+            return backends.Holding(0)
+        return self.forwarder.get_holding(server)
 
     def _register_sections(self) -> None:
         super()._register_sections()
--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import steps
+from sedgeswitch.statements import backends
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
 from sedgeswitch.utils import clocks
@@ -96,12 +97,14 @@
             self._nursery = nursery
             await trio.sleep_forever()
 
-    def count_holders(self, server: directory.BackendServer) -> int:
-        """Return among how many hosts connections are divided, 0 if not to this one."""
+    def get_holding(self, server: directory.BackendServer) -> backends.Holding:
+        """Return this host's part of the connections to an instance."""
         selection = self._placement.select(self._build_location(server))
-        if self._options.host_id in (*selection.holders, *selection.substitutes):
-            return len(selection.holders)
-        return 0
+        if self._options.host_id in selection.holders:
+            return backends.Holding(len(selection.holders))
+        if self._options.host_id in selection.substitutes:
+            return backends.Holding(len(selection.holders), is_substitute=True)
+        return backends.Holding(0)
 
     async def acquire(
         self, server: directory.BackendServer, organisation: str, deadline_s: float
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -92,7 +92,7 @@
                 REGIONS,
             ),
             random.Random(1),
-            lambda name: self.forwarder.count_holders(world.servers.servers[name]),
+            lambda name: self.forwarder.get_holding(world.servers.servers[name]),
         )
         self.placement = placement.Placement(REGIONS)
         self.hosts = host_calls.HostCalls(FakePeers(fleet, member.host_id))
@@ -186,15 +186,18 @@
 
     def get_home(self, instance="a", organisation=relay_builders.ORGANISATION):
         """Return the id of the first holder of an organisation's statements."""
+        any_host = next(iter(self.hosts.values()))
+        return any_host.placement.order_hosts(
+            self.get_location(instance), organisation
+        )[0]
+
+    def get_location(self, instance):
         server = self.world.servers.servers[instance]
-        location = placement.Location(
+        return placement.Location(
             instance,
             server.availability_zone,
             server.max_connections - RESERVED_CONNECTIONS,
         )
-        any_host = next(iter(self.hosts.values()))
-        order = any_host.placement.order_hosts(location, organisation)
-        return order[0]
 
     def get_other(self):
         """Return a host that is not the first holder at the primary."""
--- a/sedgeswitch/forwarding/tests/test_forwarding.py
+++ b/sedgeswitch/forwarding/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding.tests import builders
 from sedgeswitch.relay.tests import builders as relay_builders
+from sedgeswitch.statements import backends
 from sedgeswitch.utils.tests import virtual_time
 
 
@@ -175,6 +176,54 @@
         run_in_fleet(body)
 
 
+class ReturningHolderTest(unittest.TestCase):
+    """The holders of an instance restart one after the other, as in a rolling restart.
+
+    Hosts that took their place must give the connections back, because the instance
+    refuses connections beyond its limit.
+    """
+
+    def test_substitute_closes_its_idle_connections_soon(self):
+        async def body(fleet):
+            location = fleet.get_location("a")
+            selection = fleet.hosts["host-0"].placement.select(location)
+            fleet.dead |= set(selection.holders)
+            caller = fleet.hosts[selection.substitutes[1]]
+            await run_texts(caller, b"WRITE x 1")
+            instance = fleet.world.instances["a"]
+            self.assertEqual(1, instance.count_open())
+            await trio.sleep(backends.SCARCE_IDLE_TIMEOUT_S + 0.1)
+            for host in fleet.hosts.values():
+                await host.backends.close_idle(set(), trio.current_time())
+            self.assertEqual(0, instance.count_open())
+
+        run_in_fleet(body)
+
+    def test_holder_keeps_its_idle_connections(self):
+        async def body(fleet):
+            await run_texts(fleet.get_other(), b"WRITE x 1")
+            await trio.sleep(backends.SCARCE_IDLE_TIMEOUT_S + 0.1)
+            for host in fleet.hosts.values():
+                await host.backends.close_idle(set(), trio.current_time())
+            self.assertEqual(1, fleet.world.instances["a"].count_open())
+
+        run_in_fleet(body)
+
+    def test_full_instance_serves_other_organisation_over_idle_connection(self):
+        async def body(fleet):
+            home = fleet.hosts[fleet.get_home()]
+            server = fleet.world.servers.servers["a"]
+            fleet.world.instances["a"].connection_limit = 1
+            for organisation in ("ward-1", "ward-2", "ward-1"):
+                acquired = await home.components.connector.acquire(
+                    server, organisation, trio.current_time() + 1
+                )
+                await acquired.release()
+            self.assertEqual(1, fleet.world.instances["a"].count_open())
+
+        run_in_fleet(body, zones=("bagmati",))
+
+
 class RefusingHolderTest(unittest.TestCase):
     def test_leaving_holder_refuses_and_next_one_runs_the_write(self):
         async def body(fleet):
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -14,6 +14,8 @@
 # Values of the platform's field ``serves``.
 SERVES_CLIENTS = "front"
 SERVES_CONTROL = "control"
+# Voters where there are enough control hosts.
+MIN_VOTERS = 5
 # Offsets of the ports of the control role and of the entry role from the first of the
 # host's internal ports.
 CONTROL_PORT_INDEX = 0
@@ -114,8 +116,11 @@
 
     @property
     def voter_count(self) -> int:
-        """Number of voters of which a majority remains after the tolerated losses."""
-        return 2 * self.tolerated_losses + 1
+        """Number of voters of which a majority remains after the tolerated losses.
+
+        At least `MIN_VOTERS`, so that a voter may be cut off while another restarts.
+        """
+        return max(2 * self.tolerated_losses + 1, MIN_VOTERS)
 
     @property
     def control_id(self) -> str:
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -17,6 +17,8 @@
 # counts as moving, in seconds.
 PROGRESS_TIMEOUT_S = 0.25
 INSTANCE_UNREACHABLE = "instance_unreachable"
+# Codes of drivers with which an instance refuses a connection beyond its limit.
+_FULL_CODES = ("53300", "TOO_MANY_CONNECTIONS")
 # Delays before another connection is opened after one was refused, in seconds. The
 # delay doubles from the first to the last value, because opening a connection costs
 # an instance as much as a statement.
@@ -151,6 +153,8 @@
         self._reconnect_delay_s = RECONNECT_MIN_S
         self._next_connect_s = float("-inf")
         self._connect_error = ""
+        # Whether the instance refused the last connection because it has too many.
+        self._is_instance_full = False
 
     @property
     def open_count(self) -> int:
@@ -331,7 +335,15 @@
             await self._close(self._idle.pop(0))
         if self._open >= self._capacity:
             return None
-        return await self._connect(organisation, deadline_s)
+        try:
+            return await self._connect(organisation, deadline_s)
+        except verdicts.RefusedError:
+            if not self._is_instance_full or not self._idle:
+                raise
+        # Other hosts have more connections than their share. One organisation's idle
+        # connection makes room for the request of another.
+        await self._close(self._idle.pop(0))
+        return await self._connect(organisation, deadline_s, is_replacement=True)
 
     def _pop_idle(self, organisation: str) -> PooledConnection:
         # A connection that the same organisation used last needs no reset.
@@ -360,12 +372,15 @@
         with trio.CancelScope(shield=True):
             await pooled.close()
 
-    async def _connect(self, organisation: str, deadline_s: float) -> PooledConnection:
+    async def _connect(
+        self, organisation: str, deadline_s: float, is_replacement: bool = False
+    ) -> PooledConnection:
         target = self._target
         if self._is_bound_to_user:
             target = target._replace(user=organisation)
         started_s = trio.current_time()
-        self._check_reconnect_delay(started_s)
+        if not is_replacement:
+            self._check_reconnect_delay(started_s)
         timeout_s = min(self._settings.connect_timeout_s, deadline_s - started_s)
         connection = None
         self._open += 1
@@ -379,6 +394,7 @@
                 self._open -= 1
         now_s = trio.current_time()
         self._connect_error = ""
+        self._is_instance_full = False
         self._reconnect_delay_s = RECONNECT_MIN_S
         self._connect_s += NEW_SAMPLE_WEIGHT * (now_s - started_s - self._connect_s)
         return PooledConnection(connection, now_s)
@@ -400,6 +416,7 @@
 
     def _record_connect_error(self, error: base.DriverError) -> None:
         self._connect_error = str(error)
+        self._is_instance_full = error.sqlstate in _FULL_CODES
         self._next_connect_s = trio.current_time() + self._reconnect_delay_s
         self._reconnect_delay_s = min(2 * self._reconnect_delay_s, RECONNECT_MAX_S)
 
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -76,6 +76,10 @@
         self.failures = []
         self.ran = []
         self.connections = []
+        self.connection_limit = 1000
+
+    def count_open(self):
+        return sum(connection.is_open for connection in self.connections)
 
     @property
     def position(self):
@@ -174,6 +178,10 @@
             await trio.sleep(0.01)
             while instance.is_frozen:
                 await trio.sleep(0.05)
+            if instance.count_open() >= instance.connection_limit:
+                raise base.DriverError(
+                    "TOO_MANY_CONNECTIONS", "", verdicts.Verdict.NOT_RUN, is_lost=True
+                )
             if not instance.is_refusing:
                 return FakeConnection(instance, target.user)
         raise base.DriverError("", "no", verdicts.Verdict.NOT_RUN, is_lost=True)
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -31,9 +31,26 @@
 
 BuildSlots = collections.abc.Callable[[int], fair_queue.FairQueue]
 GetLoad = collections.abc.Callable[[directory.BackendServer], pool.PoolLoad]
-# Returns between how many hosts the connections to an instance are divided if this
-# host is one of them, else 0.
-CountHolders = collections.abc.Callable[[str], int]
+
+
+class Holding(typing.NamedTuple):
+    """How this host shares in the connections to an instance.
+
+    Attributes
+    ----------
+    divisor : int
+        Number of hosts among which the connections are divided; 0 if this host is
+        none of them.
+    is_substitute : bool
+        Whether this host only takes the place of hosts that cannot be reached, so that
+        it closes idle connections soon.
+    """
+
+    divisor: int
+    is_substitute: bool = False
+
+
+GetHolding = collections.abc.Callable[[str], Holding]
 
 
 class BackendOptions(typing.NamedTuple):
@@ -88,10 +105,9 @@
     options : BackendOptions
     rng : random.Random
         Used by the routing policy.
-    count_holders : callable, optional
-        ``count_holders(instance)`` returns between how many hosts the connections to
-        an instance are divided if this host is one of them, else 0. By default, they
-        are divided as `share` says.
+    get_holding : callable, optional
+        ``get_holding(instance)`` returns this host's part of the connections to an
+        instance. By default, they are divided as `share` says.
 
     Attributes
     ----------
@@ -107,9 +123,9 @@
         is_drained: collections.abc.Callable[[directory.BackendServer], bool],
         options: BackendOptions,
         rng: random.Random,
-        count_holders: CountHolders | None = None,
+        get_holding: GetHolding | None = None,
     ):
-        self._count_holders = count_holders
+        self._get_holding = get_holding
         self._servers = servers
         self._driver = driver
         self._build_slots = build_slots
@@ -272,8 +288,8 @@
             await entry.instance_pool.close()
 
     def _get_share(self, instance: str, max_connections: int, divisor: int) -> int:
-        if self._count_holders is not None:
-            divisor = self._count_holders(instance)
+        if self._get_holding is not None:
+            divisor = self._get_holding(instance).divisor
         return shares.get_capacity(max_connections, divisor, self._options.reserved)
 
     def _get_capacity(self, instance: str, max_connections: int, divisor: int) -> int:
@@ -294,6 +310,8 @@
 
     def _get_idle_timeout_s(self, instance: str, max_connections: int) -> float | None:
         """Return the idle timeout in seconds, None for the setting of the pool."""
+        if self._get_holding is not None and self._get_holding(instance).is_substitute:
+            return SCARCE_IDLE_TIMEOUT_S
         shared = self._get_share(instance, max_connections, self.share.divisor)
         return SCARCE_IDLE_TIMEOUT_S if shared < self._options.min_connections else None
 
