--- a/benchmarks/capacity_leader.py
+++ b/benchmarks/capacity_leader.py
@@ -26,7 +26,7 @@
 from sedgeswitch.configuration import machine as configuration_machine
 from sedgeswitch.configuration import operations
 from sedgeswitch.daemon import control
-from sedgeswitch.daemon import control_core
+from sedgeswitch.daemon import section_names
 from sedgeswitch.draining import messages as draining_messages
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
@@ -194,15 +194,15 @@
         now_s = trio.current_time()
         sections = {
             control.CONFIGURATION: self._build_configuration_report(is_first),
-            control_core.GROUPS: self._build_groups_report(host_id, is_first, now_s),
-            control_core.DIRECTORY: self._build_directory_report(number, is_first),
+            section_names.GROUPS: self._build_groups_report(host_id, is_first, now_s),
+            section_names.DIRECTORY: self._build_directory_report(number, is_first),
             control.DRAINING: catalog.encode_struct(
                 draining_messages.DrainReport(self.configuration.version, {})
             ),
-            control_core.MEMBERS: catalog.encode_struct(
+            section_names.MEMBERS: catalog.encode_struct(
                 messages.Members(-1 if is_first else self.members.version, [])
             ),
-            control_core.SHARES: catalog.encode_struct(
+            section_names.SHARES: catalog.encode_struct(
                 pool_messages.ShareReport(len(self.members.members))
             ),
         }
@@ -259,7 +259,7 @@
             self.follower.build_report(0.0)
             self.follower.receive_answer(body, 0.0)
         directory_answer = catalog.decode_struct(
-            messages.DirectoryAnswer, answer.sections[control_core.DIRECTORY]
+            messages.DirectoryAnswer, answer.sections[section_names.DIRECTORY]
         )
         self.epoch, self.version = directory_answer.epoch, directory_answer.version
 
@@ -285,14 +285,14 @@
     def _register(self) -> None:
         register = self.heartbeat_server.register_section
         register(control.CONFIGURATION, distributor.Distributor(self.configuration))
-        register(control_core.GROUPS, self.section)
-        register(control_core.DIRECTORY, self.directory)
+        register(section_names.GROUPS, self.section)
+        register(section_names.DIRECTORY, self.directory)
         register(
             control.DRAINING,
             draining_sections.ControlSection(self._get_lease_holder_ids),
         )
-        register(control_core.SHARES, shares.ControlShares(self._get_lease_holder_ids))
-        register(control_core.MEMBERS, member_sections.ControlSection(self.members))
+        register(section_names.SHARES, shares.ControlShares(self._get_lease_holder_ids))
+        register(section_names.MEMBERS, member_sections.ControlSection(self.members))
 
     def _get_lease_holder_ids(self, now_s: float) -> list[str]:
         return [
--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -14,6 +14,7 @@
 from sedgeswitch.agreement import settings as agreement_settings
 from sedgeswitch.agreement import sqlite_storage
 from sedgeswitch.agreement import state_machines
+from sedgeswitch.daemon import section_names
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import assignment
 from sedgeswitch.groups import control_section as groups_sections
@@ -36,11 +37,6 @@
 from sedgeswitch.utils import clocks
 from sedgeswitch.utils import uptime
 
-# Names of the sections of heartbeats. GROUPS also names a replicated state machine.
-GROUPS = "groups"
-DIRECTORY = "directory"
-MEMBERS = "members"
-SHARES = "shares"
 LOG_FOLDER = "agreement"
 
 
@@ -161,7 +157,7 @@
         registry = state_machines.Registry()
         for name, machine in own_machines.items():
             registry.register_machine(name, machine)
-        registry.register_machine(GROUPS, self.groups)
+        registry.register_machine(section_names.GROUPS, self.groups)
         registry.register_machine(heartbeat_server.MACHINE_NAME, self.members)
         folder = pathlib.Path(data_folder) / LOG_FOLDER
         folder.mkdir(parents=True, exist_ok=True)
@@ -196,10 +192,10 @@
 
     def _register_sections(self) -> None:
         register = self.heartbeat_server.register_section
-        register(GROUPS, self.groups_section)
-        register(DIRECTORY, self.directory)
-        register(SHARES, self._build_shares())
-        register(MEMBERS, self._build_members_section())
+        register(section_names.GROUPS, self.groups_section)
+        register(section_names.DIRECTORY, self.directory)
+        register(section_names.SHARES, self._build_shares())
+        register(section_names.MEMBERS, self._build_members_section())
         self.heartbeat_server.register_leadership_listener(self._start_grants)
 
     def _build_directory(self, rng: random.Random) -> directory.ControlDirectory:
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -14,8 +14,8 @@
 from sedgeswitch.daemon import adapters
 from sedgeswitch.daemon import announcements
 from sedgeswitch.daemon import control
-from sedgeswitch.daemon import control_core
 from sedgeswitch.daemon import entry_core
+from sedgeswitch.daemon import section_names
 from sedgeswitch.daemon import session_floors
 from sedgeswitch.draining import sections as draining_sections
 from sedgeswitch.drivers import base
@@ -196,7 +196,7 @@
         self.heartbeat_client.register_section(control.DRAINING, draining)
         members = member_sections.EntrySection()
         members.register_listener(self.session_floors.set_members)
-        self.heartbeat_client.register_section(control_core.MEMBERS, members)
+        self.heartbeat_client.register_section(section_names.MEMBERS, members)
         self.heartbeat_client.register_lease_listener(self._update_limits)
 
     def _build_services(self, tracer: traces.Tracer) -> None:
--- a/sedgeswitch/daemon/entry_core.py
+++ b/sedgeswitch/daemon/entry_core.py
@@ -9,7 +9,7 @@
 from sedgeswitch.admission import host_limiter
 from sedgeswitch.admission import messages as admission_messages
 from sedgeswitch.admission import settings as admission_settings
-from sedgeswitch.daemon import control_core
+from sedgeswitch.daemon import section_names
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
@@ -90,9 +90,9 @@
 
     def _register_sections(self) -> None:
         register = self.heartbeat_client.register_section
-        register(control_core.GROUPS, self.groups_section)
-        register(control_core.DIRECTORY, self.directory)
-        register(control_core.SHARES, self.backends.share)
+        register(section_names.GROUPS, self.groups_section)
+        register(section_names.DIRECTORY, self.directory)
+        register(section_names.SHARES, self.backends.share)
         self.heartbeat_client.register_lapse_listener(self.backends.share.drop)
         self.heartbeat_client.register_lease_listener(self.groups.set_lease)
 
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -9,9 +9,9 @@
 
 from sedgeswitch.admission import fair_queue
 from sedgeswitch.admission import fleet
-from sedgeswitch.daemon import control_core
 from sedgeswitch.daemon import entry_core
 from sedgeswitch.daemon import relay_groups
+from sedgeswitch.daemon import section_names
 from sedgeswitch.databases import documents
 from sedgeswitch.databases import machine as database_machine
 from sedgeswitch.databases import sections as database_sections
@@ -261,7 +261,7 @@
         self.databases.register_listener(self._update_limits)
         members = member_sections.EntrySection()
         members.register_listener(self._set_members)
-        self.heartbeat_client.register_section(control_core.MEMBERS, members)
+        self.heartbeat_client.register_section(section_names.MEMBERS, members)
         self.directory.register_listener(self.backends.update_capacities)
 
     def _set_members(
--- a/sedgeswitch/daemon/session_floors.py
+++ b/sedgeswitch/daemon/session_floors.py
@@ -18,6 +18,7 @@
 from sedgeswitch.sessions import placement
 from sedgeswitch.sessions import replicated_floors
 from sedgeswitch.statements import backends
+from sedgeswitch.statements import pooled as pooled_statements
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
 
@@ -64,7 +65,9 @@
         if backend_server is None:
             return None
         connections = self._backends.get_pool(backend_server, database)
-        position = await backends.try_read_position(connections, READ_TIMEOUT_S)
+        position = await pooled_statements.try_read_position(
+            connections, READ_TIMEOUT_S
+        )
         if not self._groups.is_permit_valid(permit, clocks.get_now_s()):
             return None
         if position is None:
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -4,20 +4,13 @@
 import random
 import typing
 
-import trio
-
-from sedgeswitch import verdicts
 from sedgeswitch.admission import fair_queue
 from sedgeswitch.drivers import base
-from sedgeswitch.groups import instances
-from sedgeswitch.groups import positions
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
 from sedgeswitch.pools import shares
 from sedgeswitch.routing import candidates
 from sedgeswitch.routing import policies
-from sedgeswitch.statements import requests
-from sedgeswitch.utils import checks
 from sedgeswitch.utils import records
 
 # Assumed network round trips to backend servers, in seconds.
@@ -337,57 +330,3 @@
         if own_zone in regions and regions[own_zone] == regions.get(zone):
             return SAME_REGION_ROUND_TRIP_S
         return OTHER_REGION_ROUND_TRIP_S
-
-
-async def run_statement(
-    pooled: pool.PooledConnection, statement: requests.Statement
-) -> base.Rows:
-    """Run a caller's statement, and mark the connection if it must be reset later.
-
-    Raises
-    ------
-    base.DriverError
-        If the server refuses the statement or the connection is lost.
-    """
-    if requests.may_leave_state(statement.sql):
-        pooled.is_dirty = True
-    return await pooled.execute(statement.sql, statement.parameters)
-
-
-async def read_position(pooled: pool.PooledConnection) -> positions.Position:
-    """Return the log position of the instance behind a connection.
-
-    Raises
-    ------
-    base.DriverError
-        If the instance returns no position or the connection is lost.
-    """
-    rows = await pooled.execute(instances.STATE_QUERY)
-    try:
-        state = instances.decode_state(rows)
-    except checks.CheckError as error:
-        # A replica that has not replayed anything yet has no position.
-        raise base.DriverError(
-            "", str(error), verdicts.Verdict.NOT_RUN, is_lost=False
-        ) from error
-    pooled.position = state.position
-    return state.position
-
-
-async def try_read_position(
-    instance_pool: pool.InstancePool, timeout_s: float
-) -> positions.Position | None:
-    """Return the log position of an instance, None if it returns none in time."""
-    deadline_s = trio.current_time() + timeout_s
-    try:
-        pooled = await instance_pool.acquire("", deadline_s)
-    except verdicts.RefusedError:
-        return None
-    try:
-        with trio.move_on_at(deadline_s):
-            return await read_position(pooled)
-        return None
-    except base.DriverError:
-        return None
-    finally:
-        await instance_pool.release(pooled, trio.current_time())
--- a/sedgeswitch/statements/committing.py
+++ b/sedgeswitch/statements/committing.py
@@ -9,8 +9,8 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.idempotency import ledger
 from sedgeswitch.pools import pool
-from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
+from sedgeswitch.statements import pooled as pooled_statements
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import requests
 
@@ -59,11 +59,11 @@
         if statement.idempotency_key:
             rows = await _write_once(pooled, work, statement, unix_s)
         else:
-            rows = await backends.run_statement(pooled, statement)
+            rows = await pooled_statements.run_statement(pooled, statement)
     except base.DriverError as error:
         raise _build_refusal(error) from error
     try:
-        return CommittedWrite(rows, await backends.read_position(pooled))
+        return CommittedWrite(rows, await pooled_statements.read_position(pooled))
     except base.DriverError as error:
         raise verdicts.build_may_have_run(
             502, refusals.CONNECTION_LOST, error.detail, refusals.RETRY_AFTER_MS
@@ -103,7 +103,7 @@
         stored_answer = await ledger.claim(pooled, request, unix_s)
         if stored_answer is not None:
             return stored_answer
-        rows = await backends.run_statement(pooled, statement)
+        rows = await pooled_statements.run_statement(pooled, statement)
         await ledger.store_answer(pooled, request, rows)
         await pooled.execute("COMMIT")
         is_committed = True
--- a/sedgeswitch/statements/durability.py
+++ b/sedgeswitch/statements/durability.py
@@ -6,8 +6,8 @@
 from sedgeswitch.groups import settings
 from sedgeswitch.sessions import floors
 from sedgeswitch.statements import acknowledgement
-from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
+from sedgeswitch.statements import pooled as pooled_statements
 
 # Timeout of one poll of a replica, in seconds.
 POLL_TIMEOUT_S = 0.5
@@ -81,7 +81,9 @@
             if server is None:
                 return None
             instance_pool = self._components.backends.get_pool(server, database)
-            return await backends.try_read_position(instance_pool, POLL_TIMEOUT_S)
+            return await pooled_statements.try_read_position(
+                instance_pool, POLL_TIMEOUT_S
+            )
 
         if group not in self._waiters:
             self._waiters[group] = acknowledgement.AckWaiter(
--- a/sedgeswitch/statements/reads.py
+++ b/sedgeswitch/statements/reads.py
@@ -11,9 +11,9 @@
 from sedgeswitch.pools import pool
 from sedgeswitch.sessions import floors
 from sedgeswitch.sessions import tokens
-from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
 from sedgeswitch.statements import interruption
+from sedgeswitch.statements import pooled as pooled_statements
 from sedgeswitch.statements import primaries
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import requests
@@ -128,7 +128,7 @@
                 # The server may have been drained during the wait.
                 may_run = work.eligibility.may_run_on(server.instance)
                 if may_run and await _is_position_reached(pooled, required_position):
-                    rows = await backends.run_statement(pooled, statement)
+                    rows = await pooled_statements.run_statement(pooled, statement)
         except verdicts.RefusedError:
             return None
         except base.DriverError as error:
@@ -212,7 +212,7 @@
     """
     try:
         await pooled.execute(_BEGIN_READ_ONLY)
-        rows = await backends.run_statement(pooled, statement)
+        rows = await pooled_statements.run_statement(pooled, statement)
         await pooled.execute(_COMMIT)
         return rows
     except base.DriverError as error:
@@ -240,7 +240,7 @@
     if pooled.position and positions.has_reached(pooled.position, required_position):
         return True
     return positions.has_reached(
-        await backends.read_position(pooled), required_position
+        await pooled_statements.read_position(pooled), required_position
     )
 
 
--- a/sedgeswitch/statements/tests/transaction_builders.py
+++ b/sedgeswitch/statements/tests/transaction_builders.py
@@ -17,9 +17,9 @@
 from sedgeswitch.pools import transactions as pool_transactions
 from sedgeswitch.pools.tests import builders as pool_builders
 from sedgeswitch.sessions import floors
-from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
 from sedgeswitch.statements import forwarding
+from sedgeswitch.statements import pooled as pooled_statements
 from sedgeswitch.statements import transactions
 from sedgeswitch.transport import failures
 from sedgeswitch.utils.tests import virtual_time
@@ -137,17 +137,20 @@
 
 @contextlib.contextmanager
 def known_position():
-    """Replace `backends.read_position` so that it returns a fixed log position."""
+    """Replace `read_position` so that it returns a fixed log position."""
 
     async def read_position(pooled):
         await pooled.execute("STATE")
         return positions.Position(1, 80)
 
-    original, backends.read_position = backends.read_position, read_position
+    original, pooled_statements.read_position = (
+        pooled_statements.read_position,
+        read_position,
+    )
     try:
         yield
     finally:
-        backends.read_position = original
+        pooled_statements.read_position = original
 
 
 def run(body):
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -19,9 +19,9 @@
 from sedgeswitch.sessions import floors
 from sedgeswitch.sessions import tokens
 from sedgeswitch.statements import authorisation
-from sedgeswitch.statements import backends
 from sedgeswitch.statements import context
 from sedgeswitch.statements import forwarding
+from sedgeswitch.statements import pooled as pooled_statements
 from sedgeswitch.statements import primaries
 from sedgeswitch.statements import refusals
 from sedgeswitch.statements import requests
@@ -307,7 +307,7 @@
         try:
             pooled = await self._transaction_table.commit(transaction)
             is_committed = True
-            return await backends.read_position(pooled)
+            return await pooled_statements.read_position(pooled)
         except base.DriverError as error:
             if is_committed:
                 raise refusals.build_not_replicated() from error
