Say what may have run when a registration fails, and bound two inputs

Ruled out: a caller that relies on the old verdict (the heartbeat client treats both alike).

Change: outcome_unknown, may have run, with a log line; at most 1,000 ended incarnations; a CheckError; the version is given.

--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -27,6 +27,7 @@
 BATCH = 10
 QUERY_BATCHES = 5000
 SETTLE_S = 5.0
+MEMBERS_VERSION = 1
 # Factor of the session hashes; odd, so that they spread over all buckets.
 _PRIME = 7919
 
@@ -39,7 +40,7 @@
     """Print time and memory of one recorded floor, and the time of one query."""
     replica = floor_replica.FloorReplica("e0", _read_primary, 0.0)
     members = [machine.Member(f"e{n}", "1", "z", "127.0.0.1", 1) for n in range(3)]
-    replica.set_placement(placement.build_placement(1, members), -1.0)
+    replica.set_placement(placement.build_placement(MEMBERS_VERSION, members), -1.0)
     before = processes.read_usage("self")
     for first in range(0, SESSIONS, BATCH):
         records = [
@@ -50,7 +51,9 @@
     after = processes.read_usage("self")
     record_us = (after.cpu_s - before.cpu_s) / SESSIONS * 1e6
     size_bytes = (after.resident_bytes - before.resident_bytes) / SESSIONS
-    queries = [messages.FloorQuery(n * _PRIME, "g1") for n in range(BATCH)]
+    queries = [
+        messages.FloorQuery(n * _PRIME, "g1", MEMBERS_VERSION) for n in range(BATCH)
+    ]
     started_s = time.process_time()
     for _ in range(QUERY_BATCHES):
         await replica.answer_query(messages.QueryFloors(queries))
--- a/sedgeswitch/membership/heartbeat_server.py
+++ b/sedgeswitch/membership/heartbeat_server.py
@@ -1,5 +1,6 @@
 """Answers heartbeats and watches of entry hosts on the leading control host."""
 
+import collections
 import collections.abc
 import math
 import typing
@@ -8,6 +9,7 @@
 import trio
 
 from sedgeswitch import verdicts
+from sedgeswitch.agreement import errors
 from sedgeswitch.membership import leases
 from sedgeswitch.membership import machine
 from sedgeswitch.membership import messages
@@ -18,6 +20,10 @@
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import clocks
 
+# Code of the failure of a registration that may have been committed.
+OUTCOME_UNKNOWN = "outcome_unknown"
+# Ended incarnations that are remembered; heartbeats of older ones arrive no more.
+MAX_ENDED_INCARNATIONS = 1000
 # Name under which the state machine of members is registered.
 MACHINE_NAME = "membership"
 PROPOSE_TIMEOUT_S = 2.0
@@ -85,7 +91,9 @@
         self._leadership_term = -1
         self._latest: dict[str, _LatestHeartbeat] = {}
         # Incarnations that a later process at the same address has replaced.
-        self._ended_incarnations: set[str] = set()
+        self._ended_incarnations: collections.deque[str] = collections.deque(
+            maxlen=MAX_ENDED_INCARNATIONS
+        )
         # Number of proposed removals of each host whose outcome is not known.
         self._pending_removals: dict[str, int] = {}
         self._versions: dict[str, int] = {}
@@ -241,7 +249,8 @@
         known = self._members.members.get(heartbeat.host_id)
         is_other = known is not None and known.incarnation != heartbeat.incarnation
         if is_other and self._has_ended(known, heartbeat):
-            self._ended_incarnations.add(known.incarnation)
+            if known.incarnation not in self._ended_incarnations:
+                self._ended_incarnations.append(known.incarnation)
         elif is_other:
             self._check_lease_expired(heartbeat.host_id)
         while not self._is_registered(heartbeat):
@@ -292,10 +301,16 @@
         body = catalog.encode_struct(command)
         try:
             await self._log.propose(MACHINE_NAME, body, PROPOSE_TIMEOUT_S)
-        except Exception as error:
+        except errors.NotLeaderError as error:
             raise failures.CallError(
                 leader_hints.NOT_LEADER, str(error), verdicts.Verdict.NOT_RUN
             ) from error
+        except Exception as error:
+            # Also an unexpected error must not end the task that removes members.
+            loguru.logger.warning("registration of {} failed: {}", member, error)
+            raise failures.CallError(
+                OUTCOME_UNKNOWN, str(error), verdicts.Verdict.MAY_HAVE_RUN
+            ) from error
 
 
 def _build_superseded(heartbeat: messages.Heartbeat) -> failures.CallError:
--- a/sedgeswitch/membership/tests/test_incarnations.py
+++ b/sedgeswitch/membership/tests/test_incarnations.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from sedgeswitch import verdicts
+from sedgeswitch.agreement import errors
 from sedgeswitch.membership import heartbeat_server
 from sedgeswitch.membership import machine
 from sedgeswitch.membership.tests import builders
@@ -30,6 +32,17 @@
         return self._members.apply(1, body)
 
 
+class FailingLog(FakeLog):
+    """A log whose proposals end with an error."""
+
+    def __init__(self, members, error):
+        super().__init__(members)
+        self._error = error
+
+    async def propose(self, machine_name, body, timeout_s):
+        raise self._error
+
+
 def build_heartbeat(incarnation):
     return builders.build_heartbeat("e4", incarnation=incarnation)
 
@@ -94,6 +107,50 @@
 
         virtual_time.run(body)
 
+    def test_ended_incarnations_are_bounded(self):
+        async def body():
+            count = heartbeat_server.MAX_ENDED_INCARNATIONS + 20
+            for number in range(count):
+                await self.heartbeat_server.answer_heartbeat(
+                    build_heartbeat(f"run-{number}")
+                )
+            self.assertEqual(
+                heartbeat_server.MAX_ENDED_INCARNATIONS,
+                len(self.heartbeat_server._ended_incarnations),
+            )
+
+        virtual_time.run(body)
+
+
+class FailedProposalTest(unittest.TestCase):
+    """A registration whose proposal fails may have been committed all the same."""
+
+    def get_failure(self, error):
+        members = machine.MembersMachine()
+        server = heartbeat_server.HeartbeatServer(
+            FailingLog(members, error), members, LEASE_S
+        )
+
+        async def body():
+            with self.assertRaises(failures.CallError) as caught:
+                await server.answer_heartbeat(build_heartbeat("first"))
+            self.failure = caught.exception
+
+        virtual_time.run(body)
+        return self.failure
+
+    def test_unknown_outcome_may_have_run(self):
+        failure = self.get_failure(errors.OutcomeUnknownError())
+        self.assertIs(verdicts.Verdict.MAY_HAVE_RUN, failure.verdict)
+
+    def test_unexpected_error_may_have_run(self):
+        failure = self.get_failure(ValueError("unexpected"))
+        self.assertIs(verdicts.Verdict.MAY_HAVE_RUN, failure.verdict)
+
+    def test_host_that_does_not_lead_has_not_run_it(self):
+        failure = self.get_failure(errors.NotLeaderError("c2"))
+        self.assertIs(verdicts.Verdict.NOT_RUN, failure.verdict)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -200,7 +200,7 @@
         clients=_find_address(listen_addresses, "front"),
         readiness=_find_address(listen_addresses, "ready"),
         control=_find_address(listen_addresses, "control"),
-        internal_port=document["internalPorts"][0],
+        internal_port=_get_first_port(document["internalPorts"]),
         seeds=tuple(parse_address(seed) for seed in document["seeds"]),
         is_bootstrap=document["bootstrap"],
         data_folder=document.get("dataDir"),
@@ -215,6 +215,12 @@
     )
 
 
+def _get_first_port(ports: list[int]) -> int:
+    if not ports:
+        raise checks.CheckError("internalPorts", "a list of at least one port", ports)
+    return ports[0]
+
+
 def _find_address(
     fields: typing.Mapping[str, typing.Any], name: str
 ) -> peer.Address | None:
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -106,6 +106,15 @@
             path.write_bytes(msgspec.json.encode(builders.SETTINGS | changes))
             return settings.load_settings(path)
 
+    def test_empty_list_of_internal_ports_is_rejected(self):
+        with self.assertRaises(checks.CheckError):
+            self.load(internalPorts=[])
+
+    def test_regions_of_zones_are_optional(self):
+        self.assertEqual({}, self.load().region_by_zone)
+        regions = {"bagmati-a": "bagmati"}
+        self.assertEqual(regions, self.load(zones=regions).region_by_zone)
+
     def test_seeds_become_control_peers_at_the_internal_port(self):
         loaded = self.load()
         self.assertEqual(
