--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -165,6 +165,9 @@
         except failures.CallError as error:
             # The holder rolls the transaction back after its idle timeout.
             loguru.logger.debug("{} did not discard a transaction: {}", host_id, error)
+        except Exception:
+            # An error here must not end the tasks of the host.
+            loguru.logger.exception("discarding a transaction at {} failed", host_id)
 
     def _choose_host(
         self, server: directory.BackendServer, organisation: str, now_s: float
