Revert "Give organisations with a low rate one home in the fleet"

Not tried: a host may hold 0.3 of a bucket at most (host_share_max), which one home in place of three makes the bound of the whole organisation.

Conclusion: reverted.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -153,7 +153,6 @@
                 self._placement,
                 self._hosts,
                 admit_locally,
-                self._get_rate_per_s,
             ).admit,
             rng,
         )
@@ -250,10 +249,6 @@
             connections.PoolConnector(self.backends),
         )
 
-    def _get_rate_per_s(self, organisation: str) -> float:
-        given = self.databases.document.organisations.get(organisation)
-        return 0.0 if given is None else given.rate_per_s
-
     def _get_holding(self, instance: str) -> backends.Holding:
         server = self.directory.servers.get(instance)
         if server is None:
--- a/sedgeswitch/daemon/relay_groups.py
+++ b/sedgeswitch/daemon/relay_groups.py
@@ -11,13 +11,13 @@
 from sedgeswitch.membership import directory
 
 # The prefetched tokens of a host last longer than the election of a leader, and
-# their lifetime is longer than a lease. The demand is averaged over several times the
-# time of an election, so that neither a lull just before an election nor the pauses
-# between the requests of a small organisation leave its home without tokens.
+# their lifetime is longer than a lease. The demand is averaged over more than the
+# time of an election, so that a short lull just before an election does not leave
+# a host without tokens.
 ADMISSION = admission_settings.Settings(
     prefetch_s=3.0,
     lifetime_s=4.0,
-    demand_window_s=8.0,
+    demand_window_s=2.0,
     host_share_max=0.3,
     reserve_share=0.1,
     # The longest latency objective that most callers have.
--- a/sedgeswitch/forwarding/admission.py
+++ b/sedgeswitch/forwarding/admission.py
@@ -1,9 +1,8 @@
 """Admission at the hosts that draw the tokens of an organisation.
 
-Each organisation has one such host a region, its home, or one in the whole fleet if
-its rate is low, so that a few hosts hold tokens for its whole demand. If every host
-drew tokens, a host of a large fleet would hold none of most organisations and wait for
-a draw with nearly every request.
+Each organisation has one such host a region, its home, so that a few hosts hold tokens
+for its whole demand. If every host drew tokens, a host of a large fleet would hold none
+of most organisations and wait for a draw with nearly every request.
 """
 
 import collections.abc
@@ -26,13 +25,9 @@
 ANSWER_MARGIN_S = 0.05
 # Homes that are asked before this host draws tokens itself.
 MAX_HOMES = 2
-# Rate below which an organisation has one home, in requests per second. Divided among
-# three regions, such a rate is too low to keep tokens for it.
-MIN_REGIONAL_RATE_PER_S = 30.0
 _MS_PER_S = 1000
 
 Admit = collections.abc.Callable[[str, float], collections.abc.Awaitable[None]]
-GetRate = collections.abc.Callable[[str], float]
 
 
 class HomeAdmission:
@@ -47,8 +42,6 @@
     admit_locally : callable
         ``await admit_locally(organisation, deadline_s)`` admits a request by tokens
         that this host draws; raises `verdicts.RefusedError`.
-    get_rate_per_s : callable
-        Returns the rate limit of an organisation, in requests per second.
     """
 
     def __init__(
@@ -58,14 +51,12 @@
         places: placement.Placement,
         hosts: host_calls.HostCalls,
         admit_locally: Admit,
-        get_rate_per_s: GetRate,
     ):
         self._host_id = host_id
         self._availability_zone = availability_zone
         self._placement = places
         self._hosts = hosts
         self._admit_locally = admit_locally
-        self._get_rate_per_s = get_rate_per_s
 
     async def admit(self, organisation: str, deadline_s: float) -> None:
         """Return if a request may run; see `admission.fleet.FleetAdmission.admit`.
@@ -74,9 +65,7 @@
         ------
         verdicts.RefusedError
         """
-        is_regional = self._get_rate_per_s(organisation) >= MIN_REGIONAL_RATE_PER_S
-        zone = self._availability_zone if is_regional else None
-        homes = self._placement.order_homes(organisation, zone)
+        homes = self._placement.order_homes(organisation, self._availability_zone)
         for host_id in homes[:MAX_HOMES]:
             if host_id == self._host_id:
                 break
--- a/sedgeswitch/forwarding/placement.py
+++ b/sedgeswitch/forwarding/placement.py
@@ -78,7 +78,7 @@
         self._region_by_zone = region_by_zone
         self._zone_by_host: dict[str, str] = {}
         self._selections: dict[Location, Selection] = {}
-        self._homes: dict[tuple[str, str | None], tuple[str, ...]] = {}
+        self._homes: dict[tuple[str, str], tuple[str, ...]] = {}
 
     def set_members(self, members: collections.abc.Iterable[machine.Member]) -> None:
         """Set the registered entry hosts."""
@@ -117,26 +117,19 @@
         )
         return [*holders, *selection.substitutes]
 
-    def order_homes(self, organisation: str, zone: str | None) -> tuple[str, ...]:
-        """Return the hosts that draw an organisation's tokens.
+    def order_homes(self, organisation: str, zone: str) -> tuple[str, ...]:
+        """Return the hosts that draw an organisation's tokens for callers in a zone.
 
-        The first is the home, the others take its place in order.
-
-        Parameters
-        ----------
-        organisation : str
-        zone : str or None
-            For homes in the region of this availability zone; None for homes in the
-            whole fleet.
+        They are in the region of the zone; the first is the home, the others take its
+        place in order.
         """
-        region = None if zone is None else self._region_by_zone.get(zone, zone)
-        key = (organisation, region)
+        key = (organisation, self._region_by_zone.get(zone, zone))
         homes = self._homes.get(key)
         if homes is None:
             hosts = [
                 host_id
                 for host_id, other in self._zone_by_host.items()
-                if zone is None or self.get_distance(zone, other) < OTHER_REGION
+                if self.get_distance(zone, other) < OTHER_REGION
             ]
             ranked = heapq.nlargest(
                 1 + SUBSTITUTES,
