--- a/sedgeswitch/forwarding/admission.py
+++ b/sedgeswitch/forwarding/admission.py
@@ -5,14 +5,13 @@
 of most organisations and wait for a draw with nearly every request.
 """
 
-import collections.abc
-
 import trio
 
 from sedgeswitch import verdicts
 from sedgeswitch.forwarding import host_calls
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
+from sedgeswitch.relay import context
 from sedgeswitch.transport import failures
 from sedgeswitch.utils import checks
 from sedgeswitch.utils import clocks
@@ -27,8 +26,6 @@
 MAX_HOMES = 2
 _MS_PER_S = 1000
 
-Admit = collections.abc.Callable[[str, float], collections.abc.Awaitable[None]]
-
 
 class HomeAdmission:
     """Admits requests at the home of their organisation.
@@ -50,7 +47,7 @@
         availability_zone: str,
         places: placement.Placement,
         hosts: host_calls.HostCalls,
-        admit_locally: Admit,
+        admit_locally: context.Admit,
     ):
         self._host_id = host_id
         self._availability_zone = availability_zone
@@ -104,7 +101,7 @@
         See `HomeAdmission`.
     """
 
-    def __init__(self, admit_locally: Admit):
+    def __init__(self, admit_locally: context.Admit):
         self._admit_locally = admit_locally
         self._is_leaving = False
 
