Log what a configuration and a restart wait for

A connection refused for an unknown database or key left no line; no line said what a control host had read from its disk, why an election found no quorum, how long a version took to reach the entry hosts, or how long a host took to serve.

Nothing is decided by them: entry hosts record when the leader last confirmed their document, the leader compares reported versions ten times a second until all hosts that hold a lease have the version.

--- a/sedgeswitch/agreement/election.py
+++ b/sedgeswitch/agreement/election.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+import loguru
 import trio
 
 from sedgeswitch.agreement import messages
@@ -31,20 +32,29 @@
     Attributes
     ----------
     is_granted : bool
-    is_leaderless : bool
-        Whether the voter cannot have granted a lease that is still valid, nor hold
-        one: its process has had no contact with a leader since it started, or the
-        host runs with another data folder, so that the process which had the
-        contact has ended.
+    is_refused : bool
+        Whether the voter has answered and not granted its vote.
+    is_replaced : bool
+        Whether the host runs with another data folder than the voter's.
     run_id : str
         Id of the voter's process if it has had no contact with a leader; else
         empty.
     """
 
     is_granted: bool = False
-    is_leaderless: bool = False
+    is_refused: bool = False
+    is_replaced: bool = False
     run_id: str = ""
 
+    @property
+    def is_leaderless(self) -> bool:
+        """Whether the voter has no lease that is valid, neither granted nor held.
+
+        Its process has had no contact with a leader since it started, or the process
+        that had the contact has ended, as the host runs with another data folder.
+        """
+        return self.is_replaced or bool(self.run_id)
+
 
 class Election:
     """Starts elections, answers candidates and steps down without a quorum.
@@ -202,6 +212,7 @@
         timeout_s = self._settings.election_timeout_min_s
         answers = await self._collect_votes(requests, timeout_s)
         if not self._has_quorum(answers):
+            _log_no_quorum(state, answers)
             await self._sleep_backoff()
             return
         if state.has_recent_leader(clocks.get_now_s()) or not state.is_voter:
@@ -332,12 +343,12 @@
                 member.address, request, self._settings.election_timeout_min_s
             )
         except failures.CallError as error:
-            return _VoteResult(
-                is_leaderless=error.code == state_module.WRONG_INCARNATION
-            )
+            return _VoteResult(is_replaced=error.code == state_module.WRONG_INCARNATION)
         self._state.adopt_term(reply.term)
         return _VoteResult(
-            reply.is_granted, bool(reply.unled_run_id), reply.unled_run_id
+            is_granted=reply.is_granted,
+            is_refused=not reply.is_granted,
+            run_id=reply.unled_run_id,
         )
 
     async def _sleep_backoff(self) -> None:
@@ -349,3 +360,22 @@
         """Sleep for a time, or until the role of this host changes."""
         with trio.move_on_after(duration_s):
             await self._state.role_changed.wait()
+
+
+def _log_no_quorum(
+    state: state_module.State, answers: typing.Mapping[str, _VoteResult]
+) -> None:
+    """Log which voters keep this host from becoming a candidate."""
+    replaced = [key for key, item in answers.items() if item.is_replaced]
+    refused = [key for key, item in answers.items() if item.is_refused]
+    granted = [key for key, item in answers.items() if item.is_granted]
+    unanswered = answers.keys() - {*replaced, *refused, *granted}
+    loguru.logger.info(
+        "no quorum for a candidacy",
+        term=state.term,
+        last_index=state.log.last_index,
+        granted=len(granted) + 1,
+        refused=sorted(refused),
+        replaced=sorted(replaced),
+        unanswered=sorted(unanswered),
+    )
--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -164,6 +164,7 @@
         self._node = node
         self._identity = identity
         self._call = call
+        self._logged_reason = ""
 
     async def run(self) -> None:
         """Send join requests at intervals, when needed, until cancelled."""
@@ -173,5 +174,12 @@
                 continue
             try:
                 await self._call(self._identity, CALL_TIMEOUT_S)
+                self._log_failure("")
             except failures.CallError as error:
-                loguru.logger.debug("join request was not accepted: {}", error)
+                self._log_failure(error.code)
+
+    def _log_failure(self, reason: str) -> None:
+        """Log why no leader has received the join request, once for each reason."""
+        if reason and reason != self._logged_reason:
+            loguru.logger.info("join request was not accepted", reason=reason)
+        self._logged_reason = reason
--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -209,6 +209,7 @@
             )
             if stored.snapshot is not None:
                 self._registry.load_snapshot(stored.snapshot.body)
+            _log_stored_state(state)
             async with trio.open_nursery() as nursery:
                 await nursery.start(self._network.run)
                 self._start_tasks(state, writer, nursery)
@@ -537,3 +538,16 @@
                 )
             )
         return tuple(statuses)
+
+
+def _log_stored_state(state: state_module.State) -> None:
+    voter_set = state.log.voter_set
+    loguru.logger.info(
+        "log read from disk",
+        key=state.key,
+        term=state.term,
+        snapshot_index=state.log.snapshot_index,
+        last_index=state.log.last_index,
+        is_voter=state.is_voter,
+        voters=[voter.id for voter in voter_set.voters] if voter_set else [],
+    )
--- a/sedgeswitch/agreement/tests/test_elections.py
+++ b/sedgeswitch/agreement/tests/test_elections.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import loguru
 import trio
 
 from sedgeswitch.agreement.tests import builders
@@ -85,5 +86,39 @@
         self.run_with_seeds(body)
 
 
+class BlockedElectionTest(unittest.TestCase):
+    """Guards against an outage of the control hosts without a line that says why."""
+
+    def test_voters_without_a_vote_for_a_candidate_are_logged(self):
+        records = []
+
+        async def body(cluster):
+            await cluster.bootstrap(*THREE)
+            for node_id in THREE:
+                await cluster.kill(node_id)
+            cluster.lose_disk("c2")
+            await cluster.start("c1")
+            await cluster.start("c2")
+            loguru.logger.enable("sedgeswitch.agreement")
+            await trio.sleep(5.0)
+
+        sink = loguru.logger.add(lambda message: records.append(message.record))
+        self.addCleanup(loguru.logger.remove, sink)
+        builders.run_cluster(body)
+        blocked = [
+            record["extra"]
+            for record in records
+            if record["message"] == "no quorum for a candidacy"
+        ]
+        self.assertEqual(1, blocked[-1]["granted"])
+        self.assertEqual(
+            (["c2"], ["c3"]),
+            tuple(
+                [key.partition("/")[0] for key in blocked[-1][name]]
+                for name in ("replaced", "unanswered")
+            ),
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -19,6 +19,7 @@
 from sedgeswitch.daemon import relay_groups
 from sedgeswitch.databases import documents
 from sedgeswitch.databases import machine as database_machine
+from sedgeswitch.databases import rollout
 from sedgeswitch.databases import sections as database_sections
 from sedgeswitch.draining import primary_mover
 from sedgeswitch.drivers import base
@@ -39,6 +40,8 @@
 PROPOSE_TIMEOUT_S = 2.0
 # Longest wait for a quorum to confirm that this host still leads, in seconds.
 CONFIRM_TIMEOUT_S = 1.0
+# Interval at which the leader compares the versions that entry hosts report.
+ROLLOUT_INTERVAL_S = 0.1
 
 
 class ControlOptions(typing.NamedTuple):
@@ -104,6 +107,8 @@
         self.databases = database_machine.DocumentMachine()
         self.servers = server_machine.ServerMachine()
         self.view = database_machine.DocumentView(self.databases, decode)
+        self._document_section = database_sections.ControlSection(self.databases)
+        self._rollout = rollout.Rollout()
         super().__init__(
             options.node,
             options.data_folder,
@@ -151,6 +156,8 @@
         return {
             "is_leading": float(self.is_leading()),
             "configuration_version": self.databases.version,
+            "configuration_hosts_behind": self._rollout.hosts_behind,
+            "configuration_rollout_s": self._rollout.duration_s,
             "groups_version": self.groups.get_version(),
             "groups_fenced": len(self.groups.get_fenced()),
             "backend_servers": len(self.directory.servers),
@@ -210,6 +217,7 @@
         nursery.start_soon(self.control_peers.run)
         nursery.start_soon(self._voter_manager.run)
         nursery.start_soon(self._join_requester.run)
+        nursery.start_soon(self._watch_rollout)
 
     def _build_group_options(self) -> control_core.GroupOptions:
         servers = relay_groups.RelayDirectory(
@@ -225,9 +233,22 @@
     def _register_sections(self) -> None:
         super()._register_sections()
         self.heartbeat_server.register_section(
-            database_machine.NAME, database_sections.ControlSection(self.databases)
+            database_machine.NAME, self._document_section
         )
 
+    async def _watch_rollout(self) -> None:
+        while True:
+            now_s = clocks.get_now_s()
+            leadership = self.node.get_leadership(now_s)
+            if leadership is not None:
+                self._rollout.update(
+                    rollout.Target(self.databases.version, leadership.term),
+                    lambda: self._get_holder_ids(clocks.get_now_s()),
+                    self._document_section.get_reported_versions(),
+                    now_s,
+                )
+            await trio.sleep(ROLLOUT_INTERVAL_S)
+
     def _build_directory(self, rng: random.Random) -> directory.ControlDirectory:
         return directory.ControlDirectory(rng, lambda: self.servers.servers)
 
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -28,6 +28,7 @@
 from sedgeswitch.membership import machine as members_machine
 from sedgeswitch.membership import member_sections
 from sedgeswitch.observability import decisions
+from sedgeswitch.observability import startup
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
@@ -107,6 +108,8 @@
     ):
         self._options = options
         self.databases = database_sections.EntrySection(decode)
+        started_s = clocks.get_now_s() - uptime.get_uptime_s()
+        self._startup_times = startup.StartupTimes(started_s)
         super().__init__(
             members_machine.Member(
                 options.host_id,
@@ -116,7 +119,7 @@
             ),
             options.control_addresses,
             options.heartbeat_interval_s,
-            clocks.get_now_s() - uptime.get_uptime_s(),
+            started_s,
             relay_groups.ADMISSION,
         )
         self._entry_peers = entry_peers.EntryPeers()
@@ -147,6 +150,7 @@
             interruption.Interrupter(self.groups),
             local_observations,
             decisions.DecisionLog(),
+            self._startup_times,
             home_admission.HomeAdmission(
                 options.host_id,
                 options.availability_zone,
@@ -206,6 +210,7 @@
         return {
             "lease_left_s": max(self.heartbeat_client.lease_until_s - now_s, 0.0),
             "configuration_version": self.databases.document.version,
+            "configuration_age_s": self.databases.get_age_s(now_s),
             "groups_version": self.groups.get_version(),
             "share_divisor": self.backends.share.divisor,
             "links_in_use": sum(load.in_use for load in loads),
@@ -259,6 +264,11 @@
         super()._register_sections()
         self.heartbeat_client.register_section(database_machine.NAME, self.databases)
         self.databases.register_listener(self._update_limits)
+        self.databases.register_listener(lambda: self._record_stage("configuration_ms"))
+        self.heartbeat_client.register_answer_listener(self.databases.confirm)
+        self.heartbeat_client.register_lapse_listener(
+            lambda: self._record_stage("lease_ms")
+        )
         members = member_sections.EntrySection()
         members.register_listener(self._set_members)
         self.heartbeat_client.register_section(section_names.MEMBERS, members)
@@ -275,6 +285,9 @@
         self._placement.set_members(members)
         self.backends.update_capacities()
 
+    def _record_stage(self, name: str) -> None:
+        self._startup_times.record_stage(name, clocks.get_now_s())
+
     def _update_limits(self) -> None:
         limits = relay_groups.build_limits(
             self.databases.document, self._options.tolerance
--- a/sedgeswitch/databases/sections.py
+++ b/sedgeswitch/databases/sections.py
@@ -56,11 +56,14 @@
     Attributes
     ----------
     document : documents.Document
+    confirmed_s : float
+        Time at which the leader had no newer document, at the latest.
     """
 
     def __init__(self, decode: documents.Decode):
         self._decode = decode
         self.document = documents.Document()
+        self.confirmed_s = float("-inf")
         self._organisation_by_key: dict[str, str] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._document_received = trio.Event()
@@ -73,6 +76,14 @@
         """Wait until the first document is in force."""
         await self._document_received.wait()
 
+    def confirm(self, sent_s: float) -> None:
+        """Record that the leader has answered a heartbeat sent at `sent_s`."""
+        self.confirmed_s = max(self.confirmed_s, sent_s)
+
+    def get_age_s(self, now_s: float) -> float:
+        """Return for how long the leader may have had a newer document."""
+        return now_s - self.confirmed_s
+
     def get_organisation(self, key: str) -> documents.Organisation | None:
         """Return the organisation of a key, None if the key is unknown."""
         name = self._organisation_by_key.get(key)
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -14,6 +14,7 @@
 from sedgeswitch.forwarding import placement
 from sedgeswitch.membership import machine
 from sedgeswitch.observability import decisions
+from sedgeswitch.observability import startup
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
@@ -122,6 +123,7 @@
             interruption.Interrupter(world.groups),
             context.LocalObservations(world.groups),
             decisions.DecisionLog(),
+            startup.StartupTimes(0.0),
             self.admission.admit,
             random.Random(2),
         )
--- a/sedgeswitch/membership/heartbeat_client.py
+++ b/sedgeswitch/membership/heartbeat_client.py
@@ -189,6 +189,7 @@
         self._sections: dict[str, sections.EntrySection] = {}
         self._lease_listeners: list[collections.abc.Callable[[float], None]] = []
         self._lapse_listeners: list[collections.abc.Callable[[], None]] = []
+        self._answer_listeners: list[collections.abc.Callable[[float], None]] = []
         self._versions: dict[str, int] = {}
         self._wake = trio.Event()
         self._sequence = 0
@@ -217,6 +218,15 @@
         """
         self._lapse_listeners.append(listener)
 
+    def register_answer_listener(
+        self, listener: collections.abc.Callable[[float], None]
+    ) -> None:
+        """Register a function that is called with the send time of answered heartbeats.
+
+        The sections have received the answer by then.
+        """
+        self._answer_listeners.append(listener)
+
     def is_lease_valid(self, now_s: float) -> bool:
         """Return whether the host's lease has not expired at `now_s`."""
         return now_s < self.lease_until_s
@@ -265,6 +275,8 @@
         _check_type(answer, messages.HeartbeatAnswer)
         now_s = clocks.get_now_s()
         self._receive_sections(answer.sections, now_s)
+        for listener in self._answer_listeners:
+            listener(sent_s)
         if not self.is_leaving:
             if self.lease_until_s < now_s:
                 loguru.logger.info(
--- a/sedgeswitch/platform/client_edge.py
+++ b/sedgeswitch/platform/client_edge.py
@@ -230,7 +230,7 @@
             with trio.move_on_after(CONFIGURATION_WAIT_S):
                 await session.wait_for_document()
             try:
-                session.get_access()
+                session.open()
             except steps.FailedError as error:
                 await self._refuse(error.failure, error.detail)
                 return False
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -68,7 +68,11 @@
             nursery.start_soon(log.run)
             process = Process(path, settings, rng, log)
             await process.start(nursery)
-            loguru.logger.info("started", serves_control=settings.serves_control)
+            loguru.logger.info(
+                "started",
+                serves_control=settings.serves_control,
+                seeds=[str(seed) for seed in settings.seeds],
+            )
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -15,6 +15,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.observability import decisions
 from sedgeswitch.observability import exposition
+from sedgeswitch.observability import startup
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import failure_backoff
 from sedgeswitch.relay import freshness
@@ -51,6 +52,7 @@
     interrupter : interruption.Interrupter
     local_observations : LocalObservations
     decisions : decisions.DecisionLog
+    startup_times : startup.StartupTimes
     admit : callable
         ``await admit(organisation, deadline_s)`` returns once the organisation's rate
         limit allows one more operation; raises `verdicts.RefusedError` if it does not
@@ -67,6 +69,7 @@
     interrupter: interruption.Interrupter
     local_observations: "LocalObservations"
     decisions: decisions.DecisionLog
+    startup_times: startup.StartupTimes
     admit: Admit
     rng: random.Random
 
--- a/sedgeswitch/relay/session.py
+++ b/sedgeswitch/relay/session.py
@@ -72,12 +72,42 @@
         """Wait until this host, if just started, has received a document."""
         await self._components.databases.wait_for_document()
 
-    def get_access(self) -> accesses.Access:
-        """Return the access of the session's caller; see `access.check_access`."""
+    def open(self) -> None:
+        """Check that the caller may use the database; a refusal is logged.
+
+        Raises
+        ------
+        steps.FailedError
+            See `access.check_access`.
+        """
+        try:
+            self._get_access()
+        except steps.FailedError as error:
+            self._components.decisions.note(
+                f"session {error.failure.value[0]}",
+                trio.current_time(),
+                database=self._database_name,
+                **self._describe_configuration(),
+                detail=error.detail,
+            )
+            raise
+
+    def _get_access(self) -> accesses.Access:
         return accesses.check_access(
             self._components.databases, self._database_name, self._key
         )
 
+    def _describe_configuration(self) -> dict[str, int | None]:
+        """Return the version of the configuration, and its age if it is known."""
+        databases = self._components.databases
+        age_s = databases.get_age_s(clocks.get_now_s())
+        return {
+            "configuration": databases.document.version,
+            "configuration_age_ms": (
+                round(age_s * MS_PER_S) if math.isfinite(age_s) else None
+            ),
+        }
+
     async def run(self, step: steps.Step) -> steps.Outcome:
         """Run a step and return its final answer."""
         if self.is_failed and step.kind is not steps.Kind.ROLL_BACK:
@@ -95,6 +125,10 @@
                 # has no effect, whatever the failure of the statement says.
                 outcome = outcome._replace(failure=sessions.Failure.ABORTED)
         self._record_metrics(step, outcome, trio.current_time() - started_s)
+        if outcome.failure is not None or outcome.signature:
+            self._components.startup_times.record_statement(
+                outcome.failure is None, clocks.get_now_s()
+            )
         if outcome.failure is not None:
             self._log_failure(step, outcome, started_s, was_in_transaction)
         return outcome
@@ -122,7 +156,7 @@
             step=step.kind.value,
             database=self._database_name,
             in_transaction=was_in_transaction,
-            configuration=self._components.databases.document.version,
+            **self._describe_configuration(),
             table=self._components.groups.get_version(),
             waited_ms=round((now_s - started_s) * MS_PER_S),
             detail=outcome.detail,
@@ -183,7 +217,7 @@
 
     async def _admit(self, started_s: float) -> tuple[accesses.Access, float]:
         """Check access and admit one operation; return the access and the deadline."""
-        access = self.get_access()
+        access = self._get_access()
         deadline_s = self._get_deadline_s(access, started_s)
         self._components.observations.record_group_use(
             access.database.group, clocks.get_now_s()
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -17,6 +17,7 @@
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.membership import directory
 from sedgeswitch.observability import decisions
+from sedgeswitch.observability import startup
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
@@ -252,6 +253,7 @@
             interruption.Interrupter(self.groups),
             context.LocalObservations(self.groups),
             decisions.DecisionLog(),
+            startup.StartupTimes(0.0),
             self.admit,
             random.Random(0),
         )
--- a/sedgeswitch/relay/tests/test_sessions.py
+++ b/sedgeswitch/relay/tests/test_sessions.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import loguru
 import trio
 
 from sedgeswitch import verdicts
@@ -388,3 +389,24 @@
             self.assertEqual(builders.ORGANISATION, organisation)
 
         run_in_world(body)
+
+
+class RefusedSessionTest(unittest.TestCase):
+    """Guards against refusals of connections that leave no trace in the logs."""
+
+    def test_refusal_is_logged_with_the_age_of_the_configuration(self):
+        records = []
+
+        async def body(world):
+            world.databases.confirm(trio.current_time())
+            await trio.sleep(0.25)
+            with self.assertRaises(steps.FailedError):
+                world.build_session("unknown").open()
+
+        sink = loguru.logger.add(lambda message: records.append(message.record))
+        self.addCleanup(loguru.logger.remove, sink)
+        run_in_world(body)
+        found = [item for item in records if item["message"].startswith("session")]
+        self.assertEqual("session unknown_database", found[0]["message"])
+        self.assertEqual(250, found[0]["extra"]["configuration_age_ms"])
+        self.assertEqual("unknown", found[0]["extra"]["database"])
