Replace a voter that is gone before its loss stops counting

Callers saw, in virtual time: after a voter had ended for good and its successor had had its time to catch up, the loss of two more disks left no quorum for ever.

Cause: the leader replaced a voter 6 s after its last contact. A new leader counts from its start, so that a lost leader was replaced 7.7 s after its loss, or 8.7 s after the start of a successor that started first.

Change: the limit is a setting; the adapter takes a third of the time to catch up, 2 s where it is 6 s. A voter that restarts slowly gives its place to a host that waits for one.

--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -20,9 +20,9 @@
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import clocks
 
-# Time without contact after which a voter may be replaced by a host that requests to
-# join, in seconds; longer than a restart takes.
-UNRESPONSIVE_LIMIT_S = 6.0
+# Default time without contact after which a voter may be replaced by a host that
+# requests to join, in seconds.
+UNRESPONSIVE_LIMIT_S = 2.0
 # Age at which a join request expires, in seconds.
 REQUEST_MAX_AGE_S = 3.0
 # Interval at which the leader looks for a change to make, and at which a host that is
@@ -55,11 +55,21 @@
     node : node.Node
     voter_count : int
         Number of voters up to which hosts that request to join are added.
+    unresponsive_limit_s : float
+        Time without contact after which a voter may be replaced. Until it is replaced,
+        the voters bear one loss less. A new leader counts from its start, so that the
+        replacement follows a loss by this time, an election and the change itself.
     """
 
-    def __init__(self, node: node_module.Node, voter_count: int):
+    def __init__(
+        self,
+        node: node_module.Node,
+        voter_count: int,
+        unresponsive_limit_s: float = UNRESPONSIVE_LIMIT_S,
+    ):
         self._node = node
         self._voter_count = voter_count
+        self._unresponsive_limit_s = unresponsive_limit_s
         self._requests: dict[str, _Request] = {}
 
     async def answer_join(self, request: messages.JoinRequest) -> messages.JoinReply:
@@ -125,7 +135,7 @@
             unresponsive_s = (
                 leading_for_s if voter.contact_age_s is None else voter.contact_age_s
             )
-            if unresponsive_s >= UNRESPONSIVE_LIMIT_S:
+            if unresponsive_s >= self._unresponsive_limit_s:
                 return _Change(voter.id, *joining_host)
         if len(addresses) < self._voter_count:
             return _Change(None, *joining_host)
--- a/sedgeswitch/agreement/tests/builders.py
+++ b/sedgeswitch/agreement/tests/builders.py
@@ -23,6 +23,8 @@
 
 MACHINE_NAME = "recorder"
 LEADER_TIMEOUT_S = 30.0
+# Uptime of a process when its host of the log starts, in seconds.
+STARTUP_S = 0.4
 # A file system in memory makes syncs fast; only the files' content matters here.
 MEMORY_FOLDER = "/dev/shm" if pathlib.Path("/dev/shm").is_dir() else None
 
@@ -165,8 +167,11 @@
         self._overrides = overrides
         self._bootstrap = ()
 
-    async def bootstrap(self, *node_ids):
+    def set_founders(self, *node_ids):
         self._bootstrap = tuple(build_voter(node_id) for node_id in node_ids)
+
+    async def bootstrap(self, *node_ids):
+        self.set_founders(*node_ids)
         for node_id in node_ids:
             await self.start(node_id)
         return await self.wait_for_leader()
--- a/sedgeswitch/agreement/tests/test_joining.py
+++ b/sedgeswitch/agreement/tests/test_joining.py
@@ -7,6 +7,7 @@
 from sedgeswitch.agreement import joining
 from sedgeswitch.agreement import messages
 from sedgeswitch.agreement.tests import builders
+from sedgeswitch.agreement.tests import joining_builders
 
 
 async def send_join_request(manager, cluster, node_id):
@@ -96,3 +97,61 @@
             self.assertIn(lost, node.get_voter_addresses())
 
         self.run_with_manager(3, scenario)
+
+
+# Two hosts of five voters may be lost at once. A host that is gone for good no longer
+# counts as lost once its successor has had this time to catch up.
+CATCH_UP_S = 6.0
+SUCCESSOR_DELAY_S = 1.0
+FIVE = ("n1", "n2", "n3", "n4", "n5")
+
+
+class SecondLossTest(unittest.TestCase):
+    """Guards against a quorum that is lost for good after a voter was replaced late.
+
+    A voter ends for good and its successor starts. After the time to catch up, two
+    further voters lose their disks, and all hosts lose power.
+    """
+
+    def run_with_seeds(self, lose_voter):
+        async def run_once(cluster):
+            async with trio.open_nursery() as nursery:
+                hosts = joining_builders.JoiningCluster(
+                    cluster, nursery, 5, unresponsive_limit_s=CATCH_UP_S / 3
+                )
+                await hosts.bootstrap(FIVE[:3], (*FIVE[3:], "n6"))
+                await cluster.propose_many(5)
+                await lose_voter(cluster, hosts)
+                await self._lose_two_disks(cluster, hosts)
+                nursery.cancel_scope.cancel()
+
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                builders.run_cluster(run_once, seed)
+
+    async def _lose_two_disks(self, cluster, hosts):
+        await cluster.propose_many(1, "last")
+        voters = sorted(await hosts.get_voters() & cluster.hosts.keys())
+        await hosts.restart_all(0.6, without_disk=cluster.rng.sample(voters, 2))
+        leader = await cluster.wait_for_leader()
+        await cluster.hosts[leader].node.read_barrier(5.0)
+        cluster.check_outcomes([leader])
+
+    def test_leader_that_is_gone_is_replaced_before_two_disks_are_lost(self):
+        async def lose_voter(cluster, hosts):
+            await hosts.kill(cluster.get_leader())
+            await trio.sleep(SUCCESSOR_DELAY_S)
+            await hosts.start("n7")
+            await trio.sleep(CATCH_UP_S)
+
+        self.run_with_seeds(lose_voter)
+
+    def test_voter_that_ends_after_its_successor_started_is_replaced_in_time(self):
+        async def lose_voter(cluster, hosts):
+            leaving = cluster.get_leader()
+            await hosts.start("n7")
+            await trio.sleep(SUCCESSOR_DELAY_S)
+            await hosts.kill(leaving)
+            await trio.sleep(CATCH_UP_S - SUCCESSOR_DELAY_S)
+
+        self.run_with_seeds(lose_voter)
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -62,6 +62,8 @@
         Initial addresses of the control hosts, by their ids.
     voter_count : int
         Number of voters up to which control hosts that request to join are added.
+    unresponsive_limit_s : float
+        Time without contact after which such a host replaces a voter.
     """
 
     node: agreement_settings.NodeSettings
@@ -72,6 +74,7 @@
     peers: peer.Address
     control_addresses: collections.abc.Mapping[str, peer.Address]
     voter_count: int
+    unresponsive_limit_s: float
 
 
 class RelayControl(control_core.ControlCore):
@@ -133,7 +136,9 @@
             self.servers, self.directory, self.node.propose, self.is_leading
         )
         self.control_peers = heartbeat_client.ControlPeers(options.control_addresses)
-        self._voter_manager = joining.VoterManager(self.node, options.voter_count)
+        self._voter_manager = joining.VoterManager(
+            self.node, options.voter_count, options.unresponsive_limit_s
+        )
         self._join_requester = joining.JoinRequester(
             self.node,
             messages.JoinRequest(options.node.node_id, *options.peers),
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -198,6 +198,7 @@
             peer.Address(settings.ip, port),
             settings.control_peers,
             settings.voter_count,
+            settings.unresponsive_limit_s,
         )
         self._control = relay_control.RelayControl(
             options,
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -16,6 +16,11 @@
 SERVES_CONTROL = "control"
 # Voters where there are enough control hosts.
 MIN_VOTERS = 5
+# Part of the time to catch up after which a voter without contact is replaced. The rest
+# is for an election, the change of the voters and a successor that starts first.
+UNRESPONSIVE_SHARE = 1 / 3
+# Several heartbeats of a leader may be lost without a reason to replace a voter.
+MIN_UNRESPONSIVE_LIMIT_S = 1.0
 # Offsets of the ports of the control role and of the entry role from the first of the
 # host's internal ports.
 CONTROL_PORT_INDEX = 0
@@ -32,6 +37,9 @@
     quotaOverage: float
     # Further requests in a window that are tolerated on top of quotaOverage.
     quotaSlack: float
+    # Time after its start at which the successor of a lost control host must be able to
+    # stand in for it, so that others may be lost.
+    catchUpS: float
 
 
 class _Tolerance(typing.TypedDict, total=False):
@@ -94,6 +102,9 @@
         Tolerated excess over the limits of organisations.
     tolerated_losses : int
         Number of control hosts that may fail at the same time.
+    catch_up_s : float
+        Time after its start at which the successor of a lost control host must be able
+        to stand in for it.
     """
 
     host_name: str
@@ -113,6 +124,7 @@
     promotions: peer.Address | None
     tolerance: relay_groups.Tolerance
     tolerated_losses: int
+    catch_up_s: float
 
     @property
     def voter_count(self) -> int:
@@ -122,6 +134,11 @@
         """
         return max(2 * self.tolerated_losses + 1, MIN_VOTERS)
 
+    @property
+    def unresponsive_limit_s(self) -> float:
+        """Time without contact after which another control host replaces a voter."""
+        return max(self.catch_up_s * UNRESPONSIVE_SHARE, MIN_UNRESPONSIVE_LIMIT_S)
+
     @property
     def control_id(self) -> str:
         """Control host id of this process."""
@@ -139,6 +156,8 @@
 
 # Default of `PlatformSettings.grace_s`, in seconds.
 _DEFAULT_GRACE_S = 6.0
+# Default of `PlatformSettings.catch_up_s`, in seconds.
+_DEFAULT_CATCH_UP_S = 6.0
 
 
 def build_control_id(ip: str) -> str:
@@ -212,6 +231,7 @@
             bounds.get("quotaSlack", 0.0),
         ),
         tolerated_losses=document.get("faultTolerance", {}).get("machines", 1),
+        catch_up_s=bounds.get("catchUpS", _DEFAULT_CATCH_UP_S),
     )
 
 
