Send the log to a voter that was removed and is added again

Callers see nothing at first: a change of the voters hangs for 5 s and is tried again without end, and until it succeeds no other voter can be replaced. The next lost disks may then leave no quorum, so that neither the configuration nor service comes back.

Cause: the leader starts the tasks that serve a peer once for each key. The tasks end when the peer is removed, but its key stayed in the set of those that are served. A voter that was replaced while it was dark, and that returned under the same leader, received neither entries nor heartbeats when it was added again.

Evidence: found when a test of returning voters did not end; in its log 'changing the voters' stands without 'voters changed' until the leader has lost its quorum.

Change: the tasks belong to the progress of a peer, which is a new object for each time that the peer is added.

--- a/sedgeswitch/agreement/replication.py
+++ b/sedgeswitch/agreement/replication.py
@@ -42,10 +42,9 @@
                 await self._state.role_changed.wait()
 
     async def _lead(self, term: int) -> None:
-        served_keys = set()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._track_local_syncs, term)
-            nursery.start_soon(self._serve_new_peers, term, served_keys, nursery)
+            nursery.start_soon(self._serve_new_peers, term, nursery)
             while self._state.is_leading(term):
                 await self._state.role_changed.wait()
             nursery.cancel_scope.cancel()
@@ -57,43 +56,41 @@
             self._leave_joint_consensus()
             await self._state.writer.wait_for_next_sync()
 
-    async def _serve_new_peers(
-        self, term: int, served_keys: set, nursery: trio.Nursery
-    ) -> None:
-        """Start the tasks of each peer, also of those added later."""
+    async def _serve_new_peers(self, term: int, nursery: trio.Nursery) -> None:
+        """Start the tasks of each peer, also of those added later.
+
+        A peer that is removed and added again has a new progress, and new tasks.
+        """
+        served: dict[str, state_module.Progress] = {}
         while self._state.is_leading(term):
             for member in self._state.peers:
-                if member.key not in served_keys:
-                    served_keys.add(member.key)
-                    nursery.start_soon(self._send_log, member, term)
-                    nursery.start_soon(self._send_heartbeats, member, term)
+                progress = self._state.progress[member.key]
+                if served.get(member.key) is not progress:
+                    served[member.key] = progress
+                    nursery.start_soon(self._send_log, member, term, progress)
+                    nursery.start_soon(self._send_heartbeats, member, term, progress)
             await self._state.log_appended.wait()
 
-    def _get_progress(
-        self, member: voters.Member, term: int
-    ) -> state_module.Progress | None:
-        """Return the progress of a peer.
-
-        Returns
-        -------
-        state.Progress or None
-            None if the peer was removed or the leadership in the term has ended.
-        """
+    def _is_current(
+        self, member: voters.Member, term: int, progress: state_module.Progress
+    ) -> bool:
+        """Return whether this host still leads and the peer was not removed."""
         if not self._state.is_leading(term):
-            return None
-        return self._state.progress.get(member.key)
+            return False
+        return self._state.progress.get(member.key) is progress
 
-    async def _send_heartbeats(self, member: voters.Member, term: int) -> None:
+    async def _send_heartbeats(
+        self, member: voters.Member, term: int, progress: state_module.Progress
+    ) -> None:
         async with trio.open_nursery() as nursery:
-            while self._get_progress(member, term) is not None:
-                nursery.start_soon(self._send_heartbeat, member, term)
+            while self._is_current(member, term, progress):
+                nursery.start_soon(self._send_heartbeat, member, term, progress)
                 with trio.move_on_after(self._settings.heartbeat_interval_s):
                     await self._heartbeats_requested.wait()
 
-    async def _send_heartbeat(self, member: voters.Member, term: int) -> None:
-        progress = self._get_progress(member, term)
-        if progress is None:
-            return
+    async def _send_heartbeat(
+        self, member: voters.Member, term: int, progress: state_module.Progress
+    ) -> None:
         sent_s = clocks.get_now_s()
         request = messages.HeartbeatRequest(
             term,
@@ -108,10 +105,12 @@
             if error.code == state_module.WRONG_INCARNATION:
                 progress.has_wrong_incarnation = True
             return
-        self._process_reply(member, term, reply.term, sent_s)
+        self._process_reply(member, term, progress, reply.term, sent_s)
 
-    async def _send_log(self, member: voters.Member, term: int) -> None:
-        while (progress := self._get_progress(member, term)) is not None:
+    async def _send_log(
+        self, member: voters.Member, term: int, progress: state_module.Progress
+    ) -> None:
+        while self._is_current(member, term, progress):
             try:
                 if self._lacks_compacted_entries(progress):
                     await self._send_snapshot(member, term, progress)
@@ -158,7 +157,7 @@
         sent_s = clocks.get_now_s()
         timeout_s = self._settings.election_timeout_min_s
         reply = await self._network.call(member.address, request, timeout_s)
-        if self._process_reply(member, term, reply.term, sent_s):
+        if self._process_reply(member, term, progress, reply.term, sent_s):
             self._process_append_reply(progress, reply)
 
     def _process_append_reply(
@@ -176,7 +175,12 @@
             progress.next_index = max(hint, progress.match_index + 1, 1)
 
     def _process_reply(
-        self, member: voters.Member, term: int, reply_term: int, sent_s: float
+        self,
+        member: voters.Member,
+        term: int,
+        progress: state_module.Progress,
+        reply_term: int,
+        sent_s: float,
     ) -> bool:
         """Record a reply and its term.
 
@@ -186,7 +190,7 @@
             Whether this host is still the leader in `term` and the peer a member.
         """
         self._state.adopt_term(reply_term)
-        if self._get_progress(member, term) is None:
+        if not self._is_current(member, term, progress):
             return False
         snapshots.record_contact(self._state, member.key, sent_s)
         return True
--- a/sedgeswitch/agreement/tests/test_faults.py
+++ b/sedgeswitch/agreement/tests/test_faults.py
@@ -358,6 +358,32 @@
         builders.run_cluster(body)
 
 
+class ReturningVoterTest(unittest.TestCase):
+    """Guards against changes of the voters that never end.
+
+    A leader that had removed a voter sent it nothing after its return.
+    """
+
+    def test_replaced_voter_becomes_a_voter_again_under_the_same_leader(self):
+        async def body(cluster):
+            leader = await cluster.bootstrap(*THREE)
+            replace = cluster.hosts[leader].node.replace_voter
+            old = next(name for name in THREE if name != leader)
+            await cluster.kill(old)
+            await cluster.start("c4")
+            await replace(old, "c4", builders.build_address("c4"), 5.0)
+            await cluster.propose_many(5)
+            await trio.sleep(2.0)
+            await cluster.start(old)
+            await cluster.kill("c4")
+            await replace("c4", old, builders.build_address(old), 5.0)
+            self.assertEqual(leader, cluster.get_leader())
+            await cluster.wait_until_caught_up([old])
+            cluster.check_outcomes([old])
+
+        builders.run_cluster(body)
+
+
 class RestartTest(unittest.TestCase):
     def test_restart_after_500_entries_loads_a_snapshot_and_few_entries(self):
         async def body(cluster):
