Let control hosts that are no voters find and name the leader

Callers of a host whose settings name only hosts without a vote, or hosts that are gone, were refused until the next change of the settings: the host had no lease and never got one. Control hosts in that position never joined, so that lost voters were not replaced, and the next lost disks left no quorum.

Cause: only hosts that hear from the leader could name it, and a host that is no voter hears from nobody. A host that requests to join asked only the hosts in its settings, although its log may name voters that are alive.

Change: a host that requests to join also asks the voters in its log, and names the leader that answered to whoever asks it, entry hosts, operators and instances included, until a request fails or it is a voter.

--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -151,6 +151,27 @@
         return None
 
 
+class KnownHosts(typing.Protocol):
+    """The control hosts that a host knows, of which one may be the leader."""
+
+    async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
+        """Send a request to the host that is assumed to lead.
+
+        Raises
+        ------
+        failures.CallError
+            If it did not answer or does not lead; the next call goes to another one.
+        """
+
+    def add_addresses(
+        self, addresses: collections.abc.Mapping[str, peer.Address]
+    ) -> None:
+        """Add control hosts by their ids, or replace the addresses of known ones."""
+
+    def get_leader(self) -> leader_hints.Hint | None:
+        """Return the host that answered the last call; None if it failed."""
+
+
 class JoinRequester:
     """Sends join requests while this host is no active voter.
 
@@ -159,21 +180,18 @@
     node : node.Node
     identity : messages.JoinRequest
         The request that this host sends.
-    call : callable
-        ``await call(message, timeout_s)`` sends a request to the leader.
+    known_hosts : KnownHosts
     """
 
     def __init__(
         self,
         node: node_module.Node,
         identity: messages.JoinRequest,
-        call: collections.abc.Callable[
-            [typing.Any, float], collections.abc.Awaitable[typing.Any]
-        ],
+        known_hosts: KnownHosts,
     ):
         self._node = node
         self._identity = identity
-        self._call = call
+        self._known_hosts = known_hosts
         self._logged_reason = ""
 
     async def run(self) -> None:
@@ -181,12 +199,15 @@
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             if self._node.is_active_voter(clocks.get_now_s()):
+                self._node.record_found_leader(None)
                 continue
+            self._known_hosts.add_addresses(self._node.get_voter_addresses())
             try:
-                await self._call(self._identity, CALL_TIMEOUT_S)
+                await self._known_hosts.call(self._identity, CALL_TIMEOUT_S)
                 self._log_failure("")
             except failures.CallError as error:
                 self._log_failure(error.code)
+            self._node.record_found_leader(self._known_hosts.get_leader())
 
     def _log_failure(self, reason: str) -> None:
         """Log why no leader has received the join request, once for each reason."""
--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -21,6 +21,7 @@
 from sedgeswitch.agreement import state_machines
 from sedgeswitch.agreement import storage as storage_module
 from sedgeswitch.agreement import writer as writer_module
+from sedgeswitch.transport import leader_hints
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import checks
 from sedgeswitch.utils import clocks
@@ -152,13 +153,21 @@
         self._damage = ""
         self._leadership = Leadership(0, 0.0)
         self._state: state_module.State | None = None
+        self._found_leader: leader_hints.Hint | None = None
         self._replication: replication.Replication | None = None
         self._reconfiguration: reconfiguration.Reconfiguration | None = None
 
     @property
     def leader_id(self) -> str | None:
-        """Id of the leader last recorded on this host; None if there is none."""
-        return self._state.leader_id if self._state else None
+        """Id of the leader last recorded on this host; None if there is none.
+
+        A host that hears from no leader, since it is no voter, returns the one that it
+        has found itself.
+        """
+        recorded_id = self._state.leader_id if self._state else None
+        if recorded_id is None and self._found_leader is not None:
+            return self._found_leader.host_id
+        return recorded_id
 
     @property
     def is_leader(self) -> bool:
@@ -167,14 +176,24 @@
 
     @property
     def leader_address(self) -> peer.Address | None:
-        """Address of the leader last recorded on this host; None if there is none."""
+        """Address of the leader with `leader_id`; None if it is not known."""
+        leader_id, found = self.leader_id, self._found_leader
+        if found is not None and found.host_id == leader_id:
+            return found.address
         if self._state is None or self._state.log.voter_set is None:
             return None
         for member in self._state.log.voter_set.members:
-            if member.id == self._state.leader_id:
-                return peer.Address(member.host, member.port)
+            if member.id == leader_id:
+                return member.address
         return None
 
+    def record_found_leader(self, leader: leader_hints.Hint | None) -> None:
+        """Record the leader that a request of this host has reached, None without one.
+
+        Other hosts that ask this one are directed to it.
+        """
+        self._found_leader = leader
+
     @property
     def commit_index(self) -> int:
         """Index up to which this host has recorded the entries as committed."""
--- a/sedgeswitch/agreement/tests/joining_builders.py
+++ b/sedgeswitch/agreement/tests/joining_builders.py
@@ -7,9 +7,50 @@
 from sedgeswitch.agreement import messages
 from sedgeswitch.agreement.tests import builders
 from sedgeswitch.transport import failures
+from sedgeswitch.transport import leader_hints
 
-# Pause of a host that finds no leader, in seconds.
-_RETRY_S = 0.05
+# Round trip of a call to another host, in seconds.
+_ROUND_TRIP_S = 0.02
+
+
+class KnownHosts:
+    """The control hosts that one host knows, which it asks for the leader in turn.
+
+    Parameters
+    ----------
+    fleet : JoiningCluster
+    names : sequence of str
+        Names of the first known hosts.
+    """
+
+    def __init__(self, fleet, names):
+        self._fleet = fleet
+        self._names = list(names)
+        self._answered = None
+
+    def add_addresses(self, addresses):
+        self._names += [name for name in addresses if name not in self._names]
+
+    def get_leader(self):
+        return self._answered
+
+    async def call(self, request, timeout_s):
+        self._answered = None
+        for name in list(self._names):
+            await trio.sleep(_ROUND_TRIP_S)
+            manager = self._fleet.managers.get(name)
+            if manager is None:
+                continue
+            try:
+                reply = await manager.answer_join(request)
+            except failures.CallError as error:
+                hint = leader_hints.decode_hint(error.detail)
+                if hint is not None and hint.host_id not in self._names:
+                    self._names.insert(0, hint.host_id)
+                continue
+            self._answered = leader_hints.Hint(name, builders.build_address(name))
+            return reply
+        raise failures.CallError("unreachable", "", verdicts.Verdict.NOT_RUN)
 
 
 class JoiningCluster:
@@ -29,11 +70,13 @@
         self._nursery = nursery
         self._voter_count = voter_count
         self._options = options
-        self._managers = {}
+        self.managers = {}
         self._scopes = {}
+        self._founders = ()
 
     async def bootstrap(self, founders, others=()):
         """Start the founders and further hosts, and wait for all voters."""
+        self._founders = founders
         self.cluster.set_founders(*founders)
         for name in (*founders, *others):
             await self.start(name)
@@ -41,14 +84,16 @@
             while len(await self.get_voters()) < self._voter_count:
                 await trio.sleep(0.1)
 
-    async def start(self, name):
+    async def start(self, name, known=()):
+        """Start a host that knows the given control hosts, by default the founders."""
         await self.cluster.start(name, uptime_s=builders.STARTUP_S)
         node = self.cluster.hosts[name].node
         manager = joining.VoterManager(node, self._voter_count, **self._options)
         identity = messages.JoinRequest(name, *builders.build_address(name))
-        requester = joining.JoinRequester(node, identity, self._call_leader)
+        known_hosts = KnownHosts(self, known or self._founders)
+        requester = joining.JoinRequester(node, identity, known_hosts)
         scope = self._scopes[name] = trio.CancelScope()
-        self._managers[name] = manager
+        self.managers[name] = manager
 
         async def run():
             with scope:
@@ -60,12 +105,12 @@
 
     async def kill(self, name):
         self._scopes.pop(name).cancel()
-        del self._managers[name]
+        del self.managers[name]
         await self.cluster.kill(name)
 
     async def restart_all(self, down_s, without_disk=()):
         """Kill all hosts at once and start them again, some with an empty disk."""
-        names = list(self._managers)
+        names = list(self.managers)
         for name in names:
             await self.kill(name)
         for name in without_disk:
@@ -77,10 +122,3 @@
     async def get_voters(self):
         leader = await self.cluster.wait_for_leader()
         return set(self.cluster.hosts[leader].node.get_voter_addresses())
-
-    async def _call_leader(self, request, timeout_s):
-        with trio.move_on_after(timeout_s):
-            while (leader := self.cluster.get_leader()) is None:
-                await trio.sleep(_RETRY_S)
-            return await self._managers[leader].answer_join(request)
-        raise failures.CallError("timeout", "no leader", verdicts.Verdict.NOT_RUN)
--- a/sedgeswitch/agreement/tests/test_joining.py
+++ b/sedgeswitch/agreement/tests/test_joining.py
@@ -155,3 +155,64 @@
             await trio.sleep(CATCH_UP_S - SUCCESSOR_DELAY_S)
 
         self.run_with_seeds(lose_voter)
+
+
+class FindingLeaderTest(unittest.TestCase):
+    """Guards against a cluster that is not repaired because hosts find no leader.
+
+    The hosts in the settings of a control host may all have been replaced, or may be
+    no voters.
+    """
+
+    def run_with_hosts(self, scenario):
+        async def body(cluster):
+            async with trio.open_nursery() as nursery:
+                hosts = joining_builders.JoiningCluster(cluster, nursery, 3)
+                await hosts.bootstrap(FIVE[:3])
+                await scenario(cluster, hosts)
+                nursery.cancel_scope.cancel()
+
+        builders.run_cluster(body)
+
+    def test_host_that_is_no_voter_names_the_leader(self):
+        async def scenario(cluster, hosts):
+            await hosts.start("n4")
+            await trio.sleep(2.0)
+            leader = cluster.get_leader()
+            node = cluster.hosts["n4"].node
+            self.assertEqual(leader, node.leader_id)
+            self.assertEqual(builders.build_address(leader), node.leader_address)
+            self.assertFalse(node.is_leader)
+            await hosts.kill(leader)
+            await trio.sleep(4.0)
+            self.assertEqual(cluster.get_leader(), node.leader_id)
+
+        self.run_with_hosts(scenario)
+
+    def test_host_that_knows_no_voter_finds_the_leader(self):
+        async def scenario(cluster, hosts):
+            await hosts.start("n4")
+            await trio.sleep(2.0)
+            await hosts.start("n5", known=("n4",))
+            await trio.sleep(2.0)
+            self.assertNotIn("n4", await hosts.get_voters())
+            leader = cluster.get_leader()
+            self.assertEqual(leader, cluster.hosts["n5"].node.leader_id)
+
+        self.run_with_hosts(scenario)
+
+    def test_replaced_voter_returns_through_the_voters_in_its_log(self):
+        async def scenario(cluster, hosts):
+            leader = cluster.get_leader()
+            old, other = (name for name in FIVE[:3] if name != leader)
+            await hosts.kill(old)
+            await hosts.start("n4")
+            await trio.sleep(4.0)
+            self.assertNotIn(old, await hosts.get_voters())
+            # The only host that its settings name is gone.
+            await hosts.start(old, known=("n9",))
+            await hosts.kill(other)
+            await trio.sleep(4.0)
+            self.assertIn(old, await hosts.get_voters())
+
+        self.run_with_hosts(scenario)
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -142,7 +142,7 @@
         self._join_requester = joining.JoinRequester(
             self.node,
             messages.JoinRequest(options.node.node_id, *options.peers),
-            self.control_peers.call,
+            self.control_peers,
         )
         peer_server.register_handler(
             messages.JoinRequest, self._voter_manager.answer_join
--- a/sedgeswitch/membership/heartbeat_client.py
+++ b/sedgeswitch/membership/heartbeat_client.py
@@ -109,6 +109,13 @@
             self._handle_failure(host_id, error)
             raise
 
+    def get_leader(self) -> leader_hints.Hint | None:
+        """Return the control host that answered the last call; None if it failed."""
+        host_id = self._last_answered_id
+        if host_id != self._order[0]:
+            return None
+        return leader_hints.Hint(host_id, self._peers[host_id].address)
+
     def add_addresses(
         self, addresses: collections.abc.Mapping[str, peer.Address]
     ) -> None:
