Try other changes of the voters when one of them fails

Callers see nothing until the next loss: while a host with an empty disk was dark, or a host that waits to join could not take the log, no other voter was replaced.

Cause: the leader made the first change in its list, again and again, and one attempt took up to 5 s.

Change: the due changes take turns, the one whose last attempt is the longest ago first; an attempt ends after 2 s, and the next one goes on from what the host has received.

--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import math
 import typing
 
 import loguru
@@ -28,7 +29,9 @@
 # Interval at which the leader looks for a change to make, and at which a host that is
 # no voter sends its join request, in seconds.
 CHECK_INTERVAL_S = 0.5
-CHANGE_TIMEOUT_S = 5.0
+# Longest time for one change, in seconds. A host that needs longer to receive the log
+# has more of it at the next attempt.
+CHANGE_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 1.0
 
 
@@ -71,6 +74,8 @@
         self._voter_count = voter_count
         self._unresponsive_limit_s = unresponsive_limit_s
         self._requests: dict[str, _Request] = {}
+        # Times of the last attempts of changes that are still due.
+        self._attempted_s: dict[_Change, float] = {}
 
     async def answer_join(self, request: messages.JoinRequest) -> messages.JoinReply:
         """Record a join request; the reply says whether the host is a voter.
@@ -99,7 +104,8 @@
         """Make the changes that are due, one at a time, until cancelled."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
-            change = self._find_change(clocks.get_now_s())
+            now_s = clocks.get_now_s()
+            change = self._choose_change(self._find_changes(now_s), now_s)
             if change is None:
                 continue
             loguru.logger.info("changing the voters", **change._asdict())
@@ -117,38 +123,63 @@
                 change.old_id, change.new_id, change.address, CHANGE_TIMEOUT_S
             )
 
-    def _find_change(self, now_s: float) -> "_Change | None":
+    def _choose_change(
+        self, changes: "list[_Change]", now_s: float
+    ) -> "_Change | None":
+        """Return the change whose last attempt is the longest ago, None without one.
+
+        A change that cannot succeed now must not keep the others from being made.
+        """
+        self._attempted_s = {
+            change: attempted_s
+            for change, attempted_s in self._attempted_s.items()
+            if change in changes
+        }
+        if not changes:
+            return None
+        chosen = min(changes, key=lambda item: self._attempted_s.get(item, -math.inf))
+        self._attempted_s[chosen] = now_s
+        return chosen
+
+    def _find_changes(self, now_s: float) -> "list[_Change]":
+        """Return the changes that are due, the preferred ones first."""
         leadership = self._node.get_leadership(now_s)
         if leadership is None:
-            return None
+            return []
         addresses = self._node.get_voter_addresses()
-        status = self._node.get_status(now_s)
-        voters = [item for item in status.peers if item.is_voter]
-        for voter in voters:
-            if voter.is_replaced and voter.id in addresses:
-                return _Change(voter.id, voter.id, addresses[voter.id])
-        joining_host = self._find_joining_host(addresses, now_s)
-        if joining_host is None:
-            return None
+        voters = [item for item in self._node.get_status(now_s).peers if item.is_voter]
+        changes = [
+            _Change(voter.id, voter.id, addresses[voter.id])
+            for voter in voters
+            if voter.is_replaced and voter.id in addresses
+        ]
+        joining_hosts = self._find_joining_hosts(addresses, now_s)
         leading_for_s = now_s - leadership.started_s
-        for voter in voters:
-            unresponsive_s = (
-                leading_for_s if voter.contact_age_s is None else voter.contact_age_s
-            )
-            if unresponsive_s >= self._unresponsive_limit_s:
-                return _Change(voter.id, *joining_host)
+        changes += [
+            _Change(voter.id, *host)
+            for voter in voters
+            if self._is_unresponsive(voter, leading_for_s)
+            for host in joining_hosts
+        ]
         if len(addresses) < self._voter_count:
-            return _Change(None, *joining_host)
-        return None
+            changes += [_Change(None, *host) for host in joining_hosts]
+        return changes
+
+    def _is_unresponsive(
+        self, voter: node_module.PeerStatus, leading_for_s: float
+    ) -> bool:
+        age_s = voter.contact_age_s
+        return (leading_for_s if age_s is None else age_s) >= self._unresponsive_limit_s
 
-    def _find_joining_host(
+    def _find_joining_hosts(
         self, addresses: collections.abc.Mapping[str, peer.Address], now_s: float
-    ) -> tuple[str, peer.Address] | None:
-        for node_id, request in self._requests.items():
-            is_fresh = now_s - request.received_s < REQUEST_MAX_AGE_S
-            if is_fresh and node_id not in addresses:
-                return node_id, request.address
-        return None
+    ) -> list[tuple[str, peer.Address]]:
+        return [
+            (node_id, request.address)
+            for node_id, request in self._requests.items()
+            if now_s - request.received_s < REQUEST_MAX_AGE_S
+            and node_id not in addresses
+        ]
 
 
 class KnownHosts(typing.Protocol):
--- a/sedgeswitch/agreement/tests/test_joining.py
+++ b/sedgeswitch/agreement/tests/test_joining.py
@@ -216,3 +216,55 @@
             self.assertIn(old, await hosts.get_voters())
 
         self.run_with_hosts(scenario)
+
+
+class StuckChangeTest(unittest.TestCase):
+    """Guards against one change that cannot succeed and keeps all others from it."""
+
+    def run_with_hosts(self, scenario):
+        async def body(cluster):
+            async with trio.open_nursery() as nursery:
+                hosts = joining_builders.JoiningCluster(cluster, nursery, 5)
+                await hosts.bootstrap(FIVE[:3], FIVE[3:])
+                leader = cluster.get_leader()
+                await scenario(hosts, [name for name in FIVE if name != leader])
+                nursery.cancel_scope.cancel()
+
+        builders.run_cluster(body)
+
+    async def _wait_until_admitted(self, hosts, name):
+        with trio.fail_after(10):
+            while True:
+                host = hosts.cluster.hosts.get(name)
+                if host.node.get_status(trio.current_time()).is_admitted:
+                    return
+                await trio.sleep(0.1)
+
+    def test_empty_host_becomes_a_voter_while_another_empty_one_is_dark(self):
+        async def scenario(hosts, followers):
+            dark, lost = followers[:2]
+            await hosts.kill(dark)
+            hosts.cluster.lose_disk(dark)
+            await hosts.start(dark)
+            # Long enough for a heartbeat of the leader, which finds the empty disk.
+            await trio.sleep(0.2)
+            hosts.cluster.network.isolate(dark)
+            await hosts.kill(lost)
+            hosts.cluster.lose_disk(lost)
+            await hosts.start(lost)
+            await self._wait_until_admitted(hosts, lost)
+
+        self.run_with_hosts(scenario)
+
+    def test_second_joining_host_is_tried_if_the_first_cannot_catch_up(self):
+        async def scenario(hosts, followers):
+            await hosts.start("n6")
+            endpoint = hosts.cluster.network.endpoints[builders.build_address("n6")]
+            del endpoint.handlers[messages.SnapshotRequest]
+            await trio.sleep(2.0)
+            await hosts.start("n7")
+            await trio.sleep(2.0)
+            await hosts.kill(followers[0])
+            await self._wait_until_admitted(hosts, "n7")
+
+        self.run_with_hosts(scenario)
