--- a/sedgeswitch/agreement/log.py
+++ b/sedgeswitch/agreement/log.py
@@ -68,9 +68,13 @@
         return self._voter_sets[-1][0] if self._voter_sets else 0
 
     def get_term(self, index: int) -> int | None:
-        """Return the term of an entry, or None if the entry is not in the log."""
+        """Return the term of an entry, or None if the entry is not in the log.
+
+        Index 0 stands for the start of the log and has the term 0. Like any other, it
+        is no longer in the log once the first entries are replaced by a snapshot.
+        """
         if index == 0:
-            return 0
+            return 0 if self.first_index == 1 else None
         position = index - self.first_index
         if 0 <= position < len(self._entries):
             return self._entries[position].term
@@ -79,15 +83,26 @@
         return None
 
     def get_entry(self, index: int) -> storage.Entry:
-        """Return the entry at an index; it must be in memory."""
-        return self._entries[index - self.first_index]
+        """Return the entry at an index.
+
+        Raises
+        ------
+        LookupError
+            If the entry is not in memory.
+        """
+        return self._entries[self._get_position(index)]
 
     def get_entries(self, from_index: int, max_bytes: int) -> list[storage.Entry]:
         """Return entries from an index on, with at most `max_bytes` of bodies.
 
         The first entry is returned whatever its size.
+
+        Raises
+        ------
+        LookupError
+            If the entries from this index on are not in memory.
         """
-        start = from_index - self.first_index
+        start = self._get_position(from_index)
         size_bytes = 0
         batch = []
         for position in range(start, len(self._entries)):
@@ -132,6 +147,12 @@
         self.snapshot = snapshot
         self._reload_voter_sets()
 
+    def _get_position(self, index: int) -> int:
+        """Return the position of an entry in memory."""
+        if index < self.first_index:
+            raise LookupError(f"entry {index} precedes the first, {self.first_index}")
+        return index - self.first_index
+
     def _reload_voter_sets(self) -> None:
         self._voter_sets = []
         if self.snapshot is not None:
--- a/sedgeswitch/agreement/tests/test_faults.py
+++ b/sedgeswitch/agreement/tests/test_faults.py
@@ -384,6 +384,72 @@
         builders.run_cluster(body)
 
 
+class CompactedLogTest(unittest.TestCase):
+    """Guards against a leader that ends, and so does each following one.
+
+    After a lost disk a host receives the log from its first entry. Meanwhile the leader
+    replaced the first entries by a snapshot, and failed when it looked them up.
+    """
+
+    def run_with_small_snapshots(self, body):
+        builders.run_cluster(body, snapshot_every_entries=20, retained_entries=2)
+
+    async def _stop_before_first_entry(self, cluster, name):
+        """Start a host that answers no entries after it has stored the voters."""
+        await cluster.start(name)
+        handlers = cluster.network.endpoints[builders.build_address(name)].handlers
+        answer_append = handlers[messages.AppendRequest]
+
+        async def block(request):
+            if cluster.hosts[name].node.get_voter_addresses():
+                await trio.sleep_forever()
+            return await answer_append(request)
+
+        handlers[messages.AppendRequest] = block
+        return lambda: handlers.update({messages.AppendRequest: answer_append})
+
+    async def _replace(self, cluster, lost):
+        leader = await cluster.wait_for_leader()
+        with contextlib.suppress(errors.AgreementError):
+            await cluster.hosts[leader].node.replace_voter(
+                lost, lost, builders.build_address(lost), 2.0
+            )
+
+    async def _lose_disk(self, cluster):
+        leader = await cluster.bootstrap(*THREE)
+        lost = next(name for name in THREE if name != leader)
+        await cluster.kill(lost)
+        cluster.lose_disk(lost)
+        unblock = await self._stop_before_first_entry(cluster, lost)
+        await self._replace(cluster, lost)
+        await cluster.propose_many(60)
+        return lost, unblock
+
+    def test_leader_takes_a_snapshot_while_a_host_receives_the_first_entries(self):
+        async def body(cluster):
+            lost, unblock = await self._lose_disk(cluster)
+            unblock()
+            await self._replace(cluster, lost)
+            await cluster.wait_until_caught_up([lost])
+            cluster.check_outcomes([lost])
+
+        self.run_with_small_snapshots(body)
+
+    def test_next_leader_serves_a_host_without_the_first_entries(self):
+        async def body(cluster):
+            lost, _ = await self._lose_disk(cluster)
+            for name in THREE:
+                await cluster.kill(name)
+            for name in THREE:
+                await cluster.start(name)
+            await cluster.wait_for_leader()
+            await self._replace(cluster, lost)
+            await cluster.wait_until_caught_up([lost])
+            cluster.check_outcomes([lost])
+
+        self.run_with_small_snapshots(body)
+
+
 class RestartTest(unittest.TestCase):
     def test_restart_after_500_entries_loads_a_snapshot_and_few_entries(self):
         async def body(cluster):
--- a/sedgeswitch/agreement/tests/test_units.py
+++ b/sedgeswitch/agreement/tests/test_units.py
@@ -6,9 +6,11 @@
 import trio
 
 from sedgeswitch.agreement import errors
+from sedgeswitch.agreement import log
 from sedgeswitch.agreement import messages
 from sedgeswitch.agreement import settings
 from sedgeswitch.agreement import state_machines
+from sedgeswitch.agreement import storage
 from sedgeswitch.agreement import voters
 from sedgeswitch.agreement.tests import builders
 from sedgeswitch.transport import frames
@@ -45,6 +47,37 @@
         self.assertFalse(voter_set.has_quorum({"c1/aa", "c2/bb"}))
 
 
+class LogTest(unittest.TestCase):
+    """Guards against wrong entries in place of those that are compacted away."""
+
+    def setUp(self):
+        voter_set = voters.VoterSet((build_member("c1"),))
+        self.log = log.Log(storage.Snapshot(0, 0, voter_set, b""))
+        self.log.append(
+            [
+                storage.Entry(index, 1, storage.EntryKind.COMMAND, b"%d" % index)
+                for index in range(1, 7)
+            ]
+        )
+        self.snapshot = storage.Snapshot(5, 1, voter_set, b"state")
+
+    def test_start_of_the_log_is_known_until_the_first_entry_is_compacted(self):
+        self.assertEqual(0, self.log.get_term(0))
+        self.log.compact(self.snapshot, keep_from_index=4)
+        self.assertIsNone(self.log.get_term(0))
+        self.assertEqual([None, 1], [self.log.get_term(index) for index in (3, 4)])
+
+    def test_compacted_entries_are_not_returned(self):
+        self.log.compact(self.snapshot, keep_from_index=4)
+        self.assertEqual(b"4", self.log.get_entry(4).body)
+        for index in (0, 1, 3):
+            with self.subTest(index=index):
+                with self.assertRaises(LookupError):
+                    self.log.get_entry(index)
+                with self.assertRaises(LookupError):
+                    self.log.get_entries(index, 1000)
+
+
 class RegistryTest(unittest.TestCase):
     def test_unknown_state_machine_raises_its_own_error(self):
         command = state_machines.encode_command(state_machines.Command("unknown", b"x"))
