Keep an unexpected error of one task from ending a control host

Cause: the tasks of a leader share one scope with the whole process, so that an error in any of them ended it, and a cause that stays led to the same error in the next leader.

The log itself is not among them: a host that cannot store must stop.

FailingPeerTest failed before: the error ended the leader.

--- a/sedgeswitch/agreement/replication.py
+++ b/sedgeswitch/agreement/replication.py
@@ -11,6 +11,7 @@
 from sedgeswitch.agreement import voters
 from sedgeswitch.transport import failures
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import tasks
 
 
 class Replication:
@@ -67,8 +68,11 @@
                 progress = self._state.progress[member.key]
                 if served.get(member.key) is not progress:
                     served[member.key] = progress
-                    nursery.start_soon(self._send_log, member, term, progress)
-                    nursery.start_soon(self._send_heartbeats, member, term, progress)
+                    # An error at one peer must not end the leadership of all.
+                    for send in (self._send_log, self._send_heartbeats):
+                        nursery.start_soon(
+                            tasks.run_restarting, send, member, term, progress
+                        )
             await self._state.log_appended.wait()
 
     def _is_current(
--- a/sedgeswitch/agreement/tests/test_faults.py
+++ b/sedgeswitch/agreement/tests/test_faults.py
@@ -4,13 +4,16 @@
 import itertools
 import os
 import unittest
+import unittest.mock
 
 import hypothesis
+import loguru
 import trio
 from hypothesis import strategies
 
 from sedgeswitch.agreement import errors
 from sedgeswitch.agreement import messages
+from sedgeswitch.agreement import replication
 from sedgeswitch.agreement import sqlite_storage
 from sedgeswitch.agreement import storage
 from sedgeswitch.agreement import voters
@@ -450,6 +453,36 @@
         self.run_with_small_snapshots(body)
 
 
+class FailingPeerTest(unittest.TestCase):
+    """Guards against a leader that an error at one peer ends."""
+
+    def setUp(self):
+        loguru.logger.disable("sedgeswitch.utils")
+        self.addCleanup(loguru.logger.enable, "sedgeswitch.utils")
+
+    def test_error_at_one_peer_leaves_the_others_replicated(self):
+        send_entries = replication.Replication._send_entries
+
+        async def body(cluster):
+            leader = await cluster.bootstrap(*THREE)
+            bad, good = (name for name in THREE if name != leader)
+
+            async def fail_at_one(self, member, term, progress):
+                if member.id == bad:
+                    raise LookupError("entry 1 precedes the first, 151")
+                await send_entries(self, member, term, progress)
+
+            with unittest.mock.patch.object(
+                replication.Replication, "_send_entries", fail_at_one
+            ):
+                await cluster.propose_many(5)
+                await cluster.wait_until_caught_up([good])
+            self.assertEqual(leader, cluster.get_leader())
+            await cluster.wait_until_caught_up([bad])
+
+        builders.run_cluster(body)
+
+
 class RestartTest(unittest.TestCase):
     def test_restart_after_500_entries_loads_a_snapshot_and_few_entries(self):
         async def body(cluster):
--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -27,6 +27,7 @@
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import tasks
 
 CONFIGURATION = configuration_machine.NAME
 DRAINING = "draining"
@@ -74,7 +75,7 @@
         )
 
     def _start_tasks(self, nursery: trio.Nursery) -> None:
-        nursery.start_soon(self._primary_mover.run)
+        nursery.start_soon(tasks.run_restarting, self._primary_mover.run)
 
     def register_routes(self, router: routes.Router) -> None:
         """Register the HTTP endpoints for operators."""
--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -35,6 +35,7 @@
 from sedgeswitch.pools import shares
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import tasks
 from sedgeswitch.utils import uptime
 
 LOG_FOLDER = "agreement"
@@ -120,8 +121,8 @@
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.node.run)
-            nursery.start_soon(self.heartbeat_server.run)
-            nursery.start_soon(self.supervisor.run)
+            nursery.start_soon(tasks.run_restarting, self.heartbeat_server.run)
+            nursery.start_soon(tasks.run_restarting, self.supervisor.run)
             self._start_tasks(nursery)
 
     def get_holders(self, now_s: float) -> dict[str, groups_leases.EntryHostLease]:
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -35,6 +35,7 @@
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import tasks
 
 # Longest wait for a quorum to accept a document, in seconds.
 PROPOSE_TIMEOUT_S = 2.0
@@ -217,12 +218,15 @@
         return self.databases.get_text()
 
     def _start_tasks(self, nursery: trio.Nursery) -> None:
-        nursery.start_soon(self._primary_mover.run)
-        nursery.start_soon(self._directory_replicator.run)
-        nursery.start_soon(self.control_peers.run)
-        nursery.start_soon(self._voter_manager.run)
-        nursery.start_soon(self._join_requester.run)
-        nursery.start_soon(self._watch_rollout)
+        for run in (
+            self._primary_mover.run,
+            self._directory_replicator.run,
+            self.control_peers.run,
+            self._voter_manager.run,
+            self._join_requester.run,
+            self._watch_rollout,
+        ):
+            nursery.start_soon(tasks.run_restarting, run)
 
     def _build_group_options(self) -> control_core.GroupOptions:
         servers = relay_groups.RelayDirectory(
