Refuse heartbeats whose numbers or addresses are out of range

Callers would see all control hosts end one after the other: one heartbeat with more slots than a message can hold ended each leader that received it (OverflowError while it was replicated), and a port above 65535 or an id with a line break reached every entry host. A limit of connections above 2^31 in an accepted configuration did the same, for ever.

Change: the adapter checks ranges, addresses and names where it decodes, and refuses such a heartbeat with 400; a larger limit of connections is taken as the largest.

MalformedHeartbeatTest failed before on all three tests (12 cases).

--- a/sedgeswitch/platform/announcements.py
+++ b/sedgeswitch/platform/announcements.py
@@ -9,6 +9,13 @@
 from sedgeswitch.utils import checks
 
 _STATES = ("ready", "draining")
+# Largest number of slots that messages between hosts can hold.
+_MAX_SLOTS = 2**31 - 1
+# Largest integer that JSON carries exactly.
+_MAX_INTEGER = 2**53 - 1
+
+_Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+_Integer = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
 
 
 class _Heartbeat(typing.TypedDict):
@@ -18,14 +25,14 @@
     zone: str
     # Version of the instance's software.
     version: typing.NotRequired[str]
-    slots: int
+    slots: _Slots
     state: str
     # Remaining time for which the instance is slow after its start.
     coldLeftMs: typing.NotRequired[float]
     # Increases with each heartbeat and begins again when the instance restarts.
-    sequence: int
+    sequence: _Integer
     # Unix time of the instance's start, in milliseconds.
-    born: typing.NotRequired[int]
+    born: typing.NotRequired[_Integer]
 
 
 class Announcement(typing.NamedTuple):
@@ -75,6 +82,8 @@
             "a JSON object with service, address, zone, slots, state and sequence",
             str(error),
         ) from error
+    checks.check_name("id", instance)
+    checks.check_name("zone", heartbeat["zone"])
     checks.check_choice("state", heartbeat["state"], _STATES)
     checks.check_choice("service", heartbeat["service"], tuple(max_connections))
     address = settings.parse_address(heartbeat["address"])
--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -64,6 +64,8 @@
 
 # Defaults for fields that the configuration omits.
 _DEFAULT_MAX_CONNECTIONS = 20
+# Largest limit that messages between hosts can hold; no instance accepts as many.
+_HIGHEST_MAX_CONNECTIONS = 2**31 - 1
 _DEFAULT_TARGET_LATENCY_MS = 1000.0
 _DEFAULT_TRANSACTION_IDLE_MS = 60_000.0
 _UNLIMITED_PER_S = 1e9
@@ -164,7 +166,9 @@
 def _build_group(service: _Service) -> documents.Group:
     return documents.Group(
         service["name"],
-        service.get("maxConns", _DEFAULT_MAX_CONNECTIONS),
+        min(
+            service.get("maxConns", _DEFAULT_MAX_CONNECTIONS), _HIGHEST_MAX_CONNECTIONS
+        ),
         service.get("syncReplicas", 0),
     )
 
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
+import ipaddress
 import os
 import pathlib
 import typing
@@ -11,6 +12,7 @@
 from sedgeswitch.utils import checks
 
 PATH_VARIABLE = "SEDGESWITCH_NODE_FILE"
+MAX_PORT = 65535
 # Values of the platform's field ``serves``.
 SERVES_CLIENTS = "front"
 SERVES_CONTROL = "control"
@@ -257,8 +259,11 @@
         If the text has another form.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    try:
+        ipaddress.IPv4Address(host)
+        checks.check_range("port", int(port), 1, MAX_PORT)
+    except ValueError as error:
         raise checks.CheckError(
-            "address", "an IP address and a port as in 10.0.0.4:8080", text
-        )
+            "address", "an IPv4 address and a port as in 10.0.0.4:8080", text
+        ) from error
     return peer.Address(host, int(port))
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -7,10 +7,12 @@
 import msgspec
 
 from sedgeswitch.databases import documents as product_documents
+from sedgeswitch.membership import directory
 from sedgeswitch.platform import announcements
 from sedgeswitch.platform import documents
 from sedgeswitch.platform import settings
 from sedgeswitch.platform.tests import builders
+from sedgeswitch.transport import catalog
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import checks
 
@@ -99,6 +101,41 @@
         self.assertFalse(heartbeat_filter.accept(self.decode(born=1000, sequence=99)))
 
 
+class MalformedHeartbeatTest(unittest.TestCase):
+    """Guards against a heartbeat that ends each leader that receives it."""
+
+    def test_values_out_of_range_are_refused(self):
+        for changes in (
+            {"slots": 2**40},
+            {"slots": -1},
+            {"address": "10.0.0.9:99999"},
+            {"address": "10.0.0.9:0"},
+            {"address": "no-address:8080"},
+            {"sequence": 2**70},
+            {"born": -(2**70)},
+        ):
+            body = builders.build_heartbeat(**changes)
+            with self.subTest(changes), self.assertRaises(checks.CheckError):
+                announcements.decode_heartbeat("i-1", body, {"lots": 34})
+
+    def test_instance_id_that_is_no_name_is_refused(self):
+        body = builders.build_heartbeat()
+        for instance in ("", "i 1", "i-1\r\nQUERY", "i" * 1000):
+            with self.subTest(instance), self.assertRaises(checks.CheckError):
+                announcements.decode_heartbeat(instance, body, {"lots": 34})
+
+    def test_connection_limit_out_of_range_can_be_sent_to_hosts(self):
+        service = builders.SERVICE | {"maxConns": 2**40}
+        document = documents.decode_document(
+            builders.build_configuration(services=[service])
+        )
+        limits = {"lots": document.groups["lots"].max_connections}
+        decoded = announcements.decode_heartbeat(
+            "i-1", builders.build_heartbeat(), limits
+        )
+        catalog.encode_struct(directory.build_message(decoded.server))
+
+
 class SettingsTest(unittest.TestCase):
     def load(self, **changes):
         with tempfile.TemporaryDirectory() as folder:
