Deny databases and keys only under a confirmed configuration

Cause: a host denied by the document that it had, however old.

Change: a host records when the leader last answered a heartbeat. If that is more than 1.5 s ago, a connection that would be denied waits for the next answer, for 1.6 s at most, and is then told to retry. Callers that the document knows are served as before.

OutdatedConfigurationTest: two of four tests failed before (the other two hold both ways).

--- a/sedgeswitch/databases/sections.py
+++ b/sedgeswitch/databases/sections.py
@@ -67,6 +67,7 @@
         self._organisation_by_key: dict[str, str] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._document_received = trio.Event()
+        self._confirmed = trio.Event()
 
     def register_listener(self, listener: collections.abc.Callable[[], None]) -> None:
         """Register a function that is called after each change of the document."""
@@ -79,6 +80,12 @@
     def confirm(self, sent_s: float) -> None:
         """Record that the leader has answered a heartbeat sent at `sent_s`."""
         self.confirmed_s = max(self.confirmed_s, sent_s)
+        self._confirmed.set()
+        self._confirmed = trio.Event()
+
+    async def wait_for_confirmation(self) -> None:
+        """Wait until the leader answers the next heartbeat."""
+        await self._confirmed.wait()
 
     def get_age_s(self, now_s: float) -> float:
         """Return for how long the leader may have had a newer document."""
--- a/sedgeswitch/platform/client_edge.py
+++ b/sedgeswitch/platform/client_edge.py
@@ -15,8 +15,8 @@
 # Maximum time from accepting a connection to the end of its CONNECT handshake, in
 # seconds.
 HANDSHAKE_TIMEOUT_S = 10.0
-# Maximum time that a handshake waits for the first configuration on a host that has
-# just started, in seconds. Clients time out 2 s after CONNECT.
+# Maximum time that a handshake waits for a configuration, or for its confirmation, in
+# seconds. Clients time out 2 s after CONNECT.
 CONFIGURATION_WAIT_S = 1.6
 _PREPARE_FIELDS = 3
 
@@ -226,11 +226,8 @@
             session = self._build_session(
                 database.decode(errors="replace"), key.decode(errors="replace")
             )
-            # A host that has just started receives the configuration shortly.
-            with trio.move_on_after(CONFIGURATION_WAIT_S):
-                await session.wait_for_document()
             try:
-                session.open()
+                await session.open(CONFIGURATION_WAIT_S)
             except steps.FailedError as error:
                 await self._refuse(error.failure, error.detail)
                 return False
--- a/sedgeswitch/relay/access.py
+++ b/sedgeswitch/relay/access.py
@@ -8,6 +8,10 @@
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import steps
 
+# Longest time since the leader confirmed the document for which a database or key that
+# it lacks counts as unknown, in seconds; three intervals of heartbeats.
+MAX_UNCONFIRMED_S = 1.5
+
 
 class Access(typing.NamedTuple):
     """Access rights and limits of one operation.
@@ -36,7 +40,7 @@
 
 
 def check_access(
-    section: sections.EntrySection, database_name: str, key: str
+    section: sections.EntrySection, database_name: str, key: str, now_s: float
 ) -> Access:
     """Return the access of a caller under the document in force.
 
@@ -45,7 +49,8 @@
     steps.FailedError
         ``OVERLOADED`` if this host has not received a document yet,
         ``UNKNOWN_DATABASE`` if the document lacks the database,
-        ``UNAUTHENTICATED`` if the key is unknown and the database is not public.
+        ``UNAUTHENTICATED`` if the key is unknown and the database is not public;
+        ``OVERLOADED`` in place of these two if a newer document may exist.
     """
     document = section.document
     if document.version == 0:
@@ -55,15 +60,17 @@
         )
     database = document.databases.get(database_name)
     if database is None:
-        raise steps.FailedError(
+        raise _build_denial(
             sessions.Failure.UNKNOWN_DATABASE,
             "database: expected the name of a configured database",
+            section.get_age_s(now_s),
         )
     organisation = section.get_organisation(key)
     if organisation is None and not database.is_public:
-        raise steps.FailedError(
+        raise _build_denial(
             sessions.Failure.UNAUTHENTICATED,
             "key: expected the key of a configured organisation",
+            section.get_age_s(now_s),
         )
     name = (
         connections.PUBLIC_ORGANISATION if organisation is None else organisation.name
@@ -75,3 +82,20 @@
         document.version,
         document.transaction_idle_s,
     )
+
+
+def _build_denial(
+    failure: sessions.Failure, detail: str, age_s: float
+) -> steps.FailedError:
+    """Return the failure of a caller that the document does not know.
+
+    A document that the leader has not confirmed recently may lack what a newer one
+    has, so that the caller should try again.
+    """
+    if age_s <= MAX_UNCONFIRMED_S:
+        return steps.FailedError(failure, detail)
+    return steps.FailedError(
+        sessions.Failure.OVERLOADED,
+        f"{detail}; a newer configuration may exist; retry after 500 ms",
+        is_retryable=True,
+    )
--- a/sedgeswitch/relay/session.py
+++ b/sedgeswitch/relay/session.py
@@ -68,18 +68,27 @@
         self.is_failed = False
         self._is_expired = False
 
-    async def wait_for_document(self) -> None:
-        """Wait until this host, if just started, has received a document."""
-        await self._components.databases.wait_for_document()
-
-    def open(self) -> None:
+    async def open(self, timeout_s: float) -> None:
         """Check that the caller may use the database; a refusal is logged.
 
+        Waits for the first document on a host that has just started, and for its
+        confirmation on one that cannot tell whether it is the newest.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Maximum time to wait.
+
         Raises
         ------
         steps.FailedError
             See `access.check_access`.
         """
+        databases = self._components.databases
+        with trio.move_on_after(timeout_s):
+            await databases.wait_for_document()
+            while self._is_denied_for_now():
+                await databases.wait_for_confirmation()
         try:
             self._get_access()
         except steps.FailedError as error:
@@ -94,9 +103,19 @@
 
     def _get_access(self) -> accesses.Access:
         return accesses.check_access(
-            self._components.databases, self._database_name, self._key
+            self._components.databases,
+            self._database_name,
+            self._key,
+            clocks.get_now_s(),
         )
 
+    def _is_denied_for_now(self) -> bool:
+        try:
+            self._get_access()
+        except steps.FailedError as error:
+            return error.is_retryable
+        return False
+
     def _describe_configuration(self) -> dict[str, int | None]:
         """Return the version of the configuration, and its age if it is known."""
         databases = self._components.databases
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -269,6 +269,7 @@
         self.document = document
         answer = messages.Answer(document.version, machine.zlib.compress(b"x"))
         self.databases.receive_answer(catalog.encode_struct(answer), 0.0)
+        self.databases.confirm(LEASE_S)
 
     def change_group(self, term, primary, version, phase=ttypes.GroupPhase.SERVING):
         group = ttypes.Group(
--- a/sedgeswitch/relay/tests/test_sessions.py
+++ b/sedgeswitch/relay/tests/test_sessions.py
@@ -398,10 +398,10 @@
         records = []
 
         async def body(world):
-            world.databases.confirm(trio.current_time())
+            world.databases.confirmed_s = trio.current_time()
             await trio.sleep(0.25)
             with self.assertRaises(steps.FailedError):
-                world.build_session("unknown").open()
+                await world.build_session("unknown").open(1.0)
 
         sink = loguru.logger.add(lambda message: records.append(message.record))
         self.addCleanup(loguru.logger.remove, sink)
@@ -410,3 +410,72 @@
         self.assertEqual("session unknown_database", found[0]["message"])
         self.assertEqual(250, found[0]["extra"]["configuration_age_ms"])
         self.assertEqual("unknown", found[0]["extra"]["database"])
+
+
+class OutdatedConfigurationTest(unittest.TestCase):
+    """Guards against denials by a configuration that may be outdated.
+
+    An entry host that no leader answers does not know of databases and keys that were
+    added meanwhile.
+    """
+
+    WAIT_S = 1.6
+
+    def run_without_leader(self, body):
+        async def run(world):
+            world.databases.confirmed_s = trio.current_time()
+            await trio.sleep(2.0)
+            await body(world)
+
+        run_in_world(run)
+
+    async def _confirm(self, world, delay_s, document=None):
+        await trio.sleep(delay_s)
+        if document is not None:
+            world.put_in_force(document)
+        world.databases.confirm(trio.current_time())
+
+    def test_added_database_is_not_denied(self):
+        async def body(world):
+            document = builders.build_document(2)
+            added = document.databases["primary"]._replace(database="added")
+            databases = document.databases | {"added": added}
+            document = document._replace(databases=databases)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._confirm, world, 0.5, document)
+                session = world.build_session("added")
+                await session.open(self.WAIT_S)
+            outcome = await session.run(builders.build_step(b"WRITE x"))
+            self.assertIsNone(outcome.failure)
+
+        self.run_without_leader(body)
+
+    def test_caller_is_told_to_retry_if_nothing_confirms_the_configuration(self):
+        async def body(world):
+            for database, key in (("added", builders.KEY), ("primary", "new key")):
+                started_s = trio.current_time()
+                with self.assertRaises(steps.FailedError) as caught:
+                    await world.build_session(database, key).open(self.WAIT_S)
+                self.assertIs(FAILURE.OVERLOADED, caught.exception.failure)
+                self.assertEqual(self.WAIT_S, trio.current_time() - started_s)
+
+        self.run_without_leader(body)
+
+    def test_unknown_database_is_denied_once_the_configuration_is_confirmed(self):
+        async def body(world):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._confirm, world, 0.5)
+                with self.assertRaises(steps.FailedError) as caught:
+                    await world.build_session("unknown").open(self.WAIT_S)
+            self.assertIs(FAILURE.UNKNOWN_DATABASE, caught.exception.failure)
+
+        self.run_without_leader(body)
+
+    def test_known_caller_is_served_without_a_confirmation(self):
+        async def body(world):
+            session = world.build_session()
+            await session.open(self.WAIT_S)
+            outcome = await session.run(builders.build_step(b"WRITE x"))
+            self.assertIsNone(outcome.failure)
+
+        self.run_without_leader(body)
