Tell entry hosts where the control hosts are

Callers of an entry host whose settings name only control hosts that were replaced would be refused from the next change of leader on: the host knew these and the leaders that others had named, and if all of them were gone it got no lease until its settings changed.

Change: a section of the heartbeat carries the voters' addresses, sent when they change. A host drops those that are no longer voters, but for those in its settings.

--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -194,10 +194,10 @@
             If it did not answer or does not lead; the next call goes to another one.
         """
 
-    def add_addresses(
+    def learn_addresses(
         self, addresses: collections.abc.Mapping[str, peer.Address]
     ) -> None:
-        """Add control hosts by their ids, or replace the addresses of known ones."""
+        """Replace the hosts that were learned before by these, by their ids."""
 
     def get_leader(self) -> leader_hints.Hint | None:
         """Return the host that answered the last call; None if it failed."""
@@ -232,7 +232,7 @@
             if self._node.is_active_voter(clocks.get_now_s()):
                 self._node.record_found_leader(None)
                 continue
-            self._known_hosts.add_addresses(self._node.get_voter_addresses())
+            self._known_hosts.learn_addresses(self._node.get_voter_addresses())
             try:
                 await self._known_hosts.call(self._identity, CALL_TIMEOUT_S)
                 self._log_failure("")
--- a/sedgeswitch/agreement/node.py
+++ b/sedgeswitch/agreement/node.py
@@ -377,6 +377,10 @@
             return {}
         return {voter.id: voter.address for voter in state.log.voter_set.voters}
 
+    def get_voter_set_version(self) -> int:
+        """Return a number that changes with the voters in this host's log."""
+        return 0 if self._state is None else self._state.log.voter_set_index
+
     def is_active_voter(self, now_s: float) -> bool:
         """Return whether this host is a voter with recent contact with a leader.
 
--- a/sedgeswitch/agreement/tests/joining_builders.py
+++ b/sedgeswitch/agreement/tests/joining_builders.py
@@ -28,7 +28,7 @@
         self._names = list(names)
         self._answered = None
 
-    def add_addresses(self, addresses):
+    def learn_addresses(self, addresses):
         self._names += [name for name in addresses if name not in self._names]
 
     def get_leader(self):
--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -26,6 +26,7 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import supervisor
+from sedgeswitch.membership import control_hosts
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import heartbeat_server
 from sedgeswitch.membership import machine as members_machine
@@ -197,6 +198,12 @@
         register(section_names.DIRECTORY, self.directory)
         register(section_names.SHARES, self._build_shares())
         register(section_names.MEMBERS, self._build_members_section())
+        register(
+            section_names.CONTROL_HOSTS,
+            control_hosts.ControlSection(
+                self.node.get_voter_addresses, self.node.get_voter_set_version
+            ),
+        )
         self.heartbeat_server.register_leadership_listener(self._start_grants)
 
     def _build_directory(self, rng: random.Random) -> directory.ControlDirectory:
--- a/sedgeswitch/daemon/entry_core.py
+++ b/sedgeswitch/daemon/entry_core.py
@@ -12,6 +12,7 @@
 from sedgeswitch.daemon import section_names
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import table
+from sedgeswitch.membership import control_hosts
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import heartbeat_client
 from sedgeswitch.membership import machine
@@ -93,6 +94,10 @@
         register(section_names.GROUPS, self.groups_section)
         register(section_names.DIRECTORY, self.directory)
         register(section_names.SHARES, self.backends.share)
+        register(
+            section_names.CONTROL_HOSTS,
+            control_hosts.EntrySection(self.control_peers.learn_addresses),
+        )
         self.heartbeat_client.register_lapse_listener(self.backends.share.drop)
         self.heartbeat_client.register_lease_listener(self.groups.set_lease)
 
--- a/sedgeswitch/membership/heartbeat_client.py
+++ b/sedgeswitch/membership/heartbeat_client.py
@@ -42,7 +42,8 @@
 
     Control hosts are kept in order of preference. A host that fails or does not
     answer in time moves to the end; one that another host names as leader moves to
-    the front.
+    the front. Besides the hosts in the settings, those that the leader names as voters
+    are kept.
 
     Parameters
     ----------
@@ -55,6 +56,8 @@
             host_id: peer.Peer(address) for host_id, address in addresses.items()
         }
         self._order = list(self._peers)
+        # Ids of the hosts that no settings name.
+        self._learned: set[str] = set()
         self._last_answered_id = ""
         # Since when the first host in order has not answered a pending request.
         self._unanswered_since_s: float | None = None
@@ -92,13 +95,14 @@
             another control host.
         """
         host_id = self._order[0]
+        # Kept, because the host may be dropped while its connection is waited for.
+        control_peer = self._peers[host_id]
         await self._wait_hinted_connected(host_id)
         # The leader holds the answer to a watch back until something changes.
         expects_prompt_reply = not isinstance(message, messages.Watch)
         if expects_prompt_reply and self._unanswered_since_s is None:
             self._unanswered_since_s = clocks.get_now_s()
         try:
-            control_peer = self._peers[host_id]
             answer = await control_peer.call(message, timeout_s, expects_prompt_reply)
             if host_id == self._order[0]:
                 self._unanswered_since_s = None
@@ -119,7 +123,27 @@
     def add_addresses(
         self, addresses: collections.abc.Mapping[str, peer.Address]
     ) -> None:
-        """Add control hosts, or replace the addresses of known ones."""
+        """Add control hosts of the settings, or replace the addresses of known ones."""
+        self._learned -= addresses.keys()
+        self._append_peers(addresses)
+
+    def learn_addresses(
+        self, addresses: collections.abc.Mapping[str, peer.Address]
+    ) -> None:
+        """Replace the control hosts that no settings name by these.
+
+        The host that is called first stays until another one is.
+        """
+        for host_id in self._learned - addresses.keys() - {self._order[0]}:
+            self._learned.discard(host_id)
+            self._order.remove(host_id)
+            self._peers.pop(host_id).close()
+        self._learned |= addresses.keys() - self._peers.keys()
+        self._append_peers(addresses)
+
+    def _append_peers(
+        self, addresses: collections.abc.Mapping[str, peer.Address]
+    ) -> None:
         for host_id, address in addresses.items():
             self._add_peer(host_id, address)
             if host_id not in self._order:
@@ -161,6 +185,8 @@
             self._nursery.start_soon(self._peers[host_id].run)
 
     def _prefer(self, hint: leader_hints.Hint) -> None:
+        if hint.host_id not in self._peers:
+            self._learned.add(hint.host_id)
         self._add_peer(hint.host_id, hint.address)
         self._hinted_id = hint.host_id
         if hint.host_id in self._order:
