Let the soak's proxy reset connections of which one side is closed

Cause: a reset set an option on a socket that the link had closed already (Bad file descriptor, in the standard error of the run), which ended the proxy's thread. The product was not involved. The next change of a link then failed, without a word about the cause.

Change: closed sockets are skipped; a change after the end of the thread names its error. Both tests failed before.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -35,8 +35,10 @@
         self.is_silenced = False
 
     def reset(self) -> None:
-        """Reset the sockets to the client and to the target."""
+        """Reset the sockets to the client and to the target, if they are open."""
         for stream in (self.client, self.target):
+            if stream.socket.fileno() < 0:
+                continue
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
             stream.socket.close()
 
@@ -142,7 +144,8 @@
         self._token: trio.lowlevel.TrioToken | None = None
         self._scope = trio.CancelScope()
         self._is_started = threading.Event()
-        self._thread = threading.Thread(target=trio.run, args=(self._run,), daemon=True)
+        self._thread = threading.Thread(target=self._run_in_thread, daemon=True)
+        self._error: BaseException | None = None
 
     def start(self) -> None:
         """Start the thread and wait until all links listen.
@@ -174,10 +177,27 @@
         change : callable
         *arguments
             Passed to `change` after the link.
+
+        Raises
+        ------
+        OSError
+            If the thread has ended.
         """
-        self._token.run_sync_soon(
-            functools.partial(change, self.links[name], *arguments)
-        )
+        try:
+            self._token.run_sync_soon(
+                functools.partial(change, self.links[name], *arguments)
+            )
+        except trio.RunFinishedError:
+            # Until the thread ends, the error is not recorded yet.
+            self._thread.join(START_TIMEOUT_S)
+            raise OSError("the proxy has ended") from self._error
+
+    def _run_in_thread(self) -> None:
+        try:
+            trio.run(self._run)
+        except BaseException as error:
+            self._error = error
+            raise
 
     async def _run(self) -> None:
         self._token = trio.lowlevel.current_trio_token()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -4,6 +4,8 @@
 import itertools
 import pathlib
 import tempfile
+import time
+import traceback
 import unittest
 
 import trio
@@ -148,6 +150,33 @@
 
         self.run_with_link(body)
 
+    def test_reset_accepts_connections_that_one_side_has_closed(self):
+        # Guards against the end of the proxy, after which a run cannot go on.
+        async def body(link, connect):
+            await self.exchange_byte(await connect(), 5.0)
+            (connection,) = link._connections
+            connection.client.socket.close()
+            link.reset()
+            self.assertEqual(-1, connection.target.socket.fileno())
+
+        self.run_with_link(body)
+
+
+class ProxyTest(unittest.TestCase):
+    def test_change_after_an_error_in_the_proxy_names_the_error(self):
+        def fail(link):
+            raise ValueError("not a link")
+
+        links = proxy.Proxy({})
+        links.start()
+        links.links = {"c1": None}
+        with self.assertRaises(OSError) as caught:
+            for _ in range(100):
+                links.change("c1", fail)
+                time.sleep(0.01)
+        trace = "".join(traceback.format_exception(caught.exception))
+        self.assertIn("not a link", trace)
+
 
 class ShortRunTest(unittest.TestCase):
     def check_run(self, seed, duration_s):
