--- a/sedgeswitch/agreement/election.py
+++ b/sedgeswitch/agreement/election.py
@@ -76,6 +76,8 @@
         self._network = network
         self._rng = rng
         self._settings = state.settings
+        # What the last line about a missing quorum has named.
+        self._logged_answers: tuple[list[str], ...] = ()
 
     async def run(self) -> None:
         """Start elections when they are due, until cancelled."""
@@ -212,9 +214,10 @@
         timeout_s = self._settings.election_timeout_min_s
         answers = await self._collect_votes(requests, timeout_s)
         if not self._has_quorum(answers):
-            _log_no_quorum(state, answers)
+            self._log_no_quorum(answers)
             await self._sleep_backoff()
             return
+        self._logged_answers = ()
         if state.has_recent_leader(clocks.get_now_s()) or not state.is_voter:
             return
         if not await self._campaign({}):
@@ -351,6 +354,29 @@
             run_id=reply.unled_run_id,
         )
 
+    def _log_no_quorum(self, answers: typing.Mapping[str, _VoteResult]) -> None:
+        """Log which voters keep this host from becoming a candidate, once for each set.
+
+        A voter that was replaced and whose log does not say so tries without end.
+        """
+        replaced = sorted(key for key, item in answers.items() if item.is_replaced)
+        refused = sorted(key for key, item in answers.items() if item.is_refused)
+        granted = sorted(key for key, item in answers.items() if item.is_granted)
+        unanswered = sorted(answers.keys() - {*replaced, *refused, *granted})
+        named = (replaced, refused, unanswered)
+        if named == self._logged_answers:
+            return
+        self._logged_answers = named
+        loguru.logger.info(
+            "no quorum for a candidacy",
+            term=self._state.term,
+            last_index=self._state.log.last_index,
+            granted=len(granted) + 1,
+            refused=refused,
+            replaced=replaced,
+            unanswered=unanswered,
+        )
+
     async def _sleep_backoff(self) -> None:
         """Sleep for a random time so that the next candidacies do not collide."""
         max_s = _BACKOFF_FRACTION * self._settings.election_timeout_min_s
@@ -360,22 +386,3 @@
         """Sleep for a time, or until the role of this host changes."""
         with trio.move_on_after(duration_s):
             await self._state.role_changed.wait()
-
-
-def _log_no_quorum(
-    state: state_module.State, answers: typing.Mapping[str, _VoteResult]
-) -> None:
-    """Log which voters keep this host from becoming a candidate."""
-    replaced = [key for key, item in answers.items() if item.is_replaced]
-    refused = [key for key, item in answers.items() if item.is_refused]
-    granted = [key for key, item in answers.items() if item.is_granted]
-    unanswered = answers.keys() - {*replaced, *refused, *granted}
-    loguru.logger.info(
-        "no quorum for a candidacy",
-        term=state.term,
-        last_index=state.log.last_index,
-        granted=len(granted) + 1,
-        refused=sorted(refused),
-        replaced=sorted(replaced),
-        unanswered=sorted(unanswered),
-    )
