--- a/sedgeswitch/agreement/tests/test_tolerated_losses.py
+++ b/sedgeswitch/agreement/tests/test_tolerated_losses.py
@@ -24,10 +24,11 @@
     after a change. A leader must be elected, and no acknowledged change may be lost.
     """
 
-    def run_with_seeds(self, host_count):
+    def run_with_seeds(self, host_count, delay_s=0.004, **overrides):
         names = [f"n{number}" for number in range(1, host_count + 1)]
 
         async def run_once(cluster):
+            cluster.network.delay_s = delay_s
             async with trio.open_nursery() as nursery:
                 hosts = joining_builders.JoiningCluster(cluster, nursery, VOTERS)
                 await hosts.bootstrap(names[:3], names[3:])
@@ -43,7 +44,7 @@
 
         for seed in range(FIRST_SEED, FIRST_SEED + EXAMPLES):
             with self.subTest(seed=seed):
-                builders.run_cluster(run_once, seed)
+                builders.run_cluster(run_once, seed, **overrides)
 
     def test_six_hosts_bear_two_losses_again_and_again(self):
         self.run_with_seeds(6)
@@ -51,6 +52,12 @@
     def test_nine_hosts_bear_two_losses_again_and_again(self):
         self.run_with_seeds(9)
 
+    def test_nine_hosts_that_compact_their_log_often_bear_two_losses(self):
+        # In most other runs the log is too short to be compacted.
+        self.run_with_seeds(
+            9, delay_s=0.06, snapshot_every_entries=15, retained_entries=3
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
