Replace lost voters in time also while leaders change

A leader ended for good, its successor in office lost its disk 2.1 s later, and the third was replaced when the first no longer counted as lost: three of five voters were gone.

Cause: each new leader counts the time without contact anew, 2 s, and looked for changes twice a second, so that the first voter was not replaced before the second leader was lost.

Change: a sixth of the time to catch up (1 s where it is 6 s), a look every 0.2 s, and a host that has not found the leader asks again after 0.1 s, with 0.4 s for an answer.

--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -23,16 +23,21 @@
 
 # Default time without contact after which a voter may be replaced by a host that
 # requests to join, in seconds.
-UNRESPONSIVE_LIMIT_S = 2.0
+UNRESPONSIVE_LIMIT_S = 1.0
 # Age at which a join request expires, in seconds.
 REQUEST_MAX_AGE_S = 3.0
-# Interval at which the leader looks for a change to make, and at which a host that is
-# no voter sends its join request, in seconds.
-CHECK_INTERVAL_S = 0.5
+# Interval at which the leader looks for a change to make, in seconds.
+CHECK_INTERVAL_S = 0.2
+# Interval at which a host that is no voter sends its join request, and the shorter one
+# until it has found the leader, in seconds.
+REQUEST_INTERVAL_S = 0.5
+RETRY_INTERVAL_S = 0.1
 # Longest time for one change, in seconds. A host that needs longer to receive the log
 # has more of it at the next attempt.
 CHANGE_TIMEOUT_S = 2.0
-CALL_TIMEOUT_S = 1.0
+# Longest wait for the answer to a join request, in seconds; several round trips between
+# two regions.
+CALL_TIMEOUT_S = 0.4
 
 
 class _Request(typing.NamedTuple):
@@ -227,8 +232,10 @@
 
     async def run(self) -> None:
         """Send join requests at intervals, when needed, until cancelled."""
+        interval_s = REQUEST_INTERVAL_S
         while True:
-            await trio.sleep(CHECK_INTERVAL_S)
+            await trio.sleep(interval_s)
+            interval_s = REQUEST_INTERVAL_S
             if self._node.is_active_voter(clocks.get_now_s()):
                 self._node.record_found_leader(None)
                 continue
@@ -238,6 +245,7 @@
                 self._log_failure("")
             except failures.CallError as error:
                 self._log_failure(error.code)
+                interval_s = RETRY_INTERVAL_S
             self._node.record_found_leader(self._known_hosts.get_leader())
 
     def _log_failure(self, reason: str) -> None:
--- a/sedgeswitch/agreement/tests/test_joining.py
+++ b/sedgeswitch/agreement/tests/test_joining.py
@@ -117,7 +117,7 @@
         async def run_once(cluster):
             async with trio.open_nursery() as nursery:
                 hosts = joining_builders.JoiningCluster(
-                    cluster, nursery, 5, unresponsive_limit_s=CATCH_UP_S / 3
+                    cluster, nursery, 5, unresponsive_limit_s=CATCH_UP_S / 6
                 )
                 await hosts.bootstrap(FIVE[:3], (*FIVE[3:], "n6"))
                 await cluster.propose_many(5)
--- a/sedgeswitch/agreement/tests/test_tolerated_losses.py
+++ b/sedgeswitch/agreement/tests/test_tolerated_losses.py
@@ -14,6 +14,9 @@
 FIRST_SEED = int(os.environ.get("SEDGESWITCH_FIRST_SEED", "0"))
 # Seeds with which a leader failed because it looked up compacted entries.
 COMPACTION_SEEDS = (2010, 2069, 2138, 2197)
+# Seeds with which a voter was replaced too late, because leaders changed meanwhile.
+LATE_SEEDS_OF_SIX = (5032,)
+LATE_SEEDS_OF_NINE = (5061,)
 RUN_S = 25.0
 VOTERS = 5
 
@@ -49,10 +52,10 @@
                 builders.run_cluster(run_once, seed, **overrides)
 
     def test_six_hosts_bear_two_losses_again_and_again(self):
-        self.run_with_seeds(6)
+        self.run_with_seeds(6, LATE_SEEDS_OF_SIX)
 
     def test_nine_hosts_bear_two_losses_again_and_again(self):
-        self.run_with_seeds(9)
+        self.run_with_seeds(9, LATE_SEEDS_OF_NINE)
 
     def test_nine_hosts_that_compact_their_log_often_bear_two_losses(self):
         # In most other runs the log is too short to be compacted.
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -19,8 +19,9 @@
 # Voters where there are enough control hosts.
 MIN_VOTERS = 5
 # Part of the time to catch up after which a voter without contact is replaced. The rest
-# is for an election, the change of the voters and a successor that starts first.
-UNRESPONSIVE_SHARE = 1 / 3
+# is for a successor that starts first, for the change itself and for elections: each
+# new leader counts the time anew.
+UNRESPONSIVE_SHARE = 1 / 6
 # Several heartbeats of a leader may be lost without a reason to replace a voter.
 MIN_UNRESPONSIVE_LIMIT_S = 1.0
 # Offsets of the ports of the control role and of the entry role from the first of the
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -164,7 +164,7 @@
         self.assertEqual((5, 0.1, 20), loaded.tolerance)
 
     def test_voter_is_replaced_well_before_its_successor_must_have_caught_up(self):
-        for catch_up_s, limit_s in ((6, 2.0), (4.5, 1.5), (0, 1.0)):
+        for catch_up_s, limit_s in ((6, 1.0), (9, 1.5), (0, 1.0)):
             with self.subTest(catch_up_s):
                 loaded = self.load(bounds={"catchUpS": catch_up_s})
                 self.assertAlmostEqual(limit_s, loaded.unresponsive_limit_s)
