Do not restart the connections to control hosts after an error

A closed connection cannot run again, so that the restart of would have failed without end for this task. Found by reading; no error of this task is known. Some types of the module on joining are no longer quoted.

--- a/sedgeswitch/agreement/joining.py
+++ b/sedgeswitch/agreement/joining.py
@@ -120,7 +120,7 @@
             except errors.AgreementError as error:
                 loguru.logger.warning("voters not changed", reason=str(error))
 
-    async def _apply_change(self, change: "_Change") -> None:
+    async def _apply_change(self, change: _Change) -> None:
         if change.old_id is None:
             await self._node.add_voter(change.new_id, change.address, CHANGE_TIMEOUT_S)
         else:
@@ -128,9 +128,7 @@
                 change.old_id, change.new_id, change.address, CHANGE_TIMEOUT_S
             )
 
-    def _choose_change(
-        self, changes: "list[_Change]", now_s: float
-    ) -> "_Change | None":
+    def _choose_change(self, changes: list[_Change], now_s: float) -> _Change | None:
         """Return the change whose last attempt is the longest ago, None without one.
 
         A change that cannot succeed now must not keep the others from being made.
@@ -146,7 +144,7 @@
         self._attempted_s[chosen] = now_s
         return chosen
 
-    def _find_changes(self, now_s: float) -> "list[_Change]":
+    def _find_changes(self, now_s: float) -> list[_Change]:
         """Return the changes that are due, the preferred ones first."""
         leadership = self._node.get_leadership(now_s)
         if leadership is None:
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -41,7 +41,7 @@
 PROPOSE_TIMEOUT_S = 2.0
 # Longest wait for a quorum to confirm that this host still leads, in seconds.
 CONFIRM_TIMEOUT_S = 1.0
-# Interval at which the leader compares the versions that entry hosts report.
+# Interval at which the leader compares the versions that entry hosts report, in seconds.
 ROLLOUT_INTERVAL_S = 0.1
 
 
@@ -221,12 +221,13 @@
         for run in (
             self._primary_mover.run,
             self._directory_replicator.run,
-            self.control_peers.run,
             self._voter_manager.run,
             self._join_requester.run,
             self._watch_rollout,
         ):
             nursery.start_soon(tasks.run_restarting, run)
+        # Not restarted, because connections are closed for good when it ends.
+        nursery.start_soon(self.control_peers.run)
 
     def _build_group_options(self) -> control_core.GroupOptions:
         servers = relay_groups.RelayDirectory(
