--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -41,7 +41,7 @@
 PROPOSE_TIMEOUT_S = 2.0
 # Longest wait for a quorum to confirm that this host still leads, in seconds.
 CONFIRM_TIMEOUT_S = 1.0
-# Interval at which the leader compares the versions that entry hosts report, in seconds.
+# Interval of comparisons of the versions that entry hosts report, in seconds.
 ROLLOUT_INTERVAL_S = 0.1
 
 
