Run the soak's proxy until it is stopped

Cause: the test's proxy has no links, so its nursery was empty and the thread ended by itself right after the start. If it had ended before the first change, there was no error to name. On an idle machine the test failed again at its first run here. Ruled out: an error that is not recorded before the thread ends (the thread is joined, and a proxy that ended by the error named it in every run). Change: a proxy runs until it is stopped, with links or without. Before: the new test fails at each run, the old one at the first. Conclusion: a fault of the soak's own code; no product code changes.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -206,3 +206,4 @@
                 for link in self.links.values():
                     await nursery.start(link.serve)
                 self._is_started.set()
+                await trio.sleep_forever()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -163,6 +163,15 @@
 
 
 class ProxyTest(unittest.TestCase):
+    def test_proxy_without_links_runs_until_it_is_stopped(self):
+        # Guards against a proxy whose end depends on the time of the first change.
+        links = proxy.Proxy({})
+        links.start()
+        links._thread.join(0.2)
+        self.assertTrue(links._thread.is_alive())
+        links.stop()
+        self.assertFalse(links._thread.is_alive())
+
     def test_change_after_an_error_in_the_proxy_names_the_error(self):
         def fail(link):
             raise ValueError("not a link")
