Refuse HTTP requests that arrive just before shutdown

Callers would see: a reset in place of 503 not_run. Change: the connection parses what has arrived before it closes. Before: test_request_that_arrives_just_before_shutdown_gets_503_not_run fails with a ConnectionResetError. After: passes. Ruled out: a request in memory streams, which an earlier test covers; there is no socket buffer, so that it could not show this.

--- a/sedgeswitch/callers/connection.py
+++ b/sedgeswitch/callers/connection.py
@@ -227,6 +227,8 @@
 
     async def _refuse_unfinished(self) -> None:
         """Refuse a request that was received, in part or in full, but not handled."""
+        if data := sockets.receive_nonblocking(self._stream, RECEIVE_BYTES):
+            self._parse(data)
         if not self._builder.is_started and not self._builder.finished:
             return
         refusal = _SHUTTING_DOWN
--- a/sedgeswitch/callers/tests/test_slow_peers.py
+++ b/sedgeswitch/callers/tests/test_slow_peers.py
@@ -1,5 +1,6 @@
 """Tests of one HTTP connection with slow peers."""
 
+import socket
 import unittest
 
 import trio
@@ -72,6 +73,25 @@
 
         trio.run(run)
 
+    def test_request_that_arrives_just_before_shutdown_gets_503_not_run(self):
+        # Guards against a reset in place of an answer.
+        async def run():
+            near, far = socket.socketpair()
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(far))
+            connection = connections.HttpConnection(stream, None, LIMITS, lambda: True)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.run)
+                await trio.testing.wait_all_tasks_blocked()
+                near.sendall(REQUEST)
+                connection.stop()
+                with trio.fail_after(5.0):
+                    received = await trio.to_thread.run_sync(near.recv, 4096)
+                near.close()
+            self.assertIn(b"503", received[:20])
+            self.assertIn(b"not_run", received)
+
+        trio.run(run)
+
     def test_idle_connection_is_closed_without_response(self):
         async def body(client_stream):
             await client_stream.send_all(REQUEST)
