Reject log positions that messages between hosts cannot hold

Callers would see: all entry hosts that watch a group end at once, again and again, while an instance reports a position or term of more than 63 bits. Cause: positions and terms of instances were read as integers of any size. The report of the next heartbeat holds them as 64 bits, and its encoding raises an OverflowError, which ends the process. Change: a position is absent, and a state malformed, if a number has over 18 digits. Before: two of the three new tests of PositionTest fail; encoding a report with such a position raises OverflowError ("int too big to convert"). After: they pass. Ruled out: malformed text, which was absent or malformed already.

--- a/sedgeswitch/platform/instance_driver.py
+++ b/sedgeswitch/platform/instance_driver.py
@@ -290,10 +290,11 @@
         If there is no row, or a field is missing or malformed.
     """
     fields = rows[0].split() if rows else []
-    position = None
+    term = position = None
     if len(fields) >= _MIN_STATE_FIELDS:
+        term = wire.decode_number(fields[1])
         position = wire.decode_position(fields[2])
-    if position is None or not fields[1].isdigit():
+    if term is None or position is None:
         raise checks.CheckError(
             "state", "a row of role, term, position and at least one more field", rows
         )
@@ -302,7 +303,7 @@
     # A new primary's log position carries its term only after its first commit.
     return instances.InstanceState(
         False,
-        positions.Position(int(fields[1]), position.lsn),
+        positions.Position(term, position.lsn),
         log_timeline=position.timeline,
     )
 
--- a/sedgeswitch/platform/tests/test_line_protocol.py
+++ b/sedgeswitch/platform/tests/test_line_protocol.py
@@ -8,12 +8,15 @@
 from sedgeswitch.drivers import base
 from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import positions
+from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.platform import client_edge
 from sedgeswitch.platform import instance_driver
 from sedgeswitch.platform import wire
 from sedgeswitch.platform.tests import builders
 from sedgeswitch.relay import steps
 from sedgeswitch.relay.tests import builders as relay_builders
+from sedgeswitch.transport import catalog
+from sedgeswitch.utils import checks
 from sedgeswitch.utils.tests import virtual_time
 
 READY = b"READY I 3.7\r\n"
@@ -56,6 +59,25 @@
         self.assertEqual(set(sessions.Failure), set(wire.CODE_BY_FAILURE))
 
 
+class PositionTest(unittest.TestCase):
+    """Guards against an instance whose numbers end the hosts that report them."""
+
+    def test_largest_positions_fit_into_reports(self):
+        number = 10**18 - 1
+        position = wire.decode_position(b"%d.%d" % (number, number))
+        health = ttypes.InstanceHealth("a", 0, 0, 0)
+        health.timeline, health.lsn = position
+        self.assertTrue(catalog.encode_struct(health))
+
+    def test_larger_positions_are_absent(self):
+        for field in (b"1." + b"9" * 19, b"9" * 5000 + b".1"):
+            self.assertIsNone(wire.decode_position(field))
+
+    def test_state_with_a_larger_term_is_malformed(self):
+        with self.assertRaises(checks.CheckError):
+            instance_driver.decode_state((b"primary " + b"9" * 19 + b" 1.1 0",))
+
+
 class ConnectionTest(unittest.TestCase):
     def exchange(self, answers, use):
         """Run `use` on a connection to a scripted instance; return its lines."""
--- a/sedgeswitch/platform/wire.py
+++ b/sedgeswitch/platform/wire.py
@@ -17,6 +17,8 @@
 LINE_END = b"\r\n"
 # Placeholder for an absent statement id, position or other field.
 NONE = b"-"
+# Longest number that certainly fits into the 64 bits of messages between hosts.
+_MAX_DIGITS = 18
 
 FAILURE_BY_CODE = {
     b"BUSY": sessions.Failure.OVERLOADED,
@@ -106,12 +108,21 @@
     return b" ".join(fields) + LINE_END
 
 
+def decode_number(field: bytes) -> int | None:
+    """Return the number in a field, None if it is malformed or too large."""
+    if field.isdigit() and len(field) <= _MAX_DIGITS:
+        return int(field)
+    return None
+
+
 def decode_position(field: bytes) -> positions.Position | None:
     """Return the log position in a field, None if it is absent or malformed."""
-    term, separator, number = field.partition(b".")
-    if separator and term.isdigit() and number.isdigit():
-        return positions.Position(int(term), int(number))
-    return None
+    term_field, _, number_field = field.partition(b".")
+    term = decode_number(term_field)
+    number = decode_number(number_field)
+    if term is None or number is None:
+        return None
+    return positions.Position(term, number)
 
 
 def encode_position(position: positions.Position | None) -> bytes:
