Keep an entry host's heartbeats after an unexpected error

Callers would see: all sessions of a host end at once; if the leader's answer or the host's report raises the error again, at each start, and on all hosts. Cause: heartbeats expect a failed call or a body that cannot be decoded. Any other exception, in the report or in a section's part of an answer, ended the process. Change: such a part counts as malformed: the lease is not renewed by it, and the other parts are received. Before: test_error_in_a_section_renews_no_lease_and_others_receive_theirs fails with the KeyError, test_client_goes_on_after_an_error_in_a_report with the OverflowError. After: they pass. Ruled out: undecodable bodies, unknown sections and answers of another type, which had tests.

--- a/sedgeswitch/membership/heartbeat_client.py
+++ b/sedgeswitch/membership/heartbeat_client.py
@@ -17,6 +17,7 @@
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import backoff
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import tasks
 
 # Longest wait for the answer to a heartbeat, in seconds.
 CALL_TIMEOUT_S = 1.0
@@ -271,8 +272,8 @@
     async def run(self) -> None:
         """Send heartbeats and watches until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_heartbeats)
-            nursery.start_soon(self._send_watches)
+            nursery.start_soon(tasks.run_restarting, self._send_heartbeats)
+            nursery.start_soon(tasks.run_restarting, self._send_watches)
 
     async def leave(self) -> None:
         """Release the lease; nothing may be served under it afterwards."""
@@ -324,7 +325,7 @@
         return is_changed
 
     def _receive_sections(self, answers: dict[str, bytes], now_s: float) -> None:
-        """Pass each section its answer, also after another one could not be decoded."""
+        """Pass each section its answer, also after another one could not receive it."""
         malformed = []
         for name, body in answers.items():
             # A leader of another release may have more sections.
@@ -334,6 +335,9 @@
                 self._sections[name].receive_answer(body, now_s)
             except catalog.MessageError as error:
                 malformed.append(f"{name}: {error}")
+            except Exception as error:
+                loguru.logger.exception("section not received", section=name)
+                malformed.append(f"{name}: {error!r}")
         if malformed:
             raise _build_malformed("; ".join(malformed))
 
--- a/sedgeswitch/membership/tests/test_leases.py
+++ b/sedgeswitch/membership/tests/test_leases.py
@@ -174,14 +174,15 @@
 
 
 class HeartbeatClientTest(unittest.TestCase):
-    def _run_with(self, answer):
+    def _run_with(self, answer, **sections):
         async def run():
             identity = machine.Member("entry-0", "run-1", "bagmati", "::1", 1)
             control = FakeControl(answer)
             item = heartbeat_client.HeartbeatClient(
                 identity, control, builders.HEARTBEAT_S
             )
-            item.register_section("members", _Section())
+            for name, section in {"members": _Section(), **sections}.items():
+                item.register_section(name, section)
             with trio.move_on_after(3.0):
                 await item.run()
             return item.is_lease_valid(trio.current_time())
@@ -192,6 +193,20 @@
         answer = messages.HeartbeatAnswer(2000, {"members": b"\xff"}, {})
         self.assertFalse(self._run_with(answer))
 
+    def test_error_in_a_section_renews_no_lease_and_others_receive_theirs(self):
+        failing, other = _Section(receives=False), _Section()
+        body = catalog.encode_struct(messages.Members(1, []))
+        names = ("failing", "other")
+        answer = messages.HeartbeatAnswer(2000, dict.fromkeys(names, body), {})
+        self.assertFalse(self._run_with(answer, failing=failing, other=other))
+        self.assertGreater(other.received, 1)
+
+    def test_client_goes_on_after_an_error_in_a_report(self):
+        # Guards against one error that ends all sessions of a host.
+        section = _Section(failing_reports=2)
+        answer = messages.HeartbeatAnswer(2000, {}, {})
+        self.assertTrue(self._run_with(answer, failing=section))
+
     def test_unknown_section_is_skipped(self):
         answer = messages.HeartbeatAnswer(2000, {"later": b"\xff"}, {})
         self.assertTrue(self._run_with(answer))
@@ -207,11 +222,22 @@
 
 
 class _Section:
+    def __init__(self, receives=True, failing_reports=0):
+        self._receives = receives
+        self._failing_reports = failing_reports
+        self.received = 0
+
     def build_report(self, now_s):  # noqa: ARG002
+        if self._failing_reports:
+            self._failing_reports -= 1
+            raise OverflowError("int too big to convert")
         return b""
 
     def receive_answer(self, body, now_s):  # noqa: ARG002
         catalog.decode_struct(messages.Members, body)
+        if not self._receives:
+            raise KeyError("group")
+        self.received += 1
 
 
 if __name__ == "__main__":
