Give promotion orders a deadline on the instance's clock

Cause: i2 was chosen and paused right after it had received pg_promote(). After two attempts the leader returned to i1, which was promoted to timeline 2. i2 woke and ran the order, also to timeline 2. Two primaries on one timeline do not follow each other; i3 followed i2. Ruled out: lost or cut replication (the faults had ended), the agreement (one leader throughout). Change: the leader reads the instance's clock, and the order runs only before a deadline of that clock, half of the time for one attempt. Before: the new test in groups fails: registered lots-0, primaries [lots-2]. After: passes; tests of failover and of the stand-in pass. Conclusion: left are promotions that begin in time and outlast all attempts.

--- a/examples/groups_embedded.py
+++ b/examples/groups_embedded.py
@@ -51,10 +51,12 @@
         self.is_stopped = False
 
     async def execute(self, sql: str, parameters: typing.Sequence) -> Rows:  # noqa: ARG002
-        """Answer the two statements of `sedgeswitch.groups`: state and promotion."""
+        """Answer the statements of `sedgeswitch.groups`: state and promotion."""
         await trio.lowlevel.checkpoint()
         if self.is_stopped:
             raise ConnectionRefusedError
+        if sql == instances.DEADLINE_QUERY:
+            return Rows([("2026-12-04 12:00:01+00",)])
         if sql == instances.PROMOTE_QUERY:
             self.in_recovery = False
             self.timeline += 1
--- a/sedgeswitch/groups/instances.py
+++ b/sedgeswitch/groups/instances.py
@@ -1,10 +1,12 @@
 """Instances of a group: their state, and the interface for commanding them."""
 
+import collections.abc
 import typing
 
 import loguru
 import trio
 
+from sedgeswitch.groups import durations
 from sedgeswitch.groups import positions
 from sedgeswitch.utils import checks
 
@@ -16,7 +18,11 @@
     " ELSE pg_current_wal_lsn() END,"
     " (SELECT timeline_id FROM pg_control_checkpoint())"
 )
-PROMOTE_QUERY = "SELECT pg_promote()"
+DEADLINE_QUERY = "SELECT clock_timestamp() + $1::interval"
+# An instance that was paused may run this long after another one was chosen.
+PROMOTE_QUERY = "SELECT pg_promote() WHERE clock_timestamp() < $1::timestamptz"
+# Part of the time for a promotion within which the instance must begin it.
+_ORDER_VALIDITY_SHARE = 0.5
 _TRUE_TEXTS = ("t", "true")
 
 
@@ -160,8 +166,28 @@
         return await read_state(self._driver, target, timeout_s)
 
     async def promote(self, order: PromotionOrder, timeout_s: float) -> None:
-        """Run ``pg_promote()`` on an instance."""
-        await _query_once(self._driver, order.target, PROMOTE_QUERY, timeout_s)
+        """Run ``pg_promote()`` on an instance, unless it would begin too late.
+
+        The deadline is a time of the instance's own clock.
+        """
+        started_s = trio.current_time()
+        validity_s = timeout_s * _ORDER_VALIDITY_SHARE
+
+        async def promote(connection: typing.Any) -> None:
+            interval = f"{validity_s * durations.MS_PER_S:.0f} milliseconds"
+            rows = await connection.execute(DEADLINE_QUERY, (interval,))
+            elapsed_s = trio.current_time() - started_s
+            if elapsed_s + validity_s > timeout_s:
+                loguru.logger.info(
+                    "promotion not requested, the instance answers too slowly",
+                    instance=order.instance,
+                    elapsed_ms=durations.get_ms(elapsed_s),
+                )
+                return
+            ((deadline,),) = rows.rows
+            await connection.execute(PROMOTE_QUERY, (_decode_text(deadline),))
+
+        await _run_once(self._driver, order.target, promote, timeout_s)
 
     async def follow(
         self,
@@ -226,7 +252,12 @@
         None if connecting or the query failed, took longer than `timeout_s` or
         gave a malformed result.
     """
-    rows = await _query_once(driver, target, STATE_QUERY, timeout_s)
+    rows = await _run_once(
+        driver,
+        target,
+        lambda connection: connection.execute(STATE_QUERY, ()),
+        timeout_s,
+    )
     try:
         return None if rows is None else decode_state(rows)
     except checks.CheckError as error:
@@ -257,16 +288,22 @@
     return states
 
 
-async def _query_once(
-    driver: typing.Any, target: typing.Any, sql: str, timeout_s: float
+async def _run_once(
+    driver: typing.Any,
+    target: typing.Any,
+    operation: collections.abc.Callable[
+        [typing.Any], collections.abc.Awaitable[typing.Any]
+    ],
+    timeout_s: float,
 ) -> typing.Any | None:
+    """Return the result of an operation on a new connection, None if it fails."""
     with trio.move_on_after(timeout_s):
         try:
             connection = await driver.connect(target, timeout_s)
         except Exception:
             return None
         try:
-            return await connection.execute(sql, ())
+            return await operation(connection)
         except Exception:
             return None
         finally:
--- a/sedgeswitch/groups/tests/builders.py
+++ b/sedgeswitch/groups/tests/builders.py
@@ -52,6 +52,7 @@
         self.extra_latency_s = 0.0
         self.is_full = False
         self.promotion_s = 0.15
+        self.freezes_on_order = False
 
     @property
     def position(self):
@@ -254,6 +255,8 @@
 
     async def execute(self, sql, parameters=()):
         """Run a statement; it takes effect even if the caller is cancelled."""
+        if sql == instances.PROMOTE_QUERY and self._instance.freezes_on_order:
+            self._instance.is_frozen = True
         sender, receiver = trio.open_memory_channel(1)
         self._world.nursery.start_soon(self._run, sql, parameters, sender)
         outcome = await receiver.receive()
@@ -266,14 +269,18 @@
         try:
             server = await self.send_request()
             if sql == instances.PROMOTE_QUERY:
-                await trio.sleep(server.promotion_s)
-                _promote(server)
+                if trio.current_time() < float(parameters[0]):
+                    await trio.sleep(server.promotion_s)
+                    _promote(server)
             elif sql == "write":
                 _write(server, parameters)
         except FakeError as error:
             sender.send_nowait(error)
             return
-        row = (str(server.in_recovery), _format(server), server.timeline)
+        if sql == instances.DEADLINE_QUERY:
+            row = (str(trio.current_time() + float(parameters[0].split()[0]) / 1000),)
+        else:
+            row = (str(server.in_recovery), _format(server), server.timeline)
         sender.send_nowait(Rows([row]))
 
 
--- a/sedgeswitch/groups/tests/test_failover.py
+++ b/sedgeswitch/groups/tests/test_failover.py
@@ -284,6 +284,25 @@
         world = self.run_world(scenario, duration_s=16.0)
         self.assertEqual(2, world.machine.get_group("lots").term)
 
+    def test_promotion_order_of_a_frozen_candidate_has_no_effect_when_it_wakes(self):
+        # Guards against two primaries on one timeline; replicas may follow the one
+        # that is not registered, so that no write of the other is acknowledged.
+        async def scenario(world):
+            for name in REPLICAS:
+                world.instances[name].freezes_on_order = True
+            await kill_primary(world)
+            await trio.sleep(1.5)
+            world.instances["lots-0"].is_killed = False
+            await trio.sleep(8.0)
+            for name in REPLICAS:
+                world.instances[name].is_frozen = False
+
+        world = self.run_world(scenario, duration_s=14.0)
+        primaries = [
+            server.name for server in world.instances.values() if not server.in_recovery
+        ]
+        self.assertEqual([world.machine.get_group("lots").primary], primaries)
+
     def test_planned_move_promotes_the_target(self):
         async def move(world):
             await world.leader.supervisor.move_primary("lots", "lots-2")
--- a/standin/instance/tests/test_instance.py
+++ b/standin/instance/tests/test_instance.py
@@ -209,6 +209,19 @@
             await replica.fetch("SELECT pg_promote()")
             self.assertEqual([("1",)], await replica.fetch(IDS))
 
+    @trio_test
+    async def test_promotion_after_its_deadline_has_no_effect(self):
+        promote = "SELECT pg_promote() WHERE clock_timestamp() < %s::timestamptz"
+        deadline = "SELECT clock_timestamp() + %s::interval"
+        async with builders.open_group(2) as (_, (_primary, replica)):
+            ((soon,),) = await replica.fetch(deadline, "100 milliseconds")
+            await trio.sleep(0.2)
+            self.assertEqual([], await replica.fetch(promote, soon))
+            stats = await replica.call_control("GET", "/stats")
+            self.assertFalse(stats["is_primary"])
+            ((later,),) = await replica.fetch(deadline, "10000 milliseconds")
+            self.assertEqual([("t",)], await replica.fetch(promote, later))
+
     @trio_test
     async def test_restarted_primary_keeps_data_as_replica(self):
         async with builders.open_group() as (nursery, (primary,)):
--- a/standin/instance/transactions.py
+++ b/standin/instance/transactions.py
@@ -3,6 +3,7 @@
 import enum
 import re
 import sqlite3
+import time
 import typing
 
 import trio
@@ -150,10 +151,19 @@
             case translation.Kind.STATUS:
                 return self._run(statement, values)
             case translation.Kind.PROMOTE:
-                await self._instance.promote()
-                return Result(("pg_promote",), (("t",),), "SELECT 1")
+                return await self._promote(statement, values)
         return self._run_session_command(statement)
 
+    async def _promote(
+        self, statement: translation.Statement, values: typing.Sequence[str | None]
+    ) -> Result:
+        """Promote the instance if the statement's condition, if any, holds."""
+        await self._instance.wait_while_frozen()
+        result = self._run(statement, values)
+        if result.rows:
+            await self._instance.promote()
+        return result
+
     async def _read(
         self, statement: translation.Statement, values: typing.Sequence[str | None]
     ) -> Result:
@@ -352,6 +362,9 @@
             "pg_current_wal_lsn": (0, self._get_current_lsn),
             "pg_last_wal_replay_lsn": (0, self._get_replay_lsn),
             "pg_wal_lsn_diff": (2, _get_lsn_difference),
+            "pg_promote": (0, lambda: translation.BOOLEAN_TRUE),
+            # Times are milliseconds here, and so are intervals.
+            "clock_timestamp": (0, lambda: time.time() * 1000),
             "pg_backend_pid": (0, lambda: self._process_id),
             "standin_timeline": (0, lambda: self._instance.store.timeline),
         }
--- a/standin/instance/translation.py
+++ b/standin/instance/translation.py
@@ -17,12 +17,14 @@
 
 _PARAMETER_PREFIX = "p"
 _INTEGER_TYPES = "bigint|integer|int8|int4|int|smallint"
+_TIME_TYPES = "timestamptz|interval"
 _TOKENS = re.compile(
     rf"""
     (?P<text>'(?:[^']|'')*')
   | (?P<name>"(?:[^"]|"")*")
   | (?P<comment>--[^\n]*|/\*.*?\*/)
-  | (?P<parameter>\$(?P<number>\d+)(?P<integer>::(?:{_INTEGER_TYPES})\b)?)
+  | (?P<parameter>\$(?P<number>\d+)(?:
+      (?P<integer>::(?:{_INTEGER_TYPES})\b) | (?P<time>::(?:{_TIME_TYPES})\b))?)
   | (?P<cast>::\s*[a-z_][a-z_0-9]*(?:\[\])?)
   | (?P<checkpoint>\bpg_control_checkpoint\(\s*\))
   | (?P<lock>\bfor\s+(?:update|share)\b(?:\s+(?:nowait|skip\s+locked))?)
@@ -34,12 +36,12 @@
 _TAG_COMMENT = re.compile(r"^\s*/\*\s*id=(?P<id>\S+)\s*\*/")
 _STATUS_FUNCTIONS = re.compile(
     r"\bpg_(is_in_recovery|current_wal_lsn|last_wal_replay_lsn|control_checkpoint"
-    r"|backend_pid|wal_lsn_diff)\b",
+    r"|backend_pid|wal_lsn_diff)\b|\bclock_timestamp\b",
     re.IGNORECASE,
 )
 _WRITE_KEYWORDS = re.compile(r"\b(insert|update|delete|replace)\b", re.IGNORECASE)
 _FROM_KEYWORD = re.compile(r"\bfrom\b(?!\s*\(SELECT standin_timeline)", re.IGNORECASE)
-_PROMOTE = re.compile(r"^select\s+pg_promote\s*\(", re.IGNORECASE)
+_PROMOTE = re.compile(r"^select\s+pg_promote\s*\(\s*\)", re.IGNORECASE)
 
 
 class Kind(enum.Enum):
@@ -149,6 +151,8 @@
             return token[0]
         case "parameter":
             name = f":{_PARAMETER_PREFIX}{token['number']}"
+            if token["time"]:
+                return f"CAST({name} AS REAL)"
             return f"CAST({name} AS INTEGER)" if token["integer"] else name
         case "checkpoint":
             return _CHECKPOINT_TABLE
