Continue the soak after a seed that is not completed

What was seen: soak seed 5 ended without a report of the load tool, and with it the 55 seeds after it. Change: such a seed counts as failed, and the next one runs. Before: the new test fails with the OSError. After: passes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -49,7 +49,12 @@
         processes.exit_on_sigterm()
         failed = []
         for seed in self._read_seeds():
-            result = run.run(self._build_options(seed))
+            try:
+                result = run.run(self._build_options(seed))
+            except OSError as error:
+                print(f"seed {seed}: not completed: {error}", flush=True)
+                failed.append(seed)
+                continue
             print(
                 f"seed {seed}: {result.faults} faults, {result.changes} changes,"
                 f" {result.success_share:.4f} of requests succeeded,"
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,10 +7,13 @@
 import time
 import traceback
 import unittest
+import unittest.mock
 
+import cleo.testers.command_tester
 import trio
 import trio.testing
 
+from soak import __main__
 from soak import faults
 from soak import operator
 from soak import proxy
@@ -187,6 +190,15 @@
         self.assertIn("not a link", trace)
 
 
+class RunCommandTest(unittest.TestCase):
+    def test_seed_that_is_not_completed_fails_and_the_next_ones_run(self):
+        results = [OSError("no report"), run.Result(2, 0, 0, 1.0, [])]
+        tester = cleo.testers.command_tester.CommandTester(__main__.RunCommand())
+        with unittest.mock.patch.object(run, "run", side_effect=results) as run_seed:
+            self.assertEqual(1, tester.execute("--seeds 1-2"))
+        self.assertEqual(2, run_seed.call_count)
+
+
 class ShortRunTest(unittest.TestCase):
     def check_run(self, seed, duration_s):
         with tempfile.TemporaryDirectory() as folder:
