Keep entry hosts running after an error in a background task

Callers would see: all sessions of a host end at once. Cause: an exception in a watcher of instances, in the draws of tokens, in the care for pools, in urgent heartbeats or in the expiry of forwarded transactions ended the process. No input is known that causes one. Change: each starts again after 0.5 s with a log line; a watcher without affecting the others. The expiry of transactions of the HTTP edge is left out, since it marks them before it closes them. Before: FailingWatcherTest fails with the KeyError. After: passes.

--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -40,6 +40,7 @@
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import tasks
 
 
 class EntryHost(entry_core.EntryCore):
@@ -107,7 +108,7 @@
             await nursery.start(self.writer.run_background_tasks)
             self._start_tasks(nursery)
             nursery.start_soon(self.transactions.run)
-            nursery.start_soon(self._maintain)
+            nursery.start_soon(tasks.run_restarting, self._maintain)
 
     def register_routes(self, router: routes.Router) -> None:
         """Register the HTTP endpoints for callers and for backend servers."""
--- a/sedgeswitch/daemon/entry_core.py
+++ b/sedgeswitch/daemon/entry_core.py
@@ -19,6 +19,7 @@
 from sedgeswitch.statements import backends
 from sedgeswitch.transport import failures
 from sedgeswitch.transport import peer
+from sedgeswitch.utils import tasks
 
 # Longest wait for the leader's reply to a draw (a request for tokens), in seconds.
 DRAW_TIMEOUT_S = 0.5
@@ -106,9 +107,13 @@
         nursery.start_soon(self.heartbeat_client.run)
         nursery.start_soon(self.groups_section.run)
         nursery.start_soon(
-            drawing.run, self.host_limiter, self._call_draw, self._admission_options
+            tasks.run_restarting,
+            drawing.run,
+            self.host_limiter,
+            self._call_draw,
+            self._admission_options,
         )
-        nursery.start_soon(self._send_urgent_heartbeats)
+        nursery.start_soon(tasks.run_restarting, self._send_urgent_heartbeats)
 
     async def _call_draw(
         self, request: admission_messages.Draw
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -40,6 +40,7 @@
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import tasks
 from sedgeswitch.utils import uptime
 
 # Maximum number of statements that wait for a connection to one instance.
@@ -173,9 +174,9 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self._entry_peers.run)
             nursery.start_soon(self.forwarder.run)
-            nursery.start_soon(self.holder.run)
+            nursery.start_soon(tasks.run_restarting, self.holder.run)
             self._start_tasks(nursery)
-            nursery.start_soon(self._maintain)
+            nursery.start_soon(tasks.run_restarting, self._maintain)
 
     def stop_holding(self) -> None:
         """Accept no further statements of other hosts' callers."""
--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -13,6 +13,7 @@
 from sedgeswitch.groups import watcher
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.transport import catalog
+from sedgeswitch.utils import tasks
 
 _GROUP_USE_RETENTION_S = 60.0
 
@@ -244,7 +245,7 @@
         self, item: watcher.Watcher, scope: trio.CancelScope
     ) -> None:
         with scope:
-            await item.run()
+            await tasks.run_restarting(item.run)
 
 
 def _build_replica(
--- a/sedgeswitch/groups/tests/test_shared_positions.py
+++ b/sedgeswitch/groups/tests/test_shared_positions.py
@@ -2,12 +2,15 @@
 
 import unittest
 
+import trio
+
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings
 from sedgeswitch.groups import table
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.transport import catalog
+from sedgeswitch.utils.tests import virtual_time
 
 SERVING = ttypes.GroupPhase.SERVING
 
@@ -54,6 +57,38 @@
         self.assertIsNone(section.get_primary_position("g", 10.3))
 
 
+class FailingWatcherTest(unittest.TestCase):
+    """Guards against one group whose error ends the process, and so all sessions."""
+
+    def test_watcher_starts_again_after_an_error(self):
+        class Directory:
+            failures = 2
+            calls = 0
+
+            def get_instances(self, group):
+                self.calls += 1
+                if self.calls <= self.failures:
+                    raise KeyError(group)
+                return []
+
+        instances = Directory()
+
+        async def main():
+            section = entry_section.EntrySection(
+                table.GroupTable(), instances, None, settings.GroupSettings()
+            )
+            answer = ttypes.Answer(
+                version=0, changed=[], knows_used_groups=True, watched_groups=["g"]
+            )
+            with trio.move_on_after(3.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(section.run)
+                    section.receive_answer(catalog.encode_struct(answer), 0.1)
+
+        virtual_time.run(main)
+        self.assertGreater(instances.calls, 2)
+
+
 class AcknowledgedTest(unittest.TestCase):
     """Reports of hosts that do and do not record their commits."""
 
