Refuse configurations whose version messages cannot hold

Operators would see: 500 may_have_run for a configuration with a version above 63 bits, and again at each attempt, instead of 400. Cause: the version was an integer of any size; encoding the proposal raised an OverflowError, after the check. Before: the new case of test_invalid_configuration_raises fails, no CheckError. After: passes.

--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -64,7 +64,8 @@
 
 # Defaults for fields that the configuration omits.
 _DEFAULT_MAX_CONNECTIONS = 20
-# Largest limit that messages between hosts can hold; no instance accepts as many.
+# Largest version and largest limit of connections that messages between hosts can hold.
+_HIGHEST_VERSION = 2**63 - 1
 _HIGHEST_MAX_CONNECTIONS = 2**31 - 1
 _DEFAULT_TARGET_LATENCY_MS = 1000.0
 _DEFAULT_TRANSACTION_IDLE_MS = 60_000.0
@@ -95,9 +96,9 @@
             "a JSON object with version, routes and services",
             str(error),
         ) from error
-    if configuration["version"] < 1:
+    if not 1 <= configuration["version"] <= _HIGHEST_VERSION:
         raise checks.CheckError(
-            "version", "an integer of at least 1", configuration["version"]
+            "version", "a 64-bit integer of at least 1", configuration["version"]
         )
     idle_ms = configuration.get("limits", {}).get(
         "txIdleMs", _DEFAULT_TRANSACTION_IDLE_MS
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -53,6 +53,9 @@
             ),
             "version as text": builders.build_configuration(version="7"),
             "no version": builders.build_configuration(version=0),
+            "version that messages cannot hold": builders.build_configuration(
+                version=2**63
+            ),
             "routes missing": msgspec.json.encode({"version": 1, "services": []}),
         }
         for name, body in invalid.items():
