End the soak's load tool with its fleet

What was seen: a soak that was ended by a signal left standin.load running, which sent requests to the ports of the next run. Cause: only the processes of the fleet were ended, not the tools beside it. Before: FleetTest fails, there is no such method.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -54,6 +54,7 @@
         }
         self._commands: dict[str, tuple[str, list[str]]] = {}
         self._running: dict[str, processes.Process] = {}
+        self._tools: list[processes.Process] = []
         self.control = [f"c{number}" for number in range(1, CONTROL_HOSTS + 1)]
         self.entry = [f"e{number}" for number in range(1, ENTRY_HOSTS + 1)]
         self.instances = [f"i{number}" for number in range(1, INSTANCES + 1)]
@@ -80,7 +81,7 @@
         for name, process in self._running.items():
             if process.is_running:
                 self.send_signal(name, signal.SIGCONT)
-        processes.stop_all(self._running.values())
+        processes.stop_all([*self._running.values(), *self._tools])
         self.proxy.stop()
 
     def start_process(self, name: str) -> None:
@@ -89,6 +90,14 @@
         logs = self.folder / "logs"
         self._running[name] = processes.Process(name, module, arguments, logs)
 
+    def start_tool(
+        self, name: str, module: str, arguments: typing.Sequence[str]
+    ) -> processes.Process:
+        """Start a process that faults leave alone; `stop` ends it with the fleet."""
+        logs = self.folder / "logs"
+        self._tools.append(processes.Process(name, module, arguments, logs))
+        return self._tools[-1]
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process of this fleet if it is running."""
         if self._running[name].is_running:
--- a/soak/run.py
+++ b/soak/run.py
@@ -107,12 +107,11 @@
         return operators.send(fleet.build_operations(), "setup") is not None
 
     processes.wait_until(is_configured, RESTORE_TIMEOUT_S, "acknowledged configuration")
-    load = processes.Process(
+    load = fleet.start_tool(
         "prepare",
         "standin.load",
         [*fleet.build_load_arguments(), *("--prepare", "--duration-s=0", "--json")]
         + [f"--give-up-s={GIVE_UP_S}"],
-        fleet.folder / "logs",
     )
     processes.wait_until(
         lambda: not load.is_running, RESTORE_TIMEOUT_S, "end of creating the tables"
@@ -122,7 +121,7 @@
 def _start_load(
     fleet: fleets.Fleet, options: Options, *arguments: str
 ) -> processes.Process:
-    return processes.Process(
+    return fleet.start_tool(
         "load",
         "standin.load",
         [
@@ -130,7 +129,6 @@
             *(f"--rate={LOAD_RATE_PER_S}", f"--seed={options.seed}", "--json"),
             *(f"--give-up-s={GIVE_UP_S}", *arguments),
         ],
-        fleet.folder / "logs",
     )
 
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -15,6 +15,7 @@
 
 from soak import __main__
 from soak import faults
+from soak import fleet
 from soak import operator
 from soak import proxy
 from soak import run
@@ -190,6 +191,18 @@
         self.assertIn("not a link", trace)
 
 
+class FleetTest(unittest.TestCase):
+    def test_tools_end_with_the_fleet(self):
+        # Guards against load that goes on after a run was ended by a signal.
+        with tempfile.TemporaryDirectory() as folder:
+            soaked = fleet.Fleet(pathlib.Path(folder), FIRST_PORT)
+            options = ["--bind", proxy.HOST, "0"]
+            tool = soaked.start_tool("tool", "http.server", options)
+            self.addCleanup(tool.stop)
+            soaked.stop()
+            self.assertFalse(tool.is_running)
+
+
 class RunCommandTest(unittest.TestCase):
     def test_seed_that_is_not_completed_fails_and_the_next_ones_run(self):
         results = [OSError("no report"), run.Result(2, 0, 0, 1.0, [])]
