--- a/standin/instance/options.py
+++ b/standin/instance/options.py
@@ -18,8 +18,9 @@
 def _parse_startup_options(text: str) -> dict[str, str]:
     """Return the settings in options ``-c name=value`` and ``--name=value``."""
     values: dict[str, str] = {}
-    for word in text.replace("-c ", "--").replace("-c", "--").split():
-        name, separator, value = word.removeprefix("--").partition("=")
+    for word in text.split():
+        assignment = word.removeprefix("--").removeprefix("-c")
+        name, separator, value = assignment.partition("=")
         if separator:
             values[name.replace("-", "_").lower()] = value
     return values
