Replace a primary whose address another instance has taken over

Cause: the primary crashed at 12.5 s and its address answered as another instance from 13.4 s on. A watcher takes a refusal with a code for a busy instance, so that WRONG_INSTANCE ended the suspicion that three refused connections had begun to raise. Change: WRONG_INSTANCE counts as a refusal, as from a server that does not serve. Before: test_primary_whose_address_another_instance_has_is_replaced fails, the term stays 1. After: passes, gap below 3 s.

--- a/sedgeswitch/groups/tests/builders.py
+++ b/sedgeswitch/groups/tests/builders.py
@@ -49,6 +49,8 @@
         self.in_recovery = True
         self.is_killed = False
         self.is_frozen = False
+        # Whether another instance answers at its address.
+        self.is_replaced = False
         self.extra_latency_s = 0.0
         self.is_full = False
         self.promotion_s = 0.15
@@ -60,7 +62,7 @@
 
     @property
     def is_live(self):
-        return not (self.is_killed or self.is_frozen)
+        return not (self.is_killed or self.is_frozen or self.is_replaced)
 
 
 class Finished(Exception):  # noqa: N818
@@ -251,6 +253,8 @@
             raise FakeError
         if self._instance.is_full:
             raise FakeError("53300")
+        if self._instance.is_replaced:
+            raise FakeError("WRONG_INSTANCE")
         return self._instance
 
     async def execute(self, sql, parameters=()):
--- a/sedgeswitch/groups/tests/test_failover.py
+++ b/sedgeswitch/groups/tests/test_failover.py
@@ -248,6 +248,14 @@
         names = world.machine.get_group("lots").instances
         self.assertEqual(["lots-0", "lots-1", "lots-3"], names)
 
+    def test_primary_whose_address_another_instance_has_is_replaced(self):
+        # Guards against a group that stays without a primary: an answer of another
+        # instance was taken for one of a busy primary.
+        async def scenario(world):
+            world.instances["lots-0"].is_replaced = True
+
+        self.assert_replaced(self.run_world(scenario), longest_gap_s=3.0)
+
     def test_failover_waits_for_lease_of_unreachable_entry_host(self):
         async def scenario(world):
             world.paused.add("entry-5")
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import durations
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import positions
@@ -17,8 +18,11 @@
 _MAX_LATENCIES = 10
 _CLOSE_TIMEOUT_S = 0.1
 
-# The server answers, but does not serve: it is starting, stopping or recovering.
-_NOT_SERVING_SQLSTATES = frozenset({"57P01", "57P02", "57P03"})
+# The server answers, but does not serve: it is starting, stopping or recovering, or it
+# is another instance, which has taken over the address.
+_NOT_SERVING_SQLSTATES = frozenset(
+    {"57P01", "57P02", "57P03", sessions.Failure.WRONG_INSTANCE.name}
+)
 
 
 class _ProbeResults:
