Replace a primary that is no longer announced

Cause: watchers probe announced instances only. A primary that is not announced got no report, and without a report of a suspicion no failover starts. Change: a watcher reports the registered primary as suspect once it has not been announced for 4 s, the longest silence that is tolerated of any instance. As for other suspicions, a majority of the watchers must report it. Ruled out: a shorter time; a new leader may receive the announcements in parts. Before: test_primary_that_is_no_longer_announced_is_replaced fails, the term stays 1. After: passes; a primary that is not announced for 1 s is kept.

--- a/sedgeswitch/groups/tests/test_failover.py
+++ b/sedgeswitch/groups/tests/test_failover.py
@@ -256,6 +256,23 @@
 
         self.assert_replaced(self.run_world(scenario), longest_gap_s=3.0)
 
+    def test_primary_that_is_no_longer_announced_is_replaced(self):
+        # Guards against a group that stays without a primary: nobody reported on a
+        # primary that was withdrawn.
+        async def scenario(world):
+            world.withdrawn.add("lots-0")
+            await kill_primary(world)
+
+        self.assert_replaced(self.run_world(scenario, duration_s=8.0))
+
+    def test_primary_that_is_not_announced_for_a_moment_is_kept(self):
+        async def scenario(world):
+            world.withdrawn.add("lots-0")
+            await trio.sleep(1.0)
+            world.withdrawn.discard("lots-0")
+
+        self.assert_primary(self.run_world(scenario), "lots-0", term=1)
+
     def test_failover_waits_for_lease_of_unreachable_entry_host(self):
         async def scenario(world):
             world.paused.add("entry-5")
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -129,6 +129,8 @@
         self._history = staleness.PrimaryPositionHistory()
         self._on_suspect = on_suspect
         self._is_primary_suspect = False
+        # The primary while it is not announced, and since when.
+        self._unannounced: tuple[str, float] | None = None
 
     async def run(self) -> None:
         """Probe until cancelled; starts and stops probes as announcements change."""
@@ -149,21 +151,48 @@
 
     def _check_primary(self, now_s: float) -> None:
         group = self._table.get_group(self._group)
-        results = None if group is None else self._results.get(group.primary)
-        if results is None:
+        if group is None:
             return
-        condition = results.get_condition(self._settings, now_s)
         was_suspected = self._is_primary_suspect
-        self._is_primary_suspect = condition == ttypes.Condition.SUSPECT
+        results = self._results.get(group.primary)
+        if results is None:
+            if self._unannounced is None or self._unannounced[0] != group.primary:
+                self._unannounced = group.primary, now_s
+            self._is_primary_suspect = self._get_missing_s(now_s) is not None
+        else:
+            self._unannounced = None
+            condition = results.get_condition(self._settings, now_s)
+            self._is_primary_suspect = condition == ttypes.Condition.SUSPECT
         if self._is_primary_suspect and not was_suspected:
             self._on_suspect()
 
+    def _get_missing_s(self, now_s: float) -> float | None:
+        """Return for how long the primary has not been announced.
+
+        None if it is announced, or was until recently: a new leader may receive the
+        announcements in several parts.
+        """
+        if self._unannounced is None:
+            return None
+        missing_s = now_s - self._unannounced[1]
+        return missing_s if missing_s >= self._settings.max_silence_limit_s else None
+
     def build_health(self, now_s: float) -> ttypes.GroupHealth:
         """Return the probe results for the next heartbeat."""
         reports = [
             self._build_instance_health(name, results, now_s)
             for name, results in sorted(self._results.items())
         ]
+        missing_s = self._get_missing_s(now_s)
+        if missing_s is not None:
+            reports.append(
+                ttypes.InstanceHealth(
+                    instance=self._unannounced[0],
+                    condition=ttypes.Condition.SUSPECT,
+                    consecutive_failures=0,
+                    silence_ms=durations.get_ms(missing_s),
+                )
+            )
         return ttypes.GroupHealth(self._group, reports, self._is_stalled(now_s))
 
     def _build_instance_health(
