Repeat a soak's change unchanged after a lost answer

Cause: the leader changed during the set-up, before any fault (three control processes that start on a busy machine), and the answer to the first change was lost, though it was applied: the logs of all control hosts hold it as entry 2, with base version 0, and then over 800 repetitions with base version 1. Ruled out: the control hosts (one leader from then on, each repetition committed). Change: a change without an answer is repeated with the same body; after a rejection the next one has another id. Before: RepeatedChangeTest fails.

--- a/soak/operator.py
+++ b/soak/operator.py
@@ -9,7 +9,8 @@
 CHANGES_PATH = "/v1/configuration/changes"
 CONFIGURATION_PATH = "/v1/configuration"
 OK_STATUS = 200
-CONFLICT_STATUS = 409
+# Statuses of changes that were not applied: another base version, or invalid.
+REJECTED_STATUSES = frozenset([409, 422])
 
 
 class Acknowledged(typing.NamedTuple):
@@ -47,6 +48,8 @@
         self._thread = threading.Thread(target=self._run, daemon=True)
         self.acknowledged: list[Acknowledged] = []
         self.violations: list[str] = []
+        # Changes that may have been applied, by the request ids of their callers.
+        self._unanswered: dict[str, dict[str, typing.Any]] = {}
 
     def start(self) -> None:
         """Start sending changes."""
@@ -60,6 +63,8 @@
     def send(self, operations: list[dict], request_id: str) -> int | None:
         """Send a change to the control hosts in turn until one acknowledges it.
 
+        A change without an answer is repeated unchanged by the next call with its id.
+
         Returns
         -------
         int or None
@@ -120,18 +125,22 @@
     def _send_to(
         self, host_id: str, operations: list[dict], request_id: str
     ) -> int | None:
-        status, configuration = self._fleet.exchange_control(
-            host_id, "GET", CONFIGURATION_PATH
-        )
-        if status != OK_STATUS:
-            return None
-        body = {
-            "base_version": configuration["version"],
-            "request_id": request_id,
-            "author": "soak",
-            "operations": operations,
-        }
+        if request_id not in self._unanswered:
+            status, configuration = self._fleet.exchange_control(
+                host_id, "GET", CONFIGURATION_PATH
+            )
+            if status != OK_STATUS:
+                return None
+            version = configuration["version"]
+            self._unanswered[request_id] = {
+                "base_version": version,
+                "request_id": f"{request_id}-{version}",
+                "author": "soak",
+                "operations": operations,
+            }
         status, answer = self._fleet.exchange_control(
-            host_id, "POST", CHANGES_PATH, body
+            host_id, "POST", CHANGES_PATH, self._unanswered[request_id]
         )
+        if status == OK_STATUS or status in REJECTED_STATUSES:
+            del self._unanswered[request_id]
         return answer["version"] if status == OK_STATUS else None
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -82,6 +82,32 @@
         self.assertEqual(1, len(self.check(FakeFleet(["added-1"], 2))))
 
 
+class LostAnswerFleet(FakeFleet):
+    """Applies the first change but loses its answer; rejects changed repetitions."""
+
+    def __init__(self):
+        super().__init__()
+        self.bodies = {}
+
+    def exchange_control(self, host_id, method, path, body=None):
+        if method == "GET":
+            return super().exchange_control(host_id, method, path)
+        known = self.bodies.get(body["request_id"])
+        if known is not None:
+            return (200, {"version": 1}) if known == body else (422, {})
+        self.bodies[body["request_id"]] = body
+        self.version = 1
+        raise ConnectionResetError
+
+
+class RepeatedChangeTest(unittest.TestCase):
+    def test_change_whose_answer_was_lost_is_repeated_unchanged(self):
+        # Guards against a set-up that is never acknowledged.
+        operators = operator.Operators(LostAnswerFleet())
+        self.assertIsNone(operators.send([], "setup"))
+        self.assertEqual(1, operators.send([], "setup"))
+
+
 class LinkTest(unittest.TestCase):
     """Tests faults on connections through a link to an echo server."""
 
