Read the clock less often for each statement

Cause: since each statement read the clock for the startup log, also long after the first success, and since the check of an operation's access read it just before its admission did. Change: the startup is recorded only until it has ended; one reading serves the access and the admission. Behaviour as before; not measured.

--- a/sedgeswitch/observability/startup.py
+++ b/sedgeswitch/observability/startup.py
@@ -12,17 +12,22 @@
     ----------
     started_s : float
         Start time of the process.
+
+    Attributes
+    ----------
+    is_serving : bool
+        Whether a statement has succeeded, so that nothing more is recorded.
     """
 
     def __init__(self, started_s: float):
         self._started_s = started_s
         self._stages_ms: dict[str, int] = {}
         self._failures = 0
-        self._is_serving = False
+        self.is_serving = False
 
     def record_stage(self, name: str, now_s: float) -> None:
         """Record that a stage is reached; only the first time counts."""
-        if not self._is_serving:
+        if not self.is_serving:
             self._stages_ms.setdefault(name, self._get_elapsed_ms(now_s))
 
     def record_statement(self, is_answered: bool, now_s: float) -> None:
@@ -34,12 +39,12 @@
             Whether an instance has answered the statement.
         now_s : float
         """
-        if self._is_serving:
+        if self.is_serving:
             return
         if not is_answered:
             self._failures += 1
             return
-        self._is_serving = True
+        self.is_serving = True
         loguru.logger.info(
             "first statement answered",
             after_start_ms=self._get_elapsed_ms(now_s),
--- a/sedgeswitch/relay/session.py
+++ b/sedgeswitch/relay/session.py
@@ -90,7 +90,7 @@
             while self._is_denied_for_now():
                 await databases.wait_for_confirmation()
         try:
-            self._get_access()
+            self._get_access(clocks.get_now_s())
         except steps.FailedError as error:
             self._components.decisions.note(
                 f"session {error.failure.value[0]}",
@@ -101,17 +101,14 @@
             )
             raise
 
-    def _get_access(self) -> accesses.Access:
+    def _get_access(self, now_s: float) -> accesses.Access:
         return accesses.check_access(
-            self._components.databases,
-            self._database_name,
-            self._key,
-            clocks.get_now_s(),
+            self._components.databases, self._database_name, self._key, now_s
         )
 
     def _is_denied_for_now(self) -> bool:
         try:
-            self._get_access()
+            self._get_access(clocks.get_now_s())
         except steps.FailedError as error:
             return error.is_retryable
         return False
@@ -144,10 +141,9 @@
                 # has no effect, whatever the failure of the statement says.
                 outcome = outcome._replace(failure=sessions.Failure.ABORTED)
         self._record_metrics(step, outcome, trio.current_time() - started_s)
-        if outcome.failure is not None or outcome.signature:
-            self._components.startup_times.record_statement(
-                outcome.failure is None, clocks.get_now_s()
-            )
+        startup_times = self._components.startup_times
+        if not startup_times.is_serving and (outcome.failure or outcome.signature):
+            startup_times.record_statement(outcome.failure is None, clocks.get_now_s())
         if outcome.failure is not None:
             self._log_failure(step, outcome, started_s, was_in_transaction)
         return outcome
@@ -236,11 +232,10 @@
 
     async def _admit(self, started_s: float) -> tuple[accesses.Access, float]:
         """Check access and admit one operation; return the access and the deadline."""
-        access = self._get_access()
+        now_s = clocks.get_now_s()
+        access = self._get_access(now_s)
         deadline_s = self._get_deadline_s(access, started_s)
-        self._components.observations.record_group_use(
-            access.database.group, clocks.get_now_s()
-        )
+        self._components.observations.record_group_use(access.database.group, now_s)
         if access.is_rate_limited:
             requested_s = trio.current_time()
             try:
