Do not copy the reported versions for each look at a rollout

The leader copied one entry for each entry host ten times a second, also while a rollout was complete. Its only reader uses them at once, so that a view serves. Not measured.

--- a/sedgeswitch/databases/sections.py
+++ b/sedgeswitch/databases/sections.py
@@ -1,6 +1,7 @@
 """The section of the heartbeat that sends the document to entry hosts."""
 
 import collections.abc
+import types
 
 import loguru
 import trio
@@ -31,9 +32,9 @@
         """Return the version in force; a change of it triggers heartbeats."""
         return self._machine.version
 
-    def get_reported_versions(self) -> dict[str, int]:
-        """Return the version that each entry host last reported, by host id."""
-        return dict(self._reported_versions)
+    def get_reported_versions(self) -> collections.abc.Mapping[str, int]:
+        """Return a view of the versions that entry hosts last reported, by host id."""
+        return types.MappingProxyType(self._reported_versions)
 
     def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:  # noqa: ARG002
         """Record a host's version; include the document if the version is outdated."""
