Name the largest integers of messages once

The bounds of durations, slots, connections and versions repeated the same two numbers; the catalogue of messages holds them now. Values as before.

--- a/sedgeswitch/groups/durations.py
+++ b/sedgeswitch/groups/durations.py
@@ -1,7 +1,8 @@
 """Durations as integer milliseconds, for message fields."""
 
+from sedgeswitch.transport import catalog
+
 MS_PER_S = 1000
-_LONGEST_MS = 2**31 - 1
 
 
 def get_ms(duration_s: float) -> int:
@@ -12,4 +13,4 @@
     >>> get_ms(0.0012)
     2
     """
-    return min(-int(-duration_s * MS_PER_S // 1), _LONGEST_MS)
+    return min(-int(-duration_s * MS_PER_S // 1), catalog.MAX_INT32)
--- a/sedgeswitch/platform/announcements.py
+++ b/sedgeswitch/platform/announcements.py
@@ -6,15 +6,14 @@
 
 from sedgeswitch.membership import directory
 from sedgeswitch.platform import settings
+from sedgeswitch.transport import catalog
 from sedgeswitch.utils import checks
 
 _STATES = ("ready", "draining")
-# Largest number of slots that messages between hosts can hold.
-_MAX_SLOTS = 2**31 - 1
 # Largest integer that JSON carries exactly.
 _MAX_INTEGER = 2**53 - 1
 
-_Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+_Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=catalog.MAX_INT32)]
 _Integer = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
 
 
--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sedgeswitch.databases import documents
+from sedgeswitch.transport import catalog
 from sedgeswitch.utils import checks
 
 MS_PER_S = 1000.0
@@ -64,9 +65,6 @@
 
 # Defaults for fields that the configuration omits.
 _DEFAULT_MAX_CONNECTIONS = 20
-# Largest version and largest limit of connections that messages between hosts can hold.
-_HIGHEST_VERSION = 2**63 - 1
-_HIGHEST_MAX_CONNECTIONS = 2**31 - 1
 _DEFAULT_TARGET_LATENCY_MS = 1000.0
 _DEFAULT_TRANSACTION_IDLE_MS = 60_000.0
 _UNLIMITED_PER_S = 1e9
@@ -96,7 +94,7 @@
             "a JSON object with version, routes and services",
             str(error),
         ) from error
-    if not 1 <= configuration["version"] <= _HIGHEST_VERSION:
+    if not 1 <= configuration["version"] <= catalog.MAX_INT64:
         raise checks.CheckError(
             "version", "a 64-bit integer of at least 1", configuration["version"]
         )
@@ -167,9 +165,7 @@
 def _build_group(service: _Service) -> documents.Group:
     return documents.Group(
         service["name"],
-        min(
-            service.get("maxConns", _DEFAULT_MAX_CONNECTIONS), _HIGHEST_MAX_CONNECTIONS
-        ),
+        min(service.get("maxConns", _DEFAULT_MAX_CONNECTIONS), catalog.MAX_INT32),
         service.get("syncReplicas", 0),
     )
 
--- a/sedgeswitch/transport/catalog.py
+++ b/sedgeswitch/transport/catalog.py
@@ -15,6 +15,10 @@
     """A frame does not contain a valid message of the catalogue."""
 
 
+# Largest values of the integer fields of messages.
+MAX_INT32 = 2**31 - 1
+MAX_INT64 = 2**63 - 1
+
 _TYPE_BY_CODE: dict[int, type] = {}
 _CODE_BY_TYPE: dict[type, int] = {}
 _MAX_BODY_BYTES = 16 * 1024 * 1024
