--- a/sedgeswitch/relay/access.py
+++ b/sedgeswitch/relay/access.py
@@ -30,6 +30,8 @@
         Version of the configuration document.
     transaction_idle_s : float
         Idle time after which an open transaction is rolled back, in seconds.
+    allowed_regions : frozenset of str or None
+        Regions in which the operation's statements may run; None for all.
     """
 
     database: documents.Database
@@ -37,6 +39,7 @@
     is_rate_limited: bool
     version: int
     transaction_idle_s: float
+    allowed_regions: frozenset[str] | None = None
 
 
 def check_access(
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -16,10 +16,12 @@
 from sedgeswitch.observability import decisions
 from sedgeswitch.observability import exposition
 from sedgeswitch.observability import startup
+from sedgeswitch.relay import access as accesses
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import failure_backoff
 from sedgeswitch.relay import freshness
 from sedgeswitch.relay import steps
+from sedgeswitch.routing import eligibility
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.utils import backoff
@@ -59,6 +61,9 @@
         by the deadline.
     rng : random.Random
         Adds jitter to retry delays.
+    get_restrictions : callable
+        Returns the restrictions of all statements that are in force on this host;
+        `build_restrictions` adds those of one operation.
     """
 
     databases: database_sections.EntrySection
@@ -72,6 +77,9 @@
     startup_times: startup.StartupTimes
     admit: Admit
     rng: random.Random
+    get_restrictions: collections.abc.Callable[[], eligibility.Restrictions] = (
+        eligibility.Restrictions
+    )
 
 
 class LocalObservations:
@@ -175,16 +183,25 @@
     return backoff.Backoff(FIRST_RETRY_DELAY_S, MAX_RETRY_DELAY_S, components.rng)
 
 
+def build_restrictions(
+    components: Components, access: accesses.Access
+) -> eligibility.Restrictions:
+    """Return what limits the choice of an instance for an operation."""
+    return components.get_restrictions()._replace(
+        allowed_regions=access.allowed_regions
+    )
+
+
 def get_primary_server(
-    components: Components, permit: table.WritePermit
+    components: Components, permit: table.WritePermit, access: accesses.Access
 ) -> directory.BackendServer:
     """Return the backend server of the primary that a permit names.
 
     Raises
     ------
     steps.FailedError
-        ``OVERLOADED``, retryable, if the instance is not announced as part of the
-        group. No statement has run.
+        ``OVERLOADED`` if the operation may not run there; retryable if the instance
+        is not announced as part of the group. No statement has run.
     """
     server = components.backends.get_server(permit.primary)
     if server is None or server.group != permit.group:
@@ -193,6 +210,12 @@
             "the primary is not announced to this host; retry after 500 ms",
             is_retryable=True,
         )
+    reason = eligibility.find_exclusion(server, build_restrictions(components, access))
+    if reason is not None:
+        raise steps.FailedError(
+            sessions.Failure.OVERLOADED,
+            f"the primary {server.instance} may not run it: {reason}",
+        )
     return server
 
 
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -14,6 +14,7 @@
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import steps
+from sedgeswitch.routing import eligibility
 from sedgeswitch.utils import clocks
 
 # Share of the remaining time of a read that one attempt may take before the read is
@@ -178,10 +179,12 @@
             return None
         now_s = clocks.get_now_s()
         local_observations = self._components.local_observations
+        restrictions = context.build_restrictions(self._components, access)
         eligible = [
             server
             for server in self._components.backends.get_servers(group.group)
             if server.instance not in tried
+            and eligibility.find_exclusion(server, restrictions) is None
             and not server.is_leaving
             and not local_observations.failure_backoff.is_in_backoff(
                 server.instance, now_s
@@ -228,7 +231,7 @@
             while True:
                 permit = await wait_for_permit(components, group, deadline_s)
                 try:
-                    server = context.get_primary_server(components, permit)
+                    server = context.get_primary_server(components, permit, read.access)
                     sent_s = clocks.get_now_s()
                     with components.interrupter.interruptible(permit):
                         result = await self._run_once(read, server, None, deadline_s)
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -86,7 +86,7 @@
         run: reads.Run,
     ) -> sessions.Reply:
         components = self._components
-        server = context.get_primary_server(components, permit)
+        server = context.get_primary_server(components, permit, access)
         is_sent = False
         reply = None
         with (
