--- a/sedgeswitch/forwarding/messages.thrift
+++ b/sedgeswitch/forwarding/messages.thrift
@@ -44,6 +44,28 @@
   9: optional bool is_read_only,
   // For BEGIN: idle time after which the holder rolls the transaction back.
   10: optional i32 idle_timeout_ms,
+  // Priorities of the database and of the organisation; 0 is the highest.
+  11: optional i32 priority,
+  12: optional i32 organisation_priority,
+  // Time left until the target latency of the operation, negative if it has passed.
+  13: optional i32 target_ms,
+  14: optional bool is_write,
+}
+
+// What a holder knows of an instance that it holds connections to.
+struct InstanceLoad {
+  // Statements that the instance runs at the same time.
+  1: optional i32 slots,
+  // Statements of this holder that run and that wait.
+  2: optional i32 running,
+  3: optional i32 waiting,
+  // Number of holders that divide the instance's connections.
+  4: optional i32 holders,
+  5: optional i32 service_ms,
+  // Recent statements without a useful answer, in percent.
+  6: optional i32 failed_percent,
+  // Waiting statements by the priority of their database.
+  7: optional map<i32, i32> waiting_by_priority,
 }
 
 enum Outcome {
@@ -73,6 +95,7 @@
   11: optional bool is_host_unavailable,
   // Time that the holder and the instance took, in milliseconds.
   12: optional i32 service_ms,
+  13: optional InstanceLoad load,
 }
 
 // Asks a host that draws the tokens of an organisation to admit one request.
