Read on a primary in the caller's region before replicas in others

Such a primary is now one of the candidates, by the same expected delay, under a permit that is checked again when the reply arrives.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -72,6 +72,8 @@
         How far organisations may exceed their limits.
     region_by_zone : mapping of str to str
         Region of each availability zone.
+    reads_near_primary : bool
+        See `relay.context.Components`.
     """
 
     host_id: str
@@ -82,6 +84,7 @@
     groups: groups_settings.GroupSettings
     tolerance: relay_groups.Tolerance
     region_by_zone: collections.abc.Mapping[str, str]
+    reads_near_primary: bool = False
 
 
 class RelayEntry(entry_core.EntryCore):
@@ -160,6 +163,7 @@
                 admit_locally,
             ).admit,
             rng,
+            reads_near_primary=options.reads_near_primary,
         )
         self.holder = holder.Holder(
             self._components._replace(
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -142,6 +142,15 @@
         """Time without contact after which another control host replaces a voter."""
         return max(self.catch_up_s * UNRESPONSIVE_SHARE, MIN_UNRESPONSIVE_LIMIT_S)
 
+    @property
+    def has_several_zones_per_region(self) -> bool:
+        """Whether a region has several availability zones.
+
+        Hosts in zones without instances then depend on those of other zones.
+        """
+        regions = list(self.region_by_zone.values())
+        return len(set(regions)) < len(regions)
+
     @property
     def control_id(self) -> str:
         """Control host id of this process."""
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -64,6 +64,9 @@
     get_restrictions : callable
         Returns the restrictions of all statements that are in force on this host;
         `build_restrictions` adds those of one operation.
+    reads_near_primary : bool
+        Whether reads that a replica may run are sent to a primary in this host's
+        region if no replica is expected to answer sooner.
     """
 
     databases: database_sections.EntrySection
@@ -80,6 +83,7 @@
     get_restrictions: collections.abc.Callable[[], eligibility.Restrictions] = (
         eligibility.Restrictions
     )
+    reads_near_primary: bool = False
 
 
 class LocalObservations:
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -77,6 +77,9 @@
 class Reader:
     """Runs reads on a replica that is fresh enough, otherwise on the primary.
 
+    A primary in the region of this host may come before replicas in other regions;
+    see `context.Components.reads_near_primary`.
+
     Parameters
     ----------
     components : context.Components
@@ -119,20 +122,40 @@
         return result or await self._run_on_primary(read)
 
     async def _run_on_replicas(self, read: _ReadRequest) -> ReadResult | None:
-        """Try eligible replicas in turn; return None if none could run the read."""
+        """Try eligible instances in turn; return None if none could run the read."""
         if read.access.database.freshness is documents.Freshness.PRIMARY:
             return None
         tried: set[str] = set()
         while True:
             floor = self._get_floor(read)
-            server = self._choose_replica(read.access, floor, tried)
+            permit = self._find_near_permit(read.access, tried)
+            server = self._choose_replica(read.access, floor, tried, permit)
             if server is None:
                 return None
             tried.add(server.instance)
-            result = await self._try_replica(read, server, floor)
+            if permit is not None and server.instance == permit.primary:
+                result = await self._try_near_primary(read, permit)
+            else:
+                result = await self._try_replica(read, server, floor)
             if result is not None:
                 return result
 
+    def _find_near_permit(
+        self, access: accesses.Access, tried: set[str]
+    ) -> table.WritePermit | None:
+        """Return a permit for an untried primary in this host's region, if any."""
+        components = self._components
+        if not components.reads_near_primary:
+            return None
+        permit = components.groups.get_write_permit(
+            access.database.group, clocks.get_now_s()
+        )
+        if permit is None or permit.primary in tried:
+            return None
+        server = components.backends.get_server(permit.primary)
+        is_near = server is not None and components.backends.is_near(server)
+        return permit if is_near else None
+
     def _get_floor(self, read: _ReadRequest) -> positions.Position | None:
         """Return the position that a replica must have reached, None if unknown."""
         database = read.access.database
@@ -172,8 +195,12 @@
         access: accesses.Access,
         floor: positions.Position | None,
         tried: set[str],
+        permit: table.WritePermit | None,
     ) -> directory.BackendServer | None:
-        """Return the best untried replica, None if none is eligible."""
+        """Return the best untried replica, None if none is eligible.
+
+        With a permit, its primary is a candidate, too.
+        """
         group = self._components.groups.get_group(access.database.group)
         if floor is None or group is None:
             return None
@@ -189,11 +216,16 @@
             and not local_observations.failure_backoff.is_in_backoff(
                 server.instance, now_s
             )
-            and not local_observations.replicas.is_behind(server.instance, floor, now_s)
+            and (
+                (permit is not None and server.instance == permit.primary)
+                or not local_observations.replicas.is_behind(
+                    server.instance, floor, now_s
+                )
+            )
         ]
         ordered = self._components.backends.order_replicas(
             eligible,
-            group.primary,
+            group.primary if permit is None else "",
             lambda server: self._components.connector.get_load(
                 server, access.organisation
             ),
@@ -220,6 +252,49 @@
             self._components.local_observations.record_no_answer(server.instance)
         return None
 
+    async def _try_near_primary(
+        self, read: _ReadRequest, permit: table.WritePermit
+    ) -> ReadResult | None:
+        """Run a read on a primary; return None if it should run elsewhere instead."""
+        deadline_s = self._get_attempt_deadline_s(read.deadline_s)
+        with trio.move_on_at(deadline_s):
+            try:
+                return await self._run_under_permit(read, permit, deadline_s)
+            except (_RetryElsewhereError, steps.FailedError):
+                return None
+        self._components.local_observations.record_no_answer(permit.primary)
+        return None
+
+    async def _run_under_permit(
+        self, read: _ReadRequest, permit: table.WritePermit, deadline_s: float
+    ) -> ReadResult | None:
+        """Run a read on the primary; return None if the permit ended meanwhile.
+
+        Raises
+        ------
+        _RetryElsewhereError
+            If the primary rejected the read.
+        steps.FailedError
+        """
+        components = self._components
+        server = context.get_primary_server(components, permit, read.access)
+        observations = components.local_observations
+        with components.interrupter.interruptible(permit):
+            sent_s = clocks.get_now_s()
+            try:
+                result = await self._run_once(read, server, None, deadline_s)
+            except _RetryElsewhereError as rejected:
+                # A busy primary reports its position too, which may make replicas
+                # eligible.
+                observations.record_primary_reply(permit, sent_s, rejected.reply)
+                raise
+            observations.record_primary_reply(permit, sent_s, result.reply)
+            if components.groups.is_permit_valid(permit, clocks.get_now_s()):
+                return result._replace(permit=permit)
+            if read.keeps_connection:
+                await result.acquired.discard()
+        return None
+
     async def _run_on_primary(self, read: _ReadRequest) -> ReadResult:
         last_error = steps.FailedError(
             sessions.Failure.OVERLOADED, "no primary; retry after 500 ms"
@@ -231,25 +306,10 @@
             while True:
                 permit = await wait_for_permit(components, group, deadline_s)
                 try:
-                    server = context.get_primary_server(components, permit, read.access)
-                    sent_s = clocks.get_now_s()
-                    with components.interrupter.interruptible(permit):
-                        result = await self._run_once(read, server, None, deadline_s)
-                        components.local_observations.record_primary_reply(
-                            permit, sent_s, result.reply
-                        )
-                        if components.groups.is_permit_valid(
-                            permit, clocks.get_now_s()
-                        ):
-                            return result._replace(permit=permit)
-                        if read.keeps_connection:
-                            await result.acquired.discard()
+                    result = await self._run_under_permit(read, permit, deadline_s)
+                    if result is not None:
+                        return result
                 except _RetryElsewhereError as rejected:
-                    # A busy primary reports its position too, which may make replicas
-                    # eligible.
-                    components.local_observations.record_primary_reply(
-                        permit, sent_s, rejected.reply
-                    )
                     if result := await self._run_on_replicas(read):
                         return result
                     last_error = steps.FailedError(
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -219,6 +219,10 @@
         order = policies.get_policy(self._options.policy)
         return [candidate.server for candidate in order(eligible, self._rng)]
 
+    def is_near(self, server: directory.BackendServer) -> bool:
+        """Return whether an instance is known to be in this host's region."""
+        return self._get_round_trip_s(server) < OTHER_REGION_ROUND_TRIP_S
+
     def get_loads(self) -> dict[str, pool.PoolLoad]:
         """Return the load of the pool of each announced instance, by instance id."""
         loads = {
