--- a/sedgeswitch/admission/host_limiter.py
+++ b/sedgeswitch/admission/host_limiter.py
@@ -547,7 +547,8 @@
 
     def _get_draw_interval_s(self) -> float:
         """Return the shortest time between two regular draws."""
-        return max(self._settings.draw_interval_s, 2 * self._urgent_interval_s)
+        factor = self._settings.regular_draw_factor
+        return max(self._settings.draw_interval_s, factor * self._urgent_interval_s)
 
     def _get_queue_capacity(self, account: _Account, now_s: float) -> int:
         """Return how many requests of an organisation may wait at the same time."""
