Send relay hosts observations of primaries only

Relay sessions use the observed positions of primaries only, so that those of replicas are left out of their answers.

--- a/sedgeswitch/groups/control_section.py
+++ b/sedgeswitch/groups/control_section.py
@@ -217,6 +217,7 @@
         return [
             self._observe_instance(group, index, name, now_s)
             for index, name in enumerate(group.instances)
+            if self._settings.observes_replicas or name == group.primary
         ]
 
     def _observe_instance(
--- a/sedgeswitch/groups/settings.py
+++ b/sedgeswitch/groups/settings.py
@@ -43,6 +43,9 @@
     observed_groups : int
         Maximum number of groups whose observations are sent in one answer. The
         groups that a host uses are sent in rotation.
+    observes_replicas : bool
+        Whether observations of replicas are sent to entry hosts, besides those of
+        primaries.
     check_interval_s : float
         Interval at which states and conditions are polled.
     read_timeout_s : float
@@ -75,6 +78,7 @@
     report_age_s: float = 2.0
     observation_interval_s: float = 1.0
     observed_groups: int = 5
+    observes_replicas: bool = True
     check_interval_s: float = 0.05
     read_timeout_s: float = 0.5
     promote_timeout_s: float = 2.0
--- a/sedgeswitch/groups/tests/test_shared_positions.py
+++ b/sedgeswitch/groups/tests/test_shared_positions.py
@@ -1,9 +1,11 @@
 """Tests of primary positions and acknowledged positions sent in heartbeats."""
 
+import types
 import unittest
 
 import trio
 
+from sedgeswitch.groups import control_section
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings
@@ -57,6 +59,35 @@
         self.assertIsNone(section.get_primary_position("g", 10.3))
 
 
+class ObservedInstancesTest(unittest.TestCase):
+    """Answers to hosts that need positions of primaries only.
+
+    Observations of replicas made up a third of the bytes of each answer.
+    """
+
+    def list_observed(self, **changes):
+        group = ttypes.Group("g", 2, 2, "b", SERVING, 1, ["a", "b"], "", [], [])
+        machine = types.SimpleNamespace(
+            get_version=lambda: 1,
+            get_changed=lambda version: [],
+            get_groups=lambda: [group],
+            get_group=lambda name: group,
+        )
+        section = control_section.ControlSection(
+            machine, lambda now_s: [], settings.GroupSettings(**changes)
+        )
+        report = ttypes.Report(1, 0, 1, [], used_groups=["g"])
+        body = section.answer_report("host-1", catalog.encode_struct(report), 10.0)
+        (observed,) = catalog.decode_struct(ttypes.Answer, body).observations
+        return [item.instance for item in observed.instances]
+
+    def test_all_instances_are_observed_by_default(self):
+        self.assertEqual([0, 1], self.list_observed())
+
+    def test_primary_alone_keeps_its_place_in_the_group(self):
+        self.assertEqual([1], self.list_observed(observes_replicas=False))
+
+
 class FailingWatcherTest(unittest.TestCase):
     """Guards against one group whose error ends the process, and so all sessions."""
 
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -48,6 +48,8 @@
     # current position for reads with bounded staleness.
     observation_interval_s=0.4,
     observed_groups=8,
+    # Relay sessions learn positions of replicas from the replies of these.
+    observes_replicas=False,
     # An instance that serves all requests of its group alone is slow to accept a
     # connection.
     read_timeout_s=1.0,
@@ -231,6 +233,7 @@
             GROUP_SETTINGS,
             settings.tolerance,
             settings.region_by_zone,
+            reads_near_primary=settings.has_several_zones_per_region,
         )
         serving = server.Server()
         self._entry = relay_entry.RelayEntry(
