Send hosts the difference of a changed configuration document

Each change sent the whole compressed document to every entry host. A leader that does not know that version's text, or a host of an earlier release, still sends or gets the whole text; a difference that does not apply is followed by the whole text.

--- a/sedgeswitch/databases/machine.py
+++ b/sedgeswitch/databases/machine.py
@@ -76,15 +76,42 @@
 
 def build_command(version: int, text: bytes) -> bytes:
     """Return the encoded command that puts a document in force."""
-    source = zlib.compress(text, _COMPRESSION_LEVEL)
+    source = compress_text(text)
     return catalog.encode_struct(messages.Replace(version, source))
 
 
+def compress_text(text: bytes) -> bytes:
+    """Return the compressed text of a document."""
+    return zlib.compress(text, _COMPRESSION_LEVEL)
+
+
 def decode_result(body: bytes) -> messages.ReplaceResult:
     """Decode the result of a command."""
     return catalog.decode_struct(messages.ReplaceResult, body)
 
 
+def build_difference(base_text: bytes, text: bytes) -> bytes:
+    """Return a text compressed with an earlier one as the dictionary.
+
+    It is short if the texts differ little, except beyond the window of 32 KB of the
+    compression.
+    """
+    compressor = zlib.compressobj(_COMPRESSION_LEVEL, zdict=base_text)
+    return compressor.compress(text) + compressor.flush()
+
+
+def apply_difference(base_text: bytes, difference: bytes) -> bytes:
+    """Return the text of a difference from `build_difference`.
+
+    Raises
+    ------
+    zlib.error
+        If the difference is malformed or was built from another text.
+    """
+    decompressor = zlib.decompressobj(zdict=base_text)
+    return decompressor.decompress(difference) + decompressor.flush()
+
+
 def decompress_source(source: bytes) -> bytes:
     """Return the text of a compressed document, empty for an empty source."""
     return zlib.decompress(source) if source else b""
--- a/sedgeswitch/databases/messages.thrift
+++ b/sedgeswitch/databases/messages.thrift
@@ -22,11 +22,16 @@
 // Heartbeat section, from an entry host to the leader.
 struct Report {
   1: required i64 version,
+  // Whether the answer may contain a difference from this version.
+  2: optional bool accepts_difference,
 }
 
 // Heartbeat section, from the leader to an entry host. `source` is omitted if the
-// host already has the version.
+// host already has the version. `difference` takes its place if the host has version
+// `base_version`: the text, compressed with that version's text as the dictionary.
 struct Answer {
   1: required i64 version,
   2: optional binary source,
+  3: optional i64 base_version,
+  4: optional binary difference,
 }
--- a/sedgeswitch/databases/sections.py
+++ b/sedgeswitch/databases/sections.py
@@ -1,7 +1,9 @@
 """The section of the heartbeat that sends the document to entry hosts."""
 
+import collections
 import collections.abc
 import types
+import zlib
 
 import loguru
 import trio
@@ -11,10 +13,16 @@
 from sedgeswitch.databases import messages
 from sedgeswitch.transport import catalog
 
+# Earlier versions from which differences are sent. More than changes usually arrive
+# between two heartbeats of a host.
+MAX_BASE_VERSIONS = 8
+
 
 class ControlSection:
     """Leader side: sends the document to hosts with an older version.
 
+    A host that has one of the last versions gets the difference from it.
+
     Parameters
     ----------
     machine : machine.DocumentMachine
@@ -23,6 +31,10 @@
     def __init__(self, machine: machines.DocumentMachine):
         self._machine = machine
         self._reported_versions: dict[str, int] = {}
+        # Compressed texts of the last versions, and the differences between them and
+        # the one in force.
+        self._sources: collections.OrderedDict[int, bytes] = collections.OrderedDict()
+        self._differences: dict[int, bytes | None] = {}
 
     def start_leadership(self, now_s: float) -> None:  # noqa: ARG002
         """Remove the reports received in an earlier leadership of this host."""
@@ -30,6 +42,7 @@
 
     def get_version(self) -> int:
         """Return the version in force; a change of it triggers heartbeats."""
+        self._record_version()
         return self._machine.version
 
     def get_reported_versions(self) -> collections.abc.Mapping[str, int]:
@@ -38,13 +51,44 @@
 
     def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:  # noqa: ARG002
         """Record a host's version; include the document if the version is outdated."""
+        self._record_version()
         report = catalog.decode_struct(messages.Report, body)
         self._reported_versions[host_id] = report.version
         answer = messages.Answer(self._machine.version)
         if report.version < self._machine.version:
-            answer.source = self._machine.source
+            difference = None
+            if report.accepts_difference:
+                difference = self._get_difference(report.version)
+            if difference is None:
+                answer.source = self._machine.source
+            else:
+                answer.base_version = report.version
+                answer.difference = difference
         return catalog.encode_struct(answer)
 
+    def _record_version(self) -> None:
+        """Keep the text of the version in force, as a base of later differences."""
+        if self._machine.version in self._sources or not self._machine.version:
+            return
+        self._sources[self._machine.version] = self._machine.source
+        self._differences.clear()
+        if len(self._sources) > MAX_BASE_VERSIONS:
+            self._sources.popitem(last=False)
+
+    def _get_difference(self, base_version: int) -> bytes | None:
+        """Return the difference from a version, None if the text itself is shorter."""
+        if base_version not in self._differences:
+            base = self._sources.get(base_version)
+            difference = None
+            if base is not None:
+                difference = machines.build_difference(
+                    machines.decompress_source(base), self._machine.get_text()
+                )
+            if difference is not None and len(difference) >= len(self._machine.source):
+                difference = None
+            self._differences[base_version] = difference
+        return self._differences[base_version]
+
 
 class EntrySection:
     """Entry side: the host's copy of the document, whose version never decreases.
@@ -64,6 +108,9 @@
     def __init__(self, decode: documents.Decode):
         self._decode = decode
         self.document = documents.Document()
+        # Compressed text of the document, from which a difference is applied.
+        self._source = b""
+        self._accepts_difference = True
         self.confirmed_s = float("-inf")
         self._organisation_by_key: dict[str, str] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
@@ -99,14 +146,28 @@
 
     def build_report(self, now_s: float) -> bytes:  # noqa: ARG002
         """Return the section of the next heartbeat."""
-        return catalog.encode_struct(messages.Report(self.document.version))
+        report = messages.Report(self.document.version)
+        if self._source and self._accepts_difference:
+            report.accepts_difference = True
+        return catalog.encode_struct(report)
 
     def receive_answer(self, body: bytes, now_s: float) -> None:  # noqa: ARG002
-        """Put the document of the answer in force, if it is newer."""
+        """Put the document of the answer in force, if it is newer.
+
+        Raises
+        ------
+        catalog.MessageError
+            If a difference does not apply. The next report requests the whole text.
+        """
         answer = catalog.decode_struct(messages.Answer, body)
-        if answer.version <= self.document.version or answer.source is None:
+        if answer.version <= self.document.version:
+            return
+        text = self._get_text(answer)
+        if text is None:
             return
-        document = self._decode(machines.decompress_source(answer.source))
+        document = self._decode(text)
+        self._source = machines.compress_text(text)
+        self._accepts_difference = True
         self._organisation_by_key = documents.index_keys(document)
         self.document = document
         self._document_received.set()
@@ -118,3 +179,16 @@
         )
         for listener in self._listeners:
             listener()
+
+    def _get_text(self, answer: messages.Answer) -> bytes | None:
+        """Return the text of an answer, None if it contains none for this host."""
+        if answer.source is not None:
+            return machines.decompress_source(answer.source)
+        if answer.difference is None or answer.base_version != self.document.version:
+            return None
+        base_text = machines.decompress_source(self._source)
+        try:
+            return machines.apply_difference(base_text, answer.difference)
+        except zlib.error as error:
+            self._accepts_difference = False
+            raise catalog.MessageError(f"difference: {error}") from error
--- a/sedgeswitch/databases/tests/test_databases.py
+++ b/sedgeswitch/databases/tests/test_databases.py
@@ -4,7 +4,9 @@
 
 from sedgeswitch.databases import documents
 from sedgeswitch.databases import machine
+from sedgeswitch.databases import messages
 from sedgeswitch.databases import sections
+from sedgeswitch.transport import catalog
 from sedgeswitch.utils import checks
 
 
@@ -70,6 +72,49 @@
         self.assertEqual(4, self.entry.document.version)
         self.assertLess(len(self.exchange()), len(first_answer))
 
+    def test_small_change_is_sent_as_a_difference(self):
+        names = [f"rule-{number * 7919 % 1000}" for number in range(200)]
+        self.entry = sections.EntrySection(
+            lambda text: build_document(int(text.split()[0]))
+        )
+        texts = [
+            b"%d %s" % (version, " ".join(names).encode()) for version in (4, 9, 12)
+        ]
+        replace(self.machine, 4, texts[0])
+        whole = self.exchange()
+        replace(self.machine, 9, texts[1])
+        self.assertLess(len(self.exchange()), len(whole) / 8)
+        self.assertEqual(9, self.entry.document.version)
+
+    def test_host_with_an_unknown_version_gets_the_whole_document(self):
+        # A new leader does not know the texts of earlier versions.
+        replace(self.machine, 4, b"4")
+        self.exchange()
+        replace(self.machine, 9, b"9")
+        self.control = sections.ControlSection(self.machine)
+        self.exchange()
+        self.assertEqual(9, self.entry.document.version)
+
+    def test_host_of_an_earlier_release_gets_the_whole_document(self):
+        replace(self.machine, 4, b"4" * 500)
+        self.control.get_version()
+        replace(self.machine, 9, b"4" * 501)
+        report = catalog.encode_struct(messages.Report(4))
+        answer = self.control.answer_report("e1", report, 0.0)
+        decoded = catalog.decode_struct(messages.Answer, answer)
+        self.assertEqual(self.machine.source, decoded.source)
+
+    def test_difference_that_does_not_apply_is_replaced_by_the_whole_document(self):
+        replace(self.machine, 4, b"4")
+        self.exchange()
+        replace(self.machine, 9, b"9")
+        answer = messages.Answer(9, None, 4, b"malformed")
+        with self.assertRaises(catalog.MessageError):
+            self.entry.receive_answer(catalog.encode_struct(answer), 0.0)
+        self.assertEqual(4, self.entry.document.version)
+        self.exchange()
+        self.assertEqual(9, self.entry.document.version)
+
     def test_older_document_is_ignored(self):
         replace(self.machine, 4, b"4")
         old = self.control.answer_report("e1", self.entry.build_report(0.0), 0.0)
