Leave unchanged sections out of heartbeats and their answers

Both sides now keep the last exchange, send what has changed, and process the whole, so that sections work as before.

--- a/sedgeswitch/membership/heartbeat_client.py
+++ b/sedgeswitch/membership/heartbeat_client.py
@@ -10,6 +10,7 @@
 from sedgeswitch import verdicts
 from sedgeswitch.membership import machine
 from sedgeswitch.membership import messages
+from sedgeswitch.membership import section_differences
 from sedgeswitch.membership import sections
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
@@ -225,6 +226,8 @@
         self._lapse_listeners: list[collections.abc.Callable[[], None]] = []
         self._answer_listeners: list[collections.abc.Callable[[float], None]] = []
         self._versions: dict[str, int] = {}
+        # The last answered heartbeat, if the leader accepts differences from it.
+        self._base: section_differences.Exchange | None = None
         self._wake = trio.Event()
         self._sequence = 0
         self._rng = random.Random(f"{identity.host_id}/{identity.incarnation}")
@@ -301,12 +304,7 @@
             name: section.build_report(sent_s)
             for name, section in self._sections.items()
         }
-        self._sequence += 1
-        heartbeat = messages.Heartbeat(
-            *self._identity, reports, self.is_leaving, self._sequence
-        )
-        answer = await self._control.call(heartbeat, CALL_TIMEOUT_S)
-        _check_type(answer, messages.HeartbeatAnswer)
+        answer = await self._call(reports)
         now_s = clocks.get_now_s()
         self._receive_sections(answer.sections, now_s)
         for listener in self._answer_listeners:
@@ -324,6 +322,47 @@
         self._versions = answer.versions
         return is_changed
 
+    async def _call(self, reports: dict[str, bytes]) -> messages.HeartbeatAnswer:
+        """Send the reports of all sections and return the whole answer."""
+        base, self._base = self._base, None
+        try:
+            return await self._call_with_base(reports, base)
+        except failures.CallError as error:
+            if error.code != section_differences.UNKNOWN_BASE:
+                raise
+        return await self._call_with_base(reports, None)
+
+    async def _call_with_base(
+        self, reports: dict[str, bytes], base: section_differences.Exchange | None
+    ) -> messages.HeartbeatAnswer:
+        """Send the reports, without those that equal the base's."""
+        changed = base and section_differences.build_difference(base.reports, reports)
+        if changed is None:
+            base, changed = None, reports
+        self._sequence += 1
+        sequence = self._sequence
+        heartbeat = messages.Heartbeat(
+            *self._identity, changed, self.is_leaving, sequence
+        )
+        if base is not None:
+            heartbeat.base_sequence = base.sequence
+        answer = await self._control.call(heartbeat, CALL_TIMEOUT_S)
+        _check_type(answer, messages.HeartbeatAnswer)
+        if answer.is_difference:
+            if base is None:
+                raise _build_malformed("a difference without a base")
+            answer.sections = section_differences.apply_difference(
+                base.answers, answer.sections
+            )
+            answer.versions = section_differences.apply_difference(
+                base.versions, answer.versions
+            )
+        if answer.accepts_base:
+            self._base = section_differences.Exchange(
+                sequence, reports, answer.sections, answer.versions
+            )
+        return answer
+
     def _receive_sections(self, answers: dict[str, bytes], now_s: float) -> None:
         """Pass each section its answer, also after another one could not receive it."""
         malformed = []
--- a/sedgeswitch/membership/heartbeat_server.py
+++ b/sedgeswitch/membership/heartbeat_server.py
@@ -13,6 +13,7 @@
 from sedgeswitch.membership import leases
 from sedgeswitch.membership import machine
 from sedgeswitch.membership import messages
+from sedgeswitch.membership import section_differences
 from sedgeswitch.membership import sections
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
@@ -96,6 +97,7 @@
         )
         # Number of proposed removals of each host whose outcome is not known.
         self._pending_removals: dict[str, int] = {}
+        self._exchanges = section_differences.AnsweredExchanges()
         self._versions: dict[str, int] = {}
         self._changed = trio.Event()
 
@@ -160,9 +162,11 @@
             the registration could not be committed. ``superseded`` if a later
             heartbeat of the host has arrived or another process has replaced the
             sender. ``host_id_in_use`` if another process of the host may hold a
-            lease.
+            lease. ``unknown_base`` if the heartbeat is a difference from one that this
+            leader has not answered.
         """
         self.check_leading()
+        base = self._find_base(heartbeat)
         arrival = self._record_arrival(heartbeat)
         if heartbeat.is_leaving and not self._is_registered(heartbeat):
             return messages.HeartbeatAnswer(0, {}, self._get_versions())
@@ -170,19 +174,72 @@
         if self._latest.get(heartbeat.host_id) != arrival:
             raise _build_superseded(heartbeat)
         now_s = clocks.get_now_s()
+        reports = heartbeat.sections
+        if base is not None:
+            reports = section_differences.apply_difference(base.reports, reports)
         answers = {
             name: self._sections[name].answer_report(heartbeat.host_id, body, now_s)
-            for name, body in heartbeat.sections.items()
+            for name, body in reports.items()
             if name in self._sections
         }
         # Checked again: a lease may be granted only under a confirmed leadership.
         self.check_leading()
         if heartbeat.is_leaving:
             self.leases.record_release(heartbeat.host_id, now_s)
+            self._exchanges.remove(heartbeat.host_id, heartbeat.incarnation)
             return messages.HeartbeatAnswer(0, answers, self._get_versions())
         self.leases.record_renewal(heartbeat.host_id, now_s)
-        lease_ms = math.floor(self._lease_s * 1000)
-        return messages.HeartbeatAnswer(lease_ms, answers, self._get_versions())
+        exchange = section_differences.Exchange(
+            heartbeat.sequence, reports, answers, self._get_versions()
+        )
+        self._exchanges.record(heartbeat.host_id, heartbeat.incarnation, exchange)
+        return self._build_answer(exchange, base)
+
+    def _build_answer(
+        self,
+        exchange: section_differences.Exchange,
+        base: section_differences.Exchange | None,
+    ) -> messages.HeartbeatAnswer:
+        """Return the answer to a heartbeat, as a difference if it has a base."""
+        answer = messages.HeartbeatAnswer(
+            math.floor(self._lease_s * 1000),
+            exchange.answers,
+            exchange.versions,
+            accepts_base=True,
+        )
+        if base is None:
+            return answer
+        answers = section_differences.build_difference(base.answers, exchange.answers)
+        versions = section_differences.build_difference(
+            base.versions, exchange.versions
+        )
+        if answers is not None and versions is not None:
+            answer.sections, answer.versions = answers, versions
+            answer.is_difference = True
+        return answer
+
+    def _find_base(
+        self, heartbeat: messages.Heartbeat
+    ) -> section_differences.Exchange | None:
+        """Return the exchange that a heartbeat is a difference from, None if it is not.
+
+        Raises
+        ------
+        failures.CallError
+            ``unknown_base`` if this leader does not have it.
+        """
+        if heartbeat.base_sequence is None:
+            return None
+        base = self._exchanges.find(
+            heartbeat.host_id, heartbeat.incarnation, heartbeat.base_sequence
+        )
+        if base is None:
+            raise failures.CallError(
+                section_differences.UNKNOWN_BASE,
+                heartbeat.host_id,
+                verdicts.Verdict.NOT_RUN,
+            )
+        return base
 
     async def answer_watch(self, watch: messages.Watch) -> messages.WatchAnswer:
         """Answer once a section's version differs from the given one, or at timeout."""
@@ -211,6 +268,7 @@
     def _start_leadership(self, now_s: float) -> None:
         loguru.logger.info("leading in term {}", self._leadership_term)
         self._latest = {}
+        self._exchanges.clear()
         # Proposals of an earlier leadership have been applied or are lost.
         self._pending_removals = {}
         self.leases.start_leadership(now_s)
@@ -249,6 +307,7 @@
         known = self._members.members.get(heartbeat.host_id)
         is_other = known is not None and known.incarnation != heartbeat.incarnation
         if is_other and self._has_ended(known, heartbeat):
+            self._exchanges.remove(known.host_id, known.incarnation)
             if known.incarnation not in self._ended_incarnations:
                 self._ended_incarnations.append(known.incarnation)
         elif is_other:
@@ -293,6 +352,7 @@
                 await self._propose(member, is_removal=True)
             except failures.CallError:
                 return
+            self._exchanges.remove(host_id, member.incarnation)
             if self._pending_removals.get(host_id) == removals:
                 del self._pending_removals[host_id]
 
--- a/sedgeswitch/membership/messages.thrift
+++ b/sedgeswitch/membership/messages.thrift
@@ -14,6 +14,9 @@
   // Increases with each heartbeat of an incarnation; the leader rejects a
   // heartbeat that arrives after a later one.
   8: required i64 sequence,
+  // If set, `sections` lacks those that are unchanged since the heartbeat with this
+  // number, which the leader has answered.
+  9: optional i64 base_sequence,
 }
 
 struct HeartbeatAnswer {
@@ -21,6 +24,11 @@
   2: required map<string, binary> sections,
   // Version of each section on the leader, sent back in the next watch.
   3: required map<string, i64> versions,
+  // Whether the next heartbeat may have this one as its base.
+  4: optional bool accepts_base,
+  // Whether `sections` and `versions` lack what is unchanged since the answer to the
+  // base of the heartbeat.
+  5: optional bool is_difference,
 }
 
 // Long poll: answered as soon as a section's version differs from the given one,
