Grant the full limit in fleets whose hosts draw seldom

The leader counts a host as refilling its tokens itself once its last confirmed grant is 0.7 s old. A grant is confirmed by the draw after the next one, and regular draws of a host are 0.46 s apart with 92 hosts and 0.95 s with 191.

The delay of the refill now follows the interval of draws, on both sides from the same reply, and a regular interval is at most a third of the prefetched time.

--- a/sedgeswitch/admission/bucket.py
+++ b/sedgeswitch/admission/bucket.py
@@ -34,6 +34,7 @@
     __slots__ = (
         "allowance_per_s",
         "capacity",
+        "confirmed_delay_s",
         "confirmed_s",
         "count",
         "demand_per_s",
@@ -43,6 +44,7 @@
         "spent_total",
         "granted_allowance_per_s",
         "granted_capacity",
+        "granted_delay_s",
         "granted_s",
         "granted_sequence",
         "refill_check_s",
@@ -65,6 +67,10 @@
         self.granted_allowance_per_s = 0.0
         self.granted_sequence = 0
         self.granted_s = 0.0
+        # Delays of the host's own refill after the last grant and after the last
+        # confirmed one.
+        self.granted_delay_s = 0.0
+        self.confirmed_delay_s = 0.0
         # When the last confirmed grant was made; before any is confirmed, when the
         # first one was made.
         self.confirmed_s: float | None = None
@@ -226,6 +232,7 @@
         demand_per_s: float,
         now_s: float,
         sequence: int = 0,
+        allowance_delay_s: float | None = None,
     ) -> int:
         """Move tokens from the bucket to a host and return how many.
 
@@ -240,8 +247,16 @@
         now_s : float
         sequence : int
             The draw that the grant answers.
+        allowance_delay_s : float, optional
+            Time after the grant from which the host refills its tokens itself; by
+            default that of the settings.
         """
         hold = self._holds[key]
+        hold.granted_delay_s = (
+            self._settings.allowance_delay_s
+            if allowance_delay_s is None
+            else allowance_delay_s
+        )
         self.demand_per_s += demand_per_s - hold.demand_per_s
         hold.demand_per_s = demand_per_s
         count = self._get_grantable(hold, pending)
@@ -310,7 +325,7 @@
     def _get_host_refill_start_s(self, hold: Hold) -> float:
         """Return the earliest time at which the host may start to refill itself."""
         factor = admission_settings.get_min_clock_ratio(self._settings)
-        return hold.confirmed_s + self._settings.allowance_delay_s * factor
+        return hold.confirmed_s + hold.confirmed_delay_s * factor
 
     def _set_granted_allowance(
         self, key: HostKey, hold: Hold, sequence: int, now_s: float
@@ -325,6 +340,7 @@
         hold.granted_s = now_s
         if hold.confirmed_s is None:
             hold.confirmed_s = now_s
+            hold.confirmed_delay_s = hold.granted_delay_s
             self._schedule_refill_check(key, hold)
         hold.capacity = max(hold.capacity, hold.granted_capacity)
         most_per_s = max(hold.allowance_per_s, hold.granted_allowance_per_s)
@@ -334,6 +350,7 @@
     def _confirm(self, key: HostKey, hold: Hold) -> None:
         """Record that the host has applied the last grant."""
         hold.confirmed_s = hold.granted_s
+        hold.confirmed_delay_s = hold.granted_delay_s
         hold.capacity = hold.granted_capacity
         self._change_allowance(hold, hold.granted_allowance_per_s, may_refill=False)
         if hold.refill_check_s is None:
--- a/sedgeswitch/admission/grantor.py
+++ b/sedgeswitch/admission/grantor.py
@@ -165,7 +165,12 @@
         )
         pending = max(0, holding.pending)
         demand_per_s = min(max(0.0, holding.demand_per_s), 1e9)
-        granted = fleet_bucket.grant(key, pending, demand_per_s, now_s, sequence)
+        delay_s = admission_settings.get_allowance_delay_s(
+            self._settings, self._get_urgent_interval_s()
+        )
+        granted = fleet_bucket.grant(
+            key, pending, demand_per_s, now_s, sequence, delay_s
+        )
         return messages.Grant(
             organisation=holding.organisation,
             granted=granted,
--- a/sedgeswitch/admission/host_limiter.py
+++ b/sedgeswitch/admission/host_limiter.py
@@ -488,10 +488,13 @@
             account.available_tokens += max(0, grant.granted)
             account.expires_s = expires_s
         factor = admission_settings.get_min_clock_ratio(self._settings)
+        delay_s = admission_settings.get_allowance_delay_s(
+            self._settings, reply.urgent_interval_s
+        )
         account.set_allowance(
             reply.sequence,
             max(0.0, grant.allowance_per_s) * factor,
-            now_s + self._settings.allowance_delay_s,
+            now_s + delay_s,
             now_s,
         )
         account.prefetch_target = grant.keep
@@ -547,8 +550,9 @@
 
     def _get_draw_interval_s(self) -> float:
         """Return the shortest time between two regular draws."""
-        factor = self._settings.regular_draw_factor
-        return max(self._settings.draw_interval_s, factor * self._urgent_interval_s)
+        return admission_settings.get_draw_interval_s(
+            self._settings, self._urgent_interval_s
+        )
 
     def _get_queue_capacity(self, account: _Account, now_s: float) -> int:
         """Return how many requests of an organisation may wait at the same time."""
--- a/sedgeswitch/admission/settings.py
+++ b/sedgeswitch/admission/settings.py
@@ -4,6 +4,10 @@
 
 from sedgeswitch.utils import checks
 
+# Least delay of a host's own refill, in regular draw intervals: two from a grant to the
+# draw that confirms the next one, and the round trips.
+_ALLOWANCE_DELAY_DRAWS = 2.5
+
 
 class Limit(typing.NamedTuple):
     """Rate and burst of one organisation, counted over the whole fleet.
@@ -37,7 +41,9 @@
         is too large for all hosts to draw at the urgent interval, the leader makes
         that interval longer.
     regular_draw_factor : float
-        Least ratio of the regular interval to the urgent one, at least 1.
+        Ratio of the regular interval to the urgent one, at least 1. It is higher if
+        the urgent interval is short, and lower, but at least 2, if the regular one
+        would be longer than a third of `prefetch_s`.
     draw_timeout_s : float
         Time after which an unanswered draw is abandoned and a new one is sent.
     lifetime_s : float
@@ -61,7 +67,8 @@
         if its host has no token.
     allowance_delay_s : float
         Time since the last answered draw after which a host refills its tokens
-        itself, at the allowance of that grant.
+        itself, at the allowance of that grant. Longer in a fleet whose hosts draw
+        less often, see `get_allowance_delay_s`.
     host_retention_s : float
         Time for which a host that left the fleet is still counted among the hosts
         that a new leader must have reports from.
@@ -131,6 +138,39 @@
     return settings.lifetime_s * (1 + settings.drift) / (1 - settings.drift)
 
 
+def get_draw_interval_s(settings: Settings, urgent_interval_s: float) -> float:
+    """Return the shortest time between two regular draws of a host, in seconds.
+
+    Parameters
+    ----------
+    settings : Settings
+    urgent_interval_s : float
+        The urgent interval that the leader has set.
+    """
+    interval_s = settings.regular_draw_factor * urgent_interval_s
+    # Prefetched tokens must outlast several draws, of which some are lost.
+    interval_s = min(interval_s, settings.prefetch_s / 3)
+    return max(settings.draw_interval_s, interval_s, 2 * urgent_interval_s)
+
+
+def get_allowance_delay_s(settings: Settings, urgent_interval_s: float) -> float:
+    """Return the time after a grant from which a host refills its tokens itself.
+
+    The leader learns with the next draw that a grant has arrived, and until then
+    counts the time from the grant before. If the delay were shorter than that, it
+    would count hosts as refilling themselves that are not, and grant less than the
+    limit allows.
+
+    Parameters
+    ----------
+    settings : Settings
+    urgent_interval_s : float
+        The urgent interval that the leader has set.
+    """
+    interval_s = get_draw_interval_s(settings, urgent_interval_s)
+    return max(settings.allowance_delay_s, _ALLOWANCE_DELAY_DRAWS * interval_s)
+
+
 def get_min_clock_ratio(settings: Settings) -> float:
     """Return the smallest possible ratio of the rates of two hosts' clocks."""
     return (1 - settings.drift) / (1 + settings.drift)
