Leave room at instances for hosts that restart together

After a loss of power of all hosts, an instance counts their old connections for 3 s. Idle connections now leave as many connections free as the instance has slots, twice, up to a fifth of its limit, and a pool whose instance is full queues requests for the connections that it has instead of refusing them.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -51,6 +51,9 @@
 # Connections that this host may open to each instance even if its share is smaller;
 # without them, one statement could not follow another.
 MIN_CONNECTIONS = 2
+# Room for the running statements of an instance, and as many connections that are being
+# opened, after all entry hosts have lost power.
+SPARE_FACTOR = 2.0
 # More than any instance accepts, so that this host's share is the only limit.
 UNLIMITED_CONNECTIONS = 1_000_000
 
@@ -236,6 +239,7 @@
             RESERVED_CONNECTIONS,
             MIN_CONNECTIONS,
             self._options.region_by_zone,
+            SPARE_FACTOR,
         )
         return backends.Backends(
             self.directory,
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -155,6 +155,10 @@
         self._connect_error = ""
         # Whether the instance refused the last connection because it has too many.
         self._is_instance_full = False
+        # While the instance is full, the queue has a slot for each connection that is
+        # open, until this time.
+        self._limited_until_s = float("-inf")
+        self._idle_limit: int | None = None
 
     @property
     def open_count(self) -> int:
@@ -168,13 +172,42 @@
         when they are released.
         """
         self._capacity = capacity
-        self._slots.set_slots(capacity, trio.current_time())
+        self._set_slots(trio.current_time())
+
+    def set_idle_limit(self, limit: int | None) -> None:
+        """Set the most idle connections that are kept; None for no further limit.
+
+        If all hosts lose power, an instance counts their connections for some time.
+        What idle connections leave free is what the restarted hosts can use then.
+        """
+        self._idle_limit = limit
+
+    def _set_slots(self, now_s: float) -> None:
+        """Set the slots of the queue to the connections that it may use."""
+        slots = self._capacity
+        if now_s < self._limited_until_s:
+            slots = min(slots, max(self._open, 1))
+        self._slots.set_slots(slots, now_s)
+
+    def _limit_slots(self, until_s: float) -> None:
+        """Let the queue use the open connections only until `until_s`."""
+        self._limited_until_s = max(self._limited_until_s, until_s)
+        self._set_slots(trio.current_time())
+
+    def _end_limit(self, now_s: float) -> None:
+        """Let the queue use the whole capacity again after the instance was full."""
+        if self._limited_until_s <= now_s and self._limited_until_s > float("-inf"):
+            self._limited_until_s = float("-inf")
+            self._set_slots(now_s)
 
     async def close_surplus(self) -> None:
-        """Close idle connections beyond the capacity."""
-        while self._idle and self._open > self._capacity:
+        """Close idle connections beyond the capacity and the limit of idle ones."""
+        while self._idle and (self._open > self._capacity or self._has_surplus_idle()):
             await self._close(self._idle.pop(0))
 
+    def _has_surplus_idle(self) -> bool:
+        return self._idle_limit is not None and len(self._idle) > self._idle_limit
+
     def has_moving_queue(self, now_s: float) -> bool:
         """Return whether requests are waiting and one has completed recently."""
         is_progressing = now_s - self._last_progress_s < PROGRESS_TIMEOUT_S
@@ -219,6 +252,7 @@
         pooled = None
         while pooled is None:
             now_s = trio.current_time()
+            self._end_limit(now_s)
             ticket = await self._slots.acquire(organisation, deadline_s, now_s)
             try:
                 pooled = await self._prepare(organisation, deadline_s)
@@ -267,9 +301,12 @@
         try:
             if pooled.is_usable and self._open <= self._capacity:
                 self._idle.append(pooled)
+                if self._has_surplus_idle():
+                    await self._close(self._idle.pop(0))
             else:
                 await self._close(pooled)
         finally:
+            self._end_limit(now_s)
             self._slots.release(pooled.ticket, trio.current_time(), is_observed)
 
     async def close_idle(self, now_s: float, idle_s: float | None = None) -> None:
@@ -320,9 +357,10 @@
     async def _prepare_bound(
         self, organisation: str, deadline_s: float
     ) -> PooledConnection | None:
-        """Return a connection of the organisation, None if the capacity was reduced.
+        """Return a connection of the organisation, None to wait for one in the queue.
 
-        A connection of another organisation may be closed to open it.
+        That is, if the capacity was reduced or the instance is full. A connection of
+        another organisation may be closed to open it.
         """
         for index in range(len(self._idle) - 1, -1, -1):
             if self._idle[index].organisation == organisation:
@@ -338,12 +376,30 @@
         try:
             return await self._connect(organisation, deadline_s)
         except verdicts.RefusedError:
-            if not self._is_instance_full or not self._idle:
+            if not self._is_instance_full or not self._open:
                 raise
-        # Other hosts have more connections than their share. One organisation's idle
-        # connection makes room for the request of another.
+        if self._idle:
+            return await self._replace_idle(organisation, deadline_s)
+        # All connections of this pool are in use; the request waits for one.
+        self._limit_slots(self._next_connect_s)
+        return None
+
+    async def _replace_idle(
+        self, organisation: str, deadline_s: float
+    ) -> PooledConnection | None:
+        """Open a connection in place of an idle one of another organisation.
+
+        Other hosts have more connections than their share, and may use the room before
+        this one; None to wait in the queue then.
+        """
         await self._close(self._idle.pop(0))
-        return await self._connect(organisation, deadline_s, is_replacement=True)
+        try:
+            return await self._connect(organisation, deadline_s, is_replacement=True)
+        except verdicts.RefusedError:
+            if not self._is_instance_full or not self._open:
+                raise
+        self._limit_slots(self._next_connect_s)
+        return None
 
     def _pop_idle(self, organisation: str) -> PooledConnection:
         # A connection that the same organisation used last needs no reset.
@@ -417,7 +473,10 @@
     def _record_connect_error(self, error: base.DriverError) -> None:
         self._connect_error = str(error)
         self._is_instance_full = error.sqlstate in _FULL_CODES
-        self._next_connect_s = trio.current_time() + self._reconnect_delay_s
+        now_s = trio.current_time()
+        self._next_connect_s = now_s + self._reconnect_delay_s
+        if self._is_instance_full and self._is_bound_to_user:
+            self._limit_slots(self._next_connect_s)
         self._reconnect_delay_s = min(2 * self._reconnect_delay_s, RECONNECT_MAX_S)
 
     def _build_unreachable(self, retry_after_ms: int) -> verdicts.RefusedError:
--- a/sedgeswitch/relay/tests/test_scarce_connections.py
+++ b/sedgeswitch/relay/tests/test_scarce_connections.py
@@ -63,6 +63,89 @@
         run_in_world(body, max_connections=300, divisor=HOSTS, min_connections=2)
 
 
+class PowerLossTest(unittest.TestCase):
+    """All hosts lost power, and an instance still counts their connections.
+
+    Callers of many organisations return at once, and the instance accepts few new
+    connections, each of which belongs to one organisation.
+    """
+
+    async def run_callers(self, world, count=CALLERS, timeout_s=2.0):
+        server = world.backends.get_server("a")
+        connections = world.backends.get_pool(server, server.group)
+        served = []
+
+        async def call(number):
+            deadline_s = trio.current_time() + timeout_s
+            pooled = await connections.acquire(f"ward-{number}", deadline_s)
+            await trio.sleep(0.01)
+            await connections.release(pooled, trio.current_time())
+            served.append(number)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(call, number)
+        return served
+
+    def test_callers_wait_for_the_few_connections(self):
+        async def body(world):
+            world.instances["a"].connection_limit = 2
+            self.assertEqual(CALLERS, len(await self.run_callers(world)))
+
+        run_in_world(body, max_connections=60)
+
+    def test_waiting_callers_use_connections_that_become_free(self):
+        async def body(world):
+            instance = world.instances["a"]
+            instance.connection_limit = 1
+            async with trio.open_nursery() as nursery:
+
+                async def drop_old_connections():
+                    await trio.sleep(0.2)
+                    instance.connection_limit = 20
+
+                nursery.start_soon(drop_old_connections)
+                started_s = trio.current_time()
+                self.assertEqual(CALLERS, len(await self.run_callers(world)))
+                self.assertLess(trio.current_time() - started_s, 1.0)
+
+        run_in_world(body, max_connections=60)
+
+    def test_instance_without_any_room_refuses_at_once(self):
+        async def body(world):
+            world.instances["a"].connection_limit = 0
+            started_s = trio.current_time()
+            with self.assertRaises(BaseExceptionGroup):
+                await self.run_callers(world, count=3)
+            self.assertLess(trio.current_time() - started_s, 0.5)
+
+        run_in_world(body, max_connections=60)
+
+    def test_idle_connections_leave_room_for_restarted_hosts(self):
+        async def body(world):
+            options = world.backends._options._replace(spare_factor=2.0)
+            world.backends._options = options
+            await self.run_callers(world)
+            await self.run_callers(world)
+            # 60 connections, of which 5 are reserved, and 3 slots.
+            open_count = world.instances["a"].count_open()
+            self.assertLessEqual(open_count, 60 - 5 - 2 * 3)
+            self.assertGreaterEqual(open_count, CALLERS)
+
+        run_in_world(body, max_connections=60)
+
+    def test_idle_connections_keep_most_of_a_low_limit(self):
+        async def body(world):
+            options = world.backends._options._replace(spare_factor=2.0)
+            world.backends._options = options
+            for _ in range(2):
+                await self.run_callers(world)
+            # 20 connections less the 5 reserved, less a fifth of 20.
+            self.assertEqual(11, world.instances["a"].count_open())
+
+        run_in_world(body, max_connections=20)
+
+
 class FencedGroupTest(unittest.TestCase):
     """The leader needs a connection to an instance of a fenced group.
 
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -1,6 +1,7 @@
 """Connection pools of an entry host to backend servers, and the order of replicas."""
 
 import collections.abc
+import math
 import random
 import typing
 
@@ -22,6 +23,10 @@
 # that opening a connection takes.
 SCARCE_IDLE_TIMEOUT_S = 0.25
 
+# Largest part of an instance's connections that idle ones leave free, so that reuse
+# suffers little where connections are scarce.
+MAX_SPARE_SHARE = 0.2
+
 BuildSlots = collections.abc.Callable[[int], fair_queue.FairQueue]
 GetLoad = collections.abc.Callable[[directory.BackendServer], pool.PoolLoad]
 
@@ -66,6 +71,9 @@
         beyond its limit.
     region_by_zone : mapping of str to str
         Region of each availability zone; empty if unknown.
+    spare_factor : float
+        Connections of an instance that idle ones leave free, as a multiple of its
+        slots, up to `MAX_SPARE_SHARE` of its limit.
     """
 
     availability_zone: str
@@ -75,6 +83,7 @@
     reserved: int = shares.RESERVED_CONNECTIONS
     min_connections: int = 0
     region_by_zone: collections.abc.Mapping[str, str] = records.EMPTY_MAPPING
+    spare_factor: float = 0.0
 
 
 class _PoolEntry(typing.NamedTuple):
@@ -165,6 +174,7 @@
             entry = self._pools[target] = _PoolEntry(
                 instance_pool, server.max_connections
             )
+            self._limit_idle(target.instance, entry, capacity, divisor)
         elif entry.max_connections != server.max_connections:
             entry = self._pools[target] = _PoolEntry(
                 entry.instance_pool, server.max_connections
@@ -318,6 +328,23 @@
                 target, entry.max_connections, divisor
             )
             entry.instance_pool.set_capacity(capacity)
+            self._limit_idle(target.instance, entry, capacity, divisor)
+
+    def _limit_idle(
+        self, instance: str, entry: _PoolEntry, capacity: int, divisor: int
+    ) -> None:
+        """Limit the idle connections of a pool to leave some of its share free."""
+        server = self._servers.servers.get(instance)
+        if server is None or not self._options.spare_factor:
+            return
+        if self._get_holding is not None:
+            divisor = self._get_holding(instance).divisor
+        spare = min(
+            self._options.spare_factor * server.slots,
+            MAX_SPARE_SHARE * entry.max_connections,
+        )
+        limit = capacity - math.ceil(spare / max(divisor, 1))
+        entry.instance_pool.set_idle_limit(max(limit, 1))
 
     def _is_within_share(self, divisor: int) -> bool:
         return all(
