Replicate and enforce the evacuation of availability zones in relay fleets

Cause: operators cannot stop statements to the instances of an availability zone.

Change: a replicated state machine and a heartbeat section distribute the evacuated zones. The leader moves primaries out of evacuated zones and promotes no instance inside. A host without a lease sends no further statements of open transactions over its own connections, which it did before. The adapter's operator edge has calls to start, end and list evacuations.

--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -16,6 +16,9 @@
 from sedgeswitch.agreement import state_machines
 from sedgeswitch.daemon import section_names
 from sedgeswitch.drivers import base
+from sedgeswitch.evacuations import machine as evacuations_machine
+from sedgeswitch.evacuations import operations as evacuations_operations
+from sedgeswitch.evacuations import sections as evacuations_sections
 from sedgeswitch.groups import assignment
 from sedgeswitch.groups import control_section as groups_sections
 from sedgeswitch.groups import failover
@@ -104,12 +107,16 @@
         self._driver = driver
         self.groups = groups_machine.GroupsMachine()
         self.members = members_machine.MembersMachine()
+        self._evacuations = evacuations_machine.EvacuationsMachine()
         self.network = network.TransportNetwork(peer_server)
         self.node = self._build_node(options, data_folder, own_machines, rng)
         self.heartbeat_server = heartbeat_server.HeartbeatServer(
             self.node, self.members, lease_s, is_address_exclusive
         )
         self.directory = self._build_directory(rng)
+        self.evacuations = evacuations_operations.Operations(
+            self._evacuations, self.node, self._list_zones
+        )
         self.grantor = grantor.Grantor(
             lambda: self.members.members.keys(), admission_options
         )
@@ -161,6 +168,7 @@
             registry.register_machine(name, machine)
         registry.register_machine(section_names.GROUPS, self.groups)
         registry.register_machine(heartbeat_server.MACHINE_NAME, self.members)
+        registry.register_machine(evacuations_machine.NAME, self._evacuations)
         folder = pathlib.Path(data_folder) / LOG_FOLDER
         folder.mkdir(parents=True, exist_ok=True)
         storage = sqlite_storage.SqliteStorage(folder)
@@ -189,6 +197,7 @@
             record_report=self._record_failover,
             instance_control_override=options.instance_control,
             get_acknowledged_position=self._get_acknowledged_position,
+            may_promote=self._may_promote,
         )
         self.supervisor = supervisor.Supervisor(context, self.groups_section)
 
@@ -198,6 +207,10 @@
         register(section_names.DIRECTORY, self.directory)
         register(section_names.SHARES, self._build_shares())
         register(section_names.MEMBERS, self._build_members_section())
+        register(
+            evacuations_machine.NAME,
+            evacuations_sections.ControlSection(self._evacuations),
+        )
         register(
             section_names.CONTROL_HOSTS,
             control_hosts.ControlSection(
@@ -221,6 +234,19 @@
         register(membership_messages.Watch, self.heartbeat_server.answer_watch)
         register(admission_messages.Draw, self._answer_draw)
 
+    def _list_zones(self) -> set[str]:
+        """Return the availability zones of instances and entry hosts."""
+        servers = self.directory.servers.values()
+        zones = {server.availability_zone for server in servers}
+        return zones | {
+            member.availability_zone for member in self.members.members.values()
+        }
+
+    def _may_promote(self, instance: str) -> bool:
+        """Return whether an instance is outside all evacuated zones, as announced."""
+        item = self.directory.servers.get(instance)
+        return item is None or item.availability_zone not in self._evacuations.zones
+
     def _get_holder_ids(self, now_s: float) -> list[str]:
         holders = self.heartbeat_server.get_holders(now_s)
         return [member.host_id for member in holders]
--- a/sedgeswitch/daemon/entry_core.py
+++ b/sedgeswitch/daemon/entry_core.py
@@ -10,6 +10,8 @@
 from sedgeswitch.admission import messages as admission_messages
 from sedgeswitch.admission import settings as admission_settings
 from sedgeswitch.daemon import section_names
+from sedgeswitch.evacuations import machine as evacuations_machine
+from sedgeswitch.evacuations import sections as evacuations_sections
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import table
 from sedgeswitch.membership import control_hosts
@@ -45,9 +47,13 @@
         Time since which this host has spent no tokens except through its host
         limiter.
     admission_options : admission_settings.Settings, optional
+    evacuation_bound_s : float, optional
+        See `evacuations.sections.EntrySection`.
 
     Attributes
     ----------
+    evacuations : evacuations.sections.EntrySection
+        The evacuated availability zones.
     backends : backends.Backends
         Connection pools of the backend servers.
     groups_section : entry_section.EntrySection
@@ -64,10 +70,12 @@
         heartbeat_interval_s: float,
         started_s: float,
         admission_options: admission_settings.Settings | None = None,
+        evacuation_bound_s: float = evacuations_sections.DEFAULT_BOUND_S,
     ):
         self._admission_options = admission_options
         self.groups = table.GroupTable()
         self.directory = directory.EntryDirectory()
+        self.evacuations = evacuations_sections.EntrySection(evacuation_bound_s)
         self.control_peers = heartbeat_client.ControlPeers(control_addresses)
         self.heartbeat_client = heartbeat_client.HeartbeatClient(
             identity, self.control_peers, heartbeat_interval_s
@@ -95,6 +103,7 @@
         register(section_names.GROUPS, self.groups_section)
         register(section_names.DIRECTORY, self.directory)
         register(section_names.SHARES, self.backends.share)
+        register(evacuations_machine.NAME, self.evacuations)
         register(
             section_names.CONTROL_HOSTS,
             control_hosts.EntrySection(self.control_peers.learn_addresses),
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -65,6 +65,8 @@
         Number of voters up to which control hosts that request to join are added.
     unresponsive_limit_s : float
         Time without contact after which such a host replaces a voter.
+    zones : frozenset of str
+        Availability zones that the settings name.
     """
 
     node: agreement_settings.NodeSettings
@@ -76,6 +78,7 @@
     control_addresses: collections.abc.Mapping[str, peer.Address]
     voter_count: int
     unresponsive_limit_s: float
+    zones: frozenset[str] = frozenset()
 
 
 class RelayControl(control_core.ControlCore):
@@ -166,6 +169,7 @@
             "configuration_rollout_s": self._rollout.duration_s,
             "groups_version": self.groups.get_version(),
             "groups_fenced": len(self.groups.get_fenced()),
+            "evacuated_zones": len(self._evacuations.zones),
             "backend_servers": len(self.directory.servers),
             "commit_index": self.node.commit_index,
             "applied_index": self.node.applied_index,
@@ -272,6 +276,9 @@
         # Not strict: instances themselves refuse connections beyond their limit.
         return shares.ControlShares(self._get_holder_ids, is_strict=False)
 
+    def _list_zones(self) -> set[str]:
+        return super()._list_zones() | self._options.zones
+
     def _get_limits(self) -> dict[str, admission_settings.Limit]:
         return relay_groups.build_limits(self.view.document, self._options.tolerance)
 
@@ -284,28 +291,38 @@
         return (item is None or item.is_leaving, instance)
 
     def _find_moves(self, now_s: float) -> list[primary_mover.PrimaryMove]:
-        """Return the moves of primaries that have announced that they will end."""
+        """Return the moves of primaries that will end or whose zone is evacuated."""
         if self.node.get_leadership(now_s) is None:
             return []
         servers = self.directory.servers
         moves = []
         for group in self.groups.get_groups():
             primary = servers.get(group.primary)
-            if primary is None or not primary.is_leaving:
+            if primary is None:
+                continue
+            if not primary.is_leaving and self._may_promote(primary.instance):
                 continue
-            target = _find_target(group, servers)
+            target = _find_target(group, servers, self._may_promote)
             if target is not None:
                 moves.append(primary_mover.PrimaryMove(group.group, target))
         return moves
 
 
 def _find_target(
-    group: ttypes.Group, servers: dict[str, directory.BackendServer]
+    group: ttypes.Group,
+    servers: dict[str, directory.BackendServer],
+    may_promote: collections.abc.Callable[[str], bool],
 ) -> str | None:
-    """Return an instance that has not announced its end, or None if there is none."""
+    """Return an instance that may be promoted and has not announced its end, or None.
+
+    None is returned if there is no such instance.
+    """
     candidates = [
         name
         for name in group.instances
-        if name != group.primary and name in servers and not servers[name].is_leaving
+        if name != group.primary
+        and name in servers
+        and not servers[name].is_leaving
+        and may_promote(name)
     ]
     return min(candidates, default=None)
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -16,6 +16,7 @@
 from sedgeswitch.databases import machine as database_machine
 from sedgeswitch.databases import sections as database_sections
 from sedgeswitch.drivers import base
+from sedgeswitch.evacuations import sections as evacuations_sections
 from sedgeswitch.forwarding import admission as home_admission
 from sedgeswitch.forwarding import forwarder
 from sedgeswitch.forwarding import holder
@@ -32,8 +33,10 @@
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
+from sedgeswitch.relay import open_transactions
 from sedgeswitch.relay import probes
 from sedgeswitch.relay import session
+from sedgeswitch.routing import eligibility
 from sedgeswitch.routing import policies
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
@@ -72,6 +75,9 @@
         How far organisations may exceed their limits.
     region_by_zone : mapping of str to str
         Region of each availability zone.
+    evacuation_bound_s : float
+        Time after its acknowledgement within which no statement may reach an
+        evacuated zone, in seconds.
     """
 
     host_id: str
@@ -82,6 +88,7 @@
     groups: groups_settings.GroupSettings
     tolerance: relay_groups.Tolerance
     region_by_zone: collections.abc.Mapping[str, str]
+    evacuation_bound_s: float = evacuations_sections.DEFAULT_BOUND_S
 
 
 class RelayEntry(entry_core.EntryCore):
@@ -122,6 +129,7 @@
             options.heartbeat_interval_s,
             started_s,
             relay_groups.ADMISSION,
+            options.evacuation_bound_s,
         )
         self._entry_peers = entry_peers.EntryPeers()
         self._hosts = host_calls.HostCalls(self._entry_peers)
@@ -142,6 +150,9 @@
             reports_acknowledged=True,
         )
         self._register_sections()
+        self._open_transactions = open_transactions.OpenTransactions(
+            self.evacuations.get_transaction_end_s
+        )
         self._components = context.Components(
             self.databases,
             self.groups,
@@ -160,6 +171,8 @@
                 admit_locally,
             ).admit,
             rng,
+            self._get_restrictions,
+            self._open_transactions,
         )
         self.holder = holder.Holder(
             self._components._replace(
@@ -219,8 +232,13 @@
             "links_waited_for": sum(load.waiting for load in loads),
             "transactions_held": self.holder.open_transactions,
             "hosts_unavailable": self._hosts.count_unavailable(),
+            "evacuated_zones": len(self.evacuations.zones),
         }
 
+    def _get_restrictions(self) -> eligibility.Restrictions:
+        """Return what limits the choice of an instance for all statements."""
+        return eligibility.Restrictions(self.evacuations.zones)
+
     def _build_backends(
         self, driver: typing.Any, rng: random.Random
     ) -> backends.Backends:
@@ -299,6 +317,8 @@
         while True:
             if not self.heartbeat_client.is_lease_valid(clocks.get_now_s()):
                 self.backends.share.drop()
+            if self.evacuations.zones:
+                await self._open_transactions.end_due(clocks.get_now_s())
             fenced = relay_groups.list_fenced_instances(self.groups.get_groups())
             self.backends.reserve_connections(fenced)
             await self.backends.close_surplus()
--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -203,6 +203,8 @@
     connection of its pool. A transaction keeps that connection until it ends.
     """
 
+    is_forwarded = True
+
     def __init__(
         self,
         forwarder: Forwarder,
--- a/sedgeswitch/forwarding/holder.py
+++ b/sedgeswitch/forwarding/holder.py
@@ -9,10 +9,12 @@
 from sedgeswitch.forwarding import encoding
 from sedgeswitch.forwarding import messages
 from sedgeswitch.groups import positions
+from sedgeswitch.membership import directory
 from sedgeswitch.observability import exposition
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import steps
+from sedgeswitch.routing import eligibility
 from sedgeswitch.utils import clocks
 
 # Added to the idle timeout of a transaction, in seconds. The caller's host normally
@@ -184,6 +186,12 @@
             return _build_not_run("the transaction is unknown or was rolled back")
         if transaction.is_running:
             return _build_not_run("another statement of the transaction is running")
+        reason = self._find_evacuation_end(transaction) or context.find_missing_lease(
+            self._components, transaction.acquired
+        )
+        if reason is not None:
+            await self._discard(request.transaction)
+            return _build_not_run(f"{reason}; transaction rolled back")
         transaction.scope = trio.CancelScope()
         answer = None
         try:
@@ -241,9 +249,44 @@
             raise _HolderUnavailableError(
                 f"{request.instance} is not announced to the holder"
             )
-        return await components.connector.acquire(
+        self._check_not_excluded(server)
+        acquired = await components.connector.acquire(
             server, request.organisation, deadline_s
         )
+        # An evacuation may have come into force, or the lease may have expired, during
+        # the wait for a connection.
+        try:
+            self._check_not_excluded(server)
+            self._check_lease(acquired)
+        except steps.FailedError:
+            await acquired.release(is_observed=False)
+            raise
+        return acquired
+
+    def _check_not_excluded(self, server: directory.BackendServer) -> None:
+        """Raise a retryable refusal if nothing may be sent to an instance."""
+        restrictions = self._components.get_restrictions()
+        reason = eligibility.find_exclusion(server, restrictions)
+        if reason is not None:
+            raise steps.FailedError(
+                sessions.Failure.OVERLOADED,
+                f"{server.instance} may not run it: {reason}",
+                is_retryable=True,
+            )
+
+    def _check_lease(self, acquired: connections.AcquiredConnection) -> None:
+        if context.find_missing_lease(self._components, acquired) is not None:
+            raise _HolderUnavailableError("the holder has no lease")
+
+    def _find_evacuation_end(self, transaction: _Transaction) -> str | None:
+        """Return the reason, and log it, if an evacuation ends a transaction now."""
+        server = transaction.acquired.server
+        reason = context.find_evacuation_end(
+            self._components, server, clocks.get_now_s()
+        )
+        if reason is not None:
+            context.log_evacuation_end(self._components, server, "holder")
+        return reason
 
     async def _send(
         self,
@@ -275,7 +318,9 @@
 
     async def _expire(self, now_s: float) -> None:
         for transaction_id, transaction in list(self._transactions.items()):
-            if transaction.expires_s <= now_s and not transaction.is_running:
+            if transaction.is_running:
+                continue
+            if transaction.expires_s <= now_s or self._find_evacuation_end(transaction):
                 await self._discard(transaction_id)
 
     async def _discard(self, transaction_id: int | None) -> None:
--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -315,6 +315,7 @@
             self._rank_candidate,
             self._target,
             self._context.get_acknowledged_position(self._group, group.version),
+            self._context.may_promote,
         )
 
     def _rank_candidate(self, instance: str) -> tuple:
--- a/sedgeswitch/groups/leader_context.py
+++ b/sedgeswitch/groups/leader_context.py
@@ -24,6 +24,11 @@
     """Return None, for entry hosts that report no acknowledged positions."""
 
 
+def _may_promote_any(instance: str) -> bool:  # noqa: ARG001
+    """Return True, for control hosts that exclude no instance from promotion."""
+    return True
+
+
 class LeaderContext(typing.NamedTuple):
     """The parts of a control host that failovers and other leader tasks use.
 
@@ -55,6 +60,8 @@
         position of a commit that entry hosts have acknowledged. None if a host
         that may have acknowledged a commit has not sent a report since it
         applied that version of the group table.
+    may_promote : callable
+        ``may_promote(instance)`` returns whether an instance may become a primary.
     """
 
     machine: groups_machine.GroupsMachine
@@ -68,6 +75,7 @@
     record_report: typing.Callable
     instance_control_override: instances.InstanceControl | None = None
     get_acknowledged_position: typing.Callable = _get_no_position
+    may_promote: typing.Callable[[str], bool] = _may_promote_any
 
     @property
     def instance_control(self) -> instances.InstanceControl:
--- a/sedgeswitch/groups/primary_selection.py
+++ b/sedgeswitch/groups/primary_selection.py
@@ -96,6 +96,7 @@
     get_promotion_rank: typing.Callable[[str], tuple],
     target: str | None = None,
     acknowledged: positions.Position | None = None,
+    may_promote: typing.Callable[[str], bool] = lambda name: True,  # noqa: ARG005
 ) -> Decision:
     """Return the next step for a fenced group to which no host may write.
 
@@ -119,6 +120,9 @@
     acknowledged : positions.Position, optional
         A position that covers every acknowledged write, if all entry hosts have
         reported theirs.
+    may_promote : callable, optional
+        ``may_promote(name)`` returns whether an instance may be promoted. The
+        positions of the others still count towards the acknowledged writes.
 
     Notes
     -----
@@ -139,7 +143,9 @@
     if floor is None:
         return Decision(FailoverStep.WAIT)
     eligible = [
-        name for name, state in classified.replicas.items() if state.position >= floor
+        name
+        for name, state in classified.replicas.items()
+        if state.position >= floor and may_promote(name)
     ]
     if target is not None:
         eligible = [name for name in eligible if name == target]
--- a/sedgeswitch/groups/supervisor.py
+++ b/sedgeswitch/groups/supervisor.py
@@ -110,6 +110,12 @@
                 "unknown_instance",
                 f"group {group} has no instance {instance}",
             )
+        if not self._context.may_promote(instance):
+            raise verdicts.build_not_run(
+                _CONFLICT_STATUS,
+                "instance_evacuated",
+                f"the availability zone of {instance} is evacuated",
+            )
         is_fenced = state.phase == ttypes.GroupPhase.FENCED
         if is_fenced or group in self._changing_groups or state.primary == instance:
             raise verdicts.build_not_run(
--- a/sedgeswitch/groups/table.py
+++ b/sedgeswitch/groups/table.py
@@ -77,6 +77,10 @@
         self._lease_until_s = max(self._lease_until_s, until_s)
         self._wake_waiters()
 
+    def has_lease(self, now_s: float) -> bool:
+        """Return whether the lease of this host is valid at `now_s`."""
+        return now_s < self._lease_until_s
+
     def apply_changes(
         self, version: int, changed: typing.Iterable[ttypes.Group]
     ) -> bool:
--- a/sedgeswitch/observability/explain.py
+++ b/sedgeswitch/observability/explain.py
@@ -26,6 +26,7 @@
     "promotion",
     "instance",
     "leading in term",
+    "evacuation",
 )
 
 
--- a/sedgeswitch/platform/operator_edge.py
+++ b/sedgeswitch/platform/operator_edge.py
@@ -15,6 +15,8 @@
 
 CONFIGURATION_PATH = "/-/config"
 INSTANCE_PATH = "/-/instances/{id}"
+EVACUATIONS_PATH = "/-/evacuations"
+EVACUATION_PATH = EVACUATIONS_PATH + "/{zone}"
 # Retry delay suggested to clients while there is no leader or no configuration, in
 # milliseconds.
 RETRY_AFTER_MS = 200
@@ -46,6 +48,9 @@
         register("GET", CONFIGURATION_PATH, self._get_configuration)
         register("PUT", INSTANCE_PATH, self._put_instance)
         register("DELETE", INSTANCE_PATH, self._delete_instance)
+        register("GET", EVACUATIONS_PATH, self._get_evacuations)
+        register("POST", EVACUATION_PATH, self._post_evacuation)
+        register("DELETE", EVACUATION_PATH, self._delete_evacuation)
 
     async def _put_configuration(
         self,
@@ -134,6 +139,35 @@
         self._control.directory.remove_server(values[0])
         return http.build_json({})
 
+    async def _get_evacuations(
+        self,
+        request: http.Request,
+        values: tuple[str, ...],  # noqa: ARG002
+    ) -> http.Response:
+        redirect = self._find_redirect(request)
+        if redirect is not None:
+            return redirect
+        zones = await self._control.evacuations.list_evacuated()
+        return http.build_json({"evacuations": zones})
+
+    async def _post_evacuation(
+        self, request: http.Request, values: tuple[str, ...]
+    ) -> http.Response:
+        redirect = self._find_redirect(request)
+        if redirect is not None:
+            return redirect
+        await self._control.evacuations.start(values[0])
+        return http.build_json({"zone": values[0]})
+
+    async def _delete_evacuation(
+        self, request: http.Request, values: tuple[str, ...]
+    ) -> http.Response:
+        redirect = self._find_redirect(request)
+        if redirect is not None:
+            return redirect
+        await self._control.evacuations.end(values[0])
+        return http.build_json({"zone": values[0]})
+
     def _find_redirect(self, request: http.Request) -> http.Response | None:
         """Return a redirect to the leader, None if this host is the leader.
 
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -27,9 +27,6 @@
 METRICS_PATH = "/metrics"
 METRICS_PORT = 9464
 MAX_METRICS_CONNECTIONS = 10
-# Duration of the lease that a heartbeat renews, in seconds. It is long enough for
-# entry hosts to keep serving while the control hosts elect a new leader.
-LEASE_S = 4.0
 HEARTBEAT_INTERVAL_S = 0.5
 # Interval at which the settings file is checked for changes, in seconds.
 SETTINGS_INTERVAL_S = 1.0
@@ -192,13 +189,14 @@
         options = relay_control.ControlOptions(
             _build_node_settings(settings),
             settings.data_folder,
-            LEASE_S,
+            platform_settings.LEASE_S,
             GROUP_SETTINGS,
             settings.tolerance,
             peer.Address(settings.ip, port),
             settings.control_peers,
             settings.voter_count,
             settings.unresponsive_limit_s,
+            frozenset([settings.availability_zone, *settings.region_by_zone]),
         )
         self._control = relay_control.RelayControl(
             options,
@@ -231,6 +229,7 @@
             GROUP_SETTINGS,
             settings.tolerance,
             settings.region_by_zone,
+            settings.evacuation_bound_s,
         )
         serving = server.Server()
         self._entry = relay_entry.RelayEntry(
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -13,6 +13,9 @@
 
 PATH_VARIABLE = "SEDGESWITCH_NODE_FILE"
 MAX_PORT = 65535
+# Duration of the lease that a heartbeat renews, in seconds. It is long enough for
+# entry hosts to keep serving while the control hosts elect a new leader.
+LEASE_S = 4.0
 # Values of the platform's field ``serves``.
 SERVES_CLIENTS = "front"
 SERVES_CONTROL = "control"
@@ -43,6 +46,8 @@
     # Time after its start at which the successor of a lost control host must be able to
     # stand in for it, so that others may be lost.
     catchUpS: float
+    # Time after its acknowledgement within which an evacuation is in force everywhere.
+    evacuateMs: float
 
 
 class _Tolerance(typing.TypedDict, total=False):
@@ -108,6 +113,9 @@
     catch_up_s : float
         Time after its start at which the successor of a lost control host must be able
         to stand in for it.
+    evacuation_bound_s : float
+        Time after its acknowledgement within which an evacuation is in force on every
+        host.
     """
 
     host_name: str
@@ -128,6 +136,7 @@
     tolerance: relay_groups.Tolerance
     tolerated_losses: int
     catch_up_s: float
+    evacuation_bound_s: float
 
     @property
     def voter_count(self) -> int:
@@ -161,6 +170,9 @@
 _DEFAULT_GRACE_S = 6.0
 # Default of `PlatformSettings.catch_up_s`, in seconds.
 _DEFAULT_CATCH_UP_S = 6.0
+# Default of `PlatformSettings.evacuation_bound_s`, in milliseconds.
+_DEFAULT_EVACUATION_BOUND_MS = 5000.0
+_MS_PER_S = 1000.0
 
 
 def build_control_id(ip: str) -> str:
@@ -235,9 +247,25 @@
         ),
         tolerated_losses=document.get("faultTolerance", {}).get("machines", 1),
         catch_up_s=bounds.get("catchUpS", _DEFAULT_CATCH_UP_S),
+        evacuation_bound_s=_get_evacuation_bound_s(bounds),
     )
 
 
+def _get_evacuation_bound_s(bounds: _Bounds) -> float:
+    """Return the bound of evacuations, which is at least as long as a lease.
+
+    A host that is cut off from the leader uses instances until its lease expires.
+    """
+    bound_ms = bounds.get("evacuateMs", _DEFAULT_EVACUATION_BOUND_MS)
+    if bound_ms < LEASE_S * _MS_PER_S:
+        raise checks.CheckError(
+            "bounds.evacuateMs",
+            f"at least the lease of {LEASE_S * _MS_PER_S:.0f} ms",
+            bound_ms,
+        )
+    return bound_ms / _MS_PER_S
+
+
 def _get_first_port(ports: list[int]) -> int:
     if not ports:
         raise checks.CheckError("internalPorts", "a list of at least one port", ports)
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -23,10 +23,13 @@
     server : directory.BackendServer
         Backend server that the connection leads to.
     connection : sessions.SessionConnection
+    is_forwarded : bool
+        Whether another host holds the connection to the instance.
     """
 
     server: directory.BackendServer
     connection: sessions.SessionConnection
+    is_forwarded: bool
 
     async def release(self, is_observed: bool = True) -> None:
         """Return the connection, which is closed if it is not usable.
@@ -71,6 +74,8 @@
 class PooledAcquiredConnection:
     """A connection of this host's pool; implements `AcquiredConnection`."""
 
+    is_forwarded = False
+
     def __init__(
         self,
         server: directory.BackendServer,
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -20,6 +20,7 @@
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import failure_backoff
 from sedgeswitch.relay import freshness
+from sedgeswitch.relay import open_transactions as transaction_registry
 from sedgeswitch.relay import steps
 from sedgeswitch.routing import eligibility
 from sedgeswitch.statements import backends
@@ -64,6 +65,8 @@
     get_restrictions : callable
         Returns the restrictions of all statements that are in force on this host;
         `build_restrictions` adds those of one operation.
+    open_transactions : open_transactions.OpenTransactions
+        The transactions of this host's callers, which evacuations end.
     """
 
     databases: database_sections.EntrySection
@@ -80,6 +83,9 @@
     get_restrictions: collections.abc.Callable[[], eligibility.Restrictions] = (
         eligibility.Restrictions
     )
+    open_transactions: transaction_registry.OpenTransactions = (
+        transaction_registry.build_unrestricted()
+    )
 
 
 class LocalObservations:
@@ -192,6 +198,86 @@
     )
 
 
+def find_refusal(
+    components: Components,
+    acquired: connections.AcquiredConnection,
+    access: accesses.Access,
+) -> str | None:
+    """Return why a statement may not be sent on a connection, None if it may.
+
+    The restrictions and the lease may have changed during the wait for it.
+    """
+    reason = eligibility.find_exclusion(
+        acquired.server, build_restrictions(components, access)
+    )
+    if reason is not None:
+        return f"{acquired.server.instance} may not run it: {reason}"
+    return find_missing_lease(components, acquired)
+
+
+def find_missing_lease(
+    components: Components, acquired: connections.AcquiredConnection
+) -> str | None:
+    """Return the reason if this host may send nothing to instances, else None.
+
+    A holder that a statement is forwarded to checks its own lease.
+    """
+    has_lease = components.groups.has_lease(clocks.get_now_s())
+    if acquired.is_forwarded or has_lease:
+        return None
+    return "this host has no lease"
+
+
+def find_evacuation_end(
+    components: Components, server: directory.BackendServer, now_s: float
+) -> str | None:
+    """Return the reason if an evacuation ends open transactions on a server now."""
+    zone = server.availability_zone
+    if now_s < components.open_transactions.get_end_s(zone):
+        return None
+    return f"availability zone {zone} is evacuated"
+
+
+def log_evacuation_end(
+    components: Components, server: directory.BackendServer, host_role: str
+) -> None:
+    """Log that an evacuation has ended a transaction on a server.
+
+    Parameters
+    ----------
+    components : Components
+    server : directory.BackendServer
+    host_role : str
+        ``caller's host`` or ``holder``; both may end the same transaction.
+    """
+    components.decisions.note(
+        "evacuation ended a transaction",
+        trio.current_time(),
+        zone=server.availability_zone,
+        instance=server.instance,
+        role=host_role,
+    )
+
+
+def is_group_evacuated(components: Components, group: str) -> bool:
+    """Return whether all announced instances of a group are in evacuated zones."""
+    restrictions = components.get_restrictions()
+    if not restrictions.evacuated_zones:
+        return False
+    servers = components.backends.get_servers(group)
+    return bool(servers) and all(
+        eligibility.is_evacuated(server, restrictions) for server in servers
+    )
+
+
+def is_primary_evacuated(components: Components, permit: table.WritePermit) -> bool:
+    """Return whether the primary that a permit names is in an evacuated zone."""
+    server = components.backends.get_server(permit.primary)
+    if server is None:
+        return False
+    return eligibility.is_evacuated(server, components.get_restrictions())
+
+
 def get_primary_server(
     components: Components, permit: table.WritePermit, access: accesses.Access
 ) -> directory.BackendServer:
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -294,6 +294,11 @@
                 if is_on_replica
                 else self._get_attempt_deadline_s(deadline_s)
             )
+            refusal = context.find_refusal(self._components, acquired, read.access)
+            if refusal is not None:
+                raise steps.FailedError(
+                    sessions.Failure.OVERLOADED, refusal, is_retryable=True
+                )
             with trio.move_on_at(attempt_deadline_s):
                 reply = await read.run(acquired, floor)
             if reply is None:
@@ -333,26 +338,41 @@
 ) -> table.WritePermit:
     """Wait until this host has a permit for a group's primary, and return it.
 
-    There is none while the group has no primary or this host has no lease.
+    There is none while the group has no primary or this host has no lease. The permit
+    for a primary in an evacuated zone counts as missing.
 
     Raises
     ------
     steps.FailedError
         ``OVERLOADED`` if there is no permit by `deadline_s`, on trio's clock, or the
-        outage has lasted for ``OUTAGE_TIMEOUT_S``. No statement has run.
+        outage has lasted for ``OUTAGE_TIMEOUT_S``; at once if all instances of the
+        group are in evacuated zones. No statement has run.
     """
     while True:
+        if context.is_group_evacuated(components, group):
+            raise steps.FailedError(
+                sessions.Failure.OVERLOADED,
+                f"the availability zones of all instances of group {group} are"
+                " evacuated",
+            )
         now_s = clocks.get_now_s()
         permit = components.groups.get_write_permit(group, now_s)
-        if permit is not None:
+        is_evacuated = permit is not None and context.is_primary_evacuated(
+            components, permit
+        )
+        if permit is not None and not is_evacuated:
             components.local_observations.end_outage(group)
             return permit
         outage_s = components.local_observations.record_outage(group, now_s)
         if outage_s >= OUTAGE_TIMEOUT_S or trio.current_time() >= deadline_s:
+            reason = (
+                "the availability zone of its primary is evacuated"
+                if is_evacuated
+                else "or this host no lease"
+            )
             raise steps.FailedError(
                 sessions.Failure.OVERLOADED,
-                f"group {group} currently has no primary, or this host no lease;"
-                " retry after 500 ms",
+                f"group {group} currently has no primary, {reason}; retry after 500 ms",
             )
         with trio.move_on_at(deadline_s):
             await components.groups.wait_changed()
--- a/sedgeswitch/relay/transactions.py
+++ b/sedgeswitch/relay/transactions.py
@@ -48,6 +48,9 @@
         self._acquired: connections.AcquiredConnection | None = None
         self._permit: table.WritePermit | None = None
         self._has_written = False
+        self._is_busy = False
+        # Why this host ended the transaction between two statements, if it did.
+        self._end_reason: str | None = None
 
     @property
     def is_bound(self) -> bool:
@@ -78,6 +81,7 @@
         steps.FailedError
             ``ABORTED`` or another failure after which the transaction has no effect.
         """
+        self._check_not_ended()
         if self._acquired is None:
             await self._bind(values, deadline_s)
         self._has_written = self._has_written or is_write
@@ -101,6 +105,7 @@
             ``IN_DOUBT`` if the commit may have run, ``ABORTED`` or another failure if
             it was not sent.
         """
+        self._check_not_ended()
         if self._acquired is None:
             await self._bind(values, deadline_s)
         permit = self._permit
@@ -127,11 +132,18 @@
         return reply
 
     async def roll_back(self) -> None:
-        """Roll back and release the connection, or close it if the rollback fails."""
+        """Roll back and release the connection, or close it if the rollback fails.
+
+        It is closed at once if no further statement may be sent on it.
+        """
         acquired = self._acquired
         if acquired is None:
             return
+        if self._find_end_reason(clocks.get_now_s()) is not None:
+            await self.discard()
+            return
         is_clean = False
+        self._is_busy = True
         with trio.move_on_after(ROLL_BACK_TIMEOUT_S):
             try:
                 reply = await acquired.connection.roll_back()
@@ -149,14 +161,55 @@
         """Close the connection, which rolls back the transaction."""
         acquired, self._acquired = self._acquired, None
         if acquired is not None:
+            self._components.open_transactions.remove(self)
             await acquired.discard(is_observed=False)
 
+    async def end_if_due(self, now_s: float) -> None:
+        """Roll back the transaction if an evacuation ends it and no statement runs."""
+        if self._acquired is None or self._is_busy:
+            return
+        reason = context.find_evacuation_end(
+            self._components, self._acquired.server, now_s
+        )
+        if reason is not None:
+            await self._end(reason)
+
+    def _find_end_reason(self, now_s: float) -> str | None:
+        """Return why no further statement may be sent, None if one may."""
+        components, acquired = self._components, self._acquired
+        return context.find_evacuation_end(
+            components, acquired.server, now_s
+        ) or context.find_missing_lease(components, acquired)
+
+    def _check_not_ended(self) -> None:
+        if self._end_reason is not None:
+            raise steps.FailedError(
+                sessions.Failure.ABORTED,
+                f"{self._end_reason}; transaction rolled back",
+            )
+
+    async def _check_may_continue(self) -> None:
+        """Roll back and raise ``ABORTED`` if no further statement may be sent."""
+        reason = self._find_end_reason(clocks.get_now_s())
+        if reason is not None:
+            await self._end(reason)
+            self._check_not_ended()
+
+    async def _end(self, reason: str) -> None:
+        """Close the connection, which sends no statement to the instance."""
+        self._end_reason = reason
+        server = self._acquired.server
+        if context.find_evacuation_end(self._components, server, clocks.get_now_s()):
+            context.log_evacuation_end(self._components, server, "caller's host")
+        await self.discard()
+
     def _is_permit_valid(self) -> bool:
         now_s = clocks.get_now_s()
         return self._components.groups.is_permit_valid(self._permit, now_s)
 
     async def _release(self) -> None:
         acquired, self._acquired = self._acquired, None
+        self._components.open_transactions.remove(self)
         await acquired.release(is_observed=False)
 
     async def _bind(self, values: dict[bytes, bytes], deadline_s: float) -> None:
@@ -182,6 +235,7 @@
             raise steps.FailedError(sessions.Failure.ABORTED, reply.detail)
         self._acquired = result.acquired
         self._permit = result.permit
+        self._components.open_transactions.add(self)
 
     async def _run_bound(
         self, run: reads.Run, deadline_s: float
@@ -190,12 +244,28 @@
 
         Retries with backoff while the instance has no free slot and the transaction is
         still open. Returns None if the connection is lost or no answer arrives in time.
+
+        Raises
+        ------
+        steps.FailedError
+            ``ABORTED`` if an evacuation or the end of the lease forbids to send the
+            statement. The transaction is rolled back.
         """
+        self._is_busy = True
+        try:
+            return await self._run_while_allowed(run, deadline_s)
+        finally:
+            self._is_busy = False
+
+    async def _run_while_allowed(
+        self, run: reads.Run, deadline_s: float
+    ) -> sessions.Reply | None:
         acquired = self._acquired
         local_observations = self._components.local_observations
         backoff = context.build_backoff(self._components)
         with trio.move_on_at(deadline_s):
             while True:
+                await self._check_may_continue()
                 try:
                     reply = await run(acquired, None)
                 except sessions.ConnectionLostError:
