Test evacuations of relay fleets, and explain requests by older evacuations

Cause: evacuations had no tests, and an explanation omitted an evacuation that began more than 6 s before the request.

Entry hosts no longer probe instances of evacuated zones, except primaries, and close idle connections to them, as for drained instances. The bound of evacuations is checked with the settings.

--- a/sedgeswitch/agreement/tests/builders.py
+++ b/sedgeswitch/agreement/tests/builders.py
@@ -185,6 +185,7 @@
         state_machine = RecordingStateMachine(self.history)
         registry = state_machines.Registry()
         registry.register_machine(MACHINE_NAME, state_machine)
+        self.register_machines(node_id, registry)
         address = build_address(node_id)
         endpoint = Endpoint(self.network, address)
         started = node.Node(
@@ -206,6 +207,9 @@
         await self._nursery.start(run)
         self.network.endpoints[address] = endpoint
 
+    def register_machines(self, node_id, registry):
+        """Register further state machines of a host; subclasses override this."""
+
     async def kill(self, node_id):
         host = self.hosts.pop(node_id)
         self.network.endpoints.pop(build_address(node_id), None)
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -25,6 +25,7 @@
 from sedgeswitch.forwarding import placement
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.membership import directory
 from sedgeswitch.membership import entry_peers
 from sedgeswitch.membership import machine as members_machine
 from sedgeswitch.membership import member_sections
@@ -139,7 +140,9 @@
         admit_locally = fleet.FleetAdmission(self.host_limiter).admit
         self._home = home_admission.Home(admit_locally)
         servers = relay_groups.RelayDirectory(
-            lambda: self.directory.servers, lambda: self.databases.document
+            lambda: self.directory.servers,
+            lambda: self.databases.document,
+            self._is_unobserved,
         )
         local_observations = context.LocalObservations(self.groups)
         self.groups_section = entry_section.EntrySection(
@@ -239,6 +242,24 @@
         """Return what limits the choice of an instance for all statements."""
         return eligibility.Restrictions(self.evacuations.zones)
 
+    def _is_unobserved(self, server: directory.BackendServer) -> bool:
+        """Return whether a server is in an evacuated zone and not a primary.
+
+        This host sends no probes to such a server.
+        """
+        if server.availability_zone not in self.evacuations.zones:
+            return False
+        group = self.groups.get_group(server.group)
+        return group is None or group.primary != server.instance
+
+    def _list_evacuated_addresses(self) -> set[tuple[str, int]]:
+        """Return host and port of the instances in evacuated zones."""
+        return {
+            (server.host, server.port)
+            for server in self.directory.servers.values()
+            if server.availability_zone in self.evacuations.zones
+        }
+
     def _build_backends(
         self, driver: typing.Any, rng: random.Random
     ) -> backends.Backends:
@@ -323,5 +344,7 @@
             self.backends.reserve_connections(fenced)
             await self.backends.close_surplus()
             await self.backends.close_unannounced()
-            await self.backends.close_idle(set(), trio.current_time())
+            await self.backends.close_idle(
+                self._list_evacuated_addresses(), trio.current_time()
+            )
             await trio.sleep(entry_core.MAINTENANCE_INTERVAL_S)
--- a/sedgeswitch/daemon/relay_groups.py
+++ b/sedgeswitch/daemon/relay_groups.py
@@ -41,13 +41,19 @@
         Returns the announced backend servers by instance id.
     get_document : callable
         Returns the configuration document in force.
+    is_excluded : callable, optional
+        ``is_excluded(server)`` returns whether an instance is left out.
     """
 
     def __init__(
         self,
         get_servers: collections.abc.Callable[[], dict[str, directory.BackendServer]],
         get_document: collections.abc.Callable[[], documents.Document],
+        is_excluded: collections.abc.Callable[
+            [directory.BackendServer], bool
+        ] = lambda server: False,  # noqa: ARG005
     ):
+        self._is_excluded = is_excluded
         self._get_servers = get_servers
         self._get_document = get_document
 
@@ -65,7 +71,7 @@
                 server.availability_zone,
             )
             for server in self._get_servers().values()
-            if server.group == group
+            if server.group == group and not self._is_excluded(server)
         ]
 
 
--- a/sedgeswitch/groups/tests/builders.py
+++ b/sedgeswitch/groups/tests/builders.py
@@ -117,6 +117,7 @@
         self.leader = self.controls[0]
         self.leadership = Leadership(1, 0.0)
         self.on_propose = None
+        self.evacuated_zones = set()
 
     def get_groups(self):
         return sorted({item.group for item in self.instances.values()})
@@ -323,6 +324,9 @@
             settings=world.settings,
             get_promotion_rank=lambda group, instance: (),  # noqa: ARG005
             record_report=world.reports.append,
+            may_promote=lambda name: (
+                world.instances[name].zone not in world.evacuated_zones
+            ),
         )
         self.supervisor = supervisor.Supervisor(self.context, self.section)
 
--- a/sedgeswitch/observability/explain.py
+++ b/sedgeswitch/observability/explain.py
@@ -28,6 +28,13 @@
     "leading in term",
     "evacuation",
 )
+# Lines that describe a state which lasts until a line with the opposite text: from any
+# host, and from the hosts that handled the request.
+_ANY_HOST_STATES = {"evacuation started": True, "evacuation ended": False}
+_SAME_HOST_STATES = {
+    "evacuation in force": True,
+    "evacuation no longer in force": False,
+}
 
 
 class LogLine(typing.NamedTuple):
@@ -80,7 +87,8 @@
     -------
     list of (LogLine, bool)
         Sorted by time. The flag is True for lines of the request itself. Empty
-        if no line belongs to the request.
+        if no line belongs to the request. Lines about an evacuation that was in
+        force are included also if they are older than the others.
     """
     own = [line for line in lines if line.fields.get("request") == request]
     if not own:
@@ -97,10 +105,30 @@
             or (line.host_id in hosts and line.message.startswith(_SAME_HOST_PREFIXES))
         )
     ]
+    context += _list_lasting(lines, hosts, from_s)
     explanation = [(line, True) for line in own] + [(line, False) for line in context]
     return sorted(explanation, key=lambda item: (item[0].time_s, not item[1]))
 
 
+def _list_lasting(
+    lines: collections.abc.Sequence[LogLine], hosts: set[str], before_s: float
+) -> list[LogLine]:
+    """Return the lines about states that had begun, and not ended, before a time."""
+    lasting: dict[tuple[str, str | None], LogLine] = {}
+    for line in sorted(lines, key=lambda item: item.time_s):
+        is_start, host_id = _ANY_HOST_STATES.get(line.message), ""
+        if is_start is None and line.host_id in hosts:
+            is_start, host_id = _SAME_HOST_STATES.get(line.message), line.host_id
+        if is_start is None or line.time_s >= before_s:
+            continue
+        key = (host_id, line.fields.get("zone"))
+        if is_start:
+            lasting[key] = line
+        else:
+            lasting.pop(key, None)
+    return list(lasting.values())
+
+
 class _RawLine(typing.TypedDict):
     time: datetime.datetime
     host_id: str
--- a/sedgeswitch/observability/tests/test_explain.py
+++ b/sedgeswitch/observability/tests/test_explain.py
@@ -56,6 +56,35 @@
             [(line.host_id, line.message, is_own) for line, is_own in explanation],
         )  # fmt: skip
 
+    def test_evacuation_is_shown_that_had_begun_long_before(self):
+        # Guards against an explanation that omits the cause because it is older than
+        # the lines that are shown otherwise.
+        def build(time_s, host_id, message, zone):
+            return explain.LogLine(time_s, host_id, message, {"zone": zone})
+
+        found = [
+            build(100.0, "c1", "evacuation started", "zone-a"),
+            build(100.1, "e1", "evacuation in force", "zone-a"),
+            build(100.1, "e2", "evacuation in force", "zone-a"),
+            build(101.0, "c1", "evacuation started", "zone-b"),
+            build(102.0, "c2", "evacuation ended", "zone-b"),
+            explain.LogLine(900.0, "e1", "statement aborted", {"request": "5c0e"}),
+            build(900.2, "e2", "evacuation ended a transaction", "zone-a"),
+            build(950.0, "c2", "evacuation ended", "zone-a"),
+        ]
+        self.assertEqual(
+            [
+                ("c1", "evacuation started"),
+                ("e1", "evacuation in force"),
+                ("e1", "statement aborted"),
+                ("e2", "evacuation ended a transaction"),
+            ],
+            [
+                (line.host_id, line.message)
+                for line, _ in explain.explain(found, "5c0e")
+            ],
+        )
+
     def test_unknown_request_returns_nothing(self):
         loguru.logger.info("lease lost")
         self.assertEqual([], explain.explain(self.read_lines(), "5c0e"))
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -172,6 +172,19 @@
                 loaded = self.load(bounds={"catchUpS": catch_up_s})
                 self.assertAlmostEqual(limit_s, loaded.unresponsive_limit_s)
 
+    def test_bound_of_evacuations_is_optional(self):
+        self.assertEqual(5.0, self.load().evacuation_bound_s)
+        loaded = self.load(bounds={"evacuateMs": 8000})
+        self.assertEqual(8.0, loaded.evacuation_bound_s)
+
+    def test_bound_of_evacuations_below_the_lease_is_rejected(self):
+        # Guards against a bound that a host without contact to the leader exceeds.
+        self.assertEqual(4.0, self.load(bounds={"evacuateMs": 4000}).evacuation_bound_s)
+        for bound_ms in (3999, 0, -1):
+            with self.subTest(bound_ms), self.assertRaises(checks.CheckError) as caught:
+                self.load(bounds={"evacuateMs": bound_ms})
+            self.assertIn("4000 ms", str(caught.exception))
+
     def test_invalid_settings_raise(self):
         for changes in ({"ip": 3}, {"seeds": ["x"]}, {"internalPorts": "7560"}):
             with self.subTest(changes), self.assertRaises(checks.CheckError):
