Give the control hosts of a test different random seeds

Cause: the three control hosts of the fleet test drew equal election timeouts, so that two of them split the votes until the test timed out (2 of 5 runs of the rolling stop).

Change: each host's generator is seeded with its id.

--- a/sedgeswitch/evacuations/tests/fleet_builders.py
+++ b/sedgeswitch/evacuations/tests/fleet_builders.py
@@ -4,7 +4,6 @@
 in memory, each in an availability zone of its own.
 """
 
-import contextlib
 import pathlib
 import random
 import tempfile
@@ -147,7 +146,8 @@
             serving,
             Driver(self.world),
             metrics.Metrics(),
-            random.Random(1),
+            # Equal election timeouts would split the votes again and again.
+            random.Random(host_id),
         )
         router = routes.Router()
         operator_edge.OperatorEdge(control, 1).register_routes(router)
@@ -267,5 +267,4 @@
                 await body(fleet)
                 nursery.cancel_scope.cancel()
 
-    with contextlib.suppress(KeyboardInterrupt):
-        trio.run(main)
+    trio.run(main)
