Evacuate availability zones in sedgeswitchd and on the command line

Cause: only relay fleets could be evacuated.

Change: the operator API has calls under /v1/evacuations, and the command line has evacuate, end-evacuation and evacuations. Entry hosts exclude evacuated instances in their authorisation, wait for another primary, and end open transactions after their part of the bound or without a lease. Control hosts move primaries out of evacuated zones.

--- a/sedgeswitch/cli/__main__.py
+++ b/sedgeswitch/cli/__main__.py
@@ -12,6 +12,7 @@
 from sedgeswitch.cli import configuration_commands
 from sedgeswitch.cli import drain_commands
 from sedgeswitch.cli import environment as environments
+from sedgeswitch.cli import evacuation_commands
 from sedgeswitch.cli import exit_codes
 from sedgeswitch.cli import explain_command
 from sedgeswitch.cli import key_commands
@@ -29,6 +30,9 @@
     key_commands.TokenMakeCommand,
     drain_commands.DrainCommand,
     drain_commands.UndrainCommand,
+    evacuation_commands.EvacuateCommand,
+    evacuation_commands.EndEvacuationCommand,
+    evacuation_commands.EvacuationsCommand,
     status_commands.StatusCommand,
     status_commands.MovePrimaryCommand,
     status_commands.ReplaceControlCommand,
--- a/sedgeswitch/cli/tests/builders.py
+++ b/sedgeswitch/cli/tests/builders.py
@@ -19,6 +19,9 @@
 from sedgeswitch.configuration import operator_routes
 from sedgeswitch.configuration import operators
 from sedgeswitch.configuration.tests import builders as configuration_builders
+from sedgeswitch.evacuations import machine as evacuations_machine
+from sedgeswitch.evacuations import operations as evacuation_operations
+from sedgeswitch.evacuations.tests import builders as evacuation_builders
 from sedgeswitch.keys import key_format
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -33,6 +36,7 @@
     def __init__(self):
         self.machine = machines.ConfigurationMachine()
         self.distributor = distributors.Distributor(self.machine)
+        self.evacuations = evacuations_machine.EvacuationsMachine(lambda: self.now_s)
         self.followers = {"e1": followers.Follower(), "e2": followers.Follower()}
         self.instances = json.loads(INSTANCES.read_text())["instances"]
         self.leader = HOSTS[0]
@@ -75,6 +79,11 @@
             },
             move_primary=self.move_primary,
             replace_voter=self.replace_voter,
+            evacuations=evacuation_operations.Operations(
+                self.evacuations,
+                evacuation_builders.FailingLog(self.evacuations),
+                lambda: evacuation_builders.ZONES,
+            ),
             operator_token_digest=TOKEN.digest,
         )
         return trio.run(operator_routes.handle, services, request, self.now_s)
--- a/sedgeswitch/configuration/operator_routes.py
+++ b/sedgeswitch/configuration/operator_routes.py
@@ -172,6 +172,40 @@
     return _build_json(await operators.replace_voter(services, replacement, now_s))
 
 
+@register_route("GET", "/v1/evacuations")
+async def get_evacuations(
+    services: operators.Services,
+    request: OperatorRequest,  # noqa: ARG001
+    now_s: float,
+) -> OperatorResponse:
+    """Return the evacuated availability zones."""
+    return _build_json(await operators.list_evacuations(services, now_s))
+
+
+@register_route("POST", "/v1/evacuations/{zone}")
+async def post_evacuation(
+    services: operators.Services,
+    request: OperatorRequest,  # noqa: ARG001
+    now_s: float,
+    zone: str,
+) -> OperatorResponse:
+    """Start the evacuation of an availability zone."""
+    change = operators.Evacuation(zone, True)
+    return _build_json(await operators.change_evacuation(services, change, now_s))
+
+
+@register_route("DELETE", "/v1/evacuations/{zone}")
+async def delete_evacuation(
+    services: operators.Services,
+    request: OperatorRequest,  # noqa: ARG001
+    now_s: float,
+    zone: str,
+) -> OperatorResponse:
+    """End the evacuation of an availability zone."""
+    change = operators.Evacuation(zone, False)
+    return _build_json(await operators.change_evacuation(services, change, now_s))
+
+
 def _find_handler(method: str, path: str) -> tuple[Handler, list[str]]:
     parts = path.split("/")
     for (route_method, route_parts), handler in _HANDLER_BY_ROUTE.items():
--- a/sedgeswitch/configuration/operators.py
+++ b/sedgeswitch/configuration/operators.py
@@ -10,6 +10,7 @@
 from sedgeswitch.configuration import distributor as distributors
 from sedgeswitch.configuration import documents
 from sedgeswitch.configuration import machine as machines
+from sedgeswitch.evacuations import operations as evacuation_operations
 from sedgeswitch.keys import lookup
 from sedgeswitch.utils import checks
 from sedgeswitch.utils import records
@@ -46,6 +47,7 @@
     replace_voter : async callable
         ``await replace_voter(old, new, address)`` returns once the new control
         host has replaced the old one; raises `verdicts.RefusedError`.
+    evacuations : evacuations.operations.Operations
     operator_token_digest : str or None
         SHA-256 digest of the operators' token; None if no token is required.
     """
@@ -59,6 +61,7 @@
     status_providers: typing.Mapping[str, StatusProvider]
     move_primary: typing.Callable[[str, str], typing.Awaitable[None]]
     replace_voter: typing.Callable[[str, str, str], typing.Awaitable[None]]
+    evacuations: evacuation_operations.Operations
     operator_token_digest: str | None = None
 
 
@@ -93,6 +96,26 @@
     instance: records.Name
 
 
+class Evacuation(typing.NamedTuple):
+    """The evacuation of an availability zone.
+
+    Attributes
+    ----------
+    zone : str
+    is_evacuated : bool
+        Whether the evacuation is in force.
+    """
+
+    zone: str
+    is_evacuated: bool
+
+
+class EvacuationsView(typing.NamedTuple):
+    """The evacuated availability zones, sorted by name."""
+
+    zones: tuple[str, ...]
+
+
 class ReplaceVoter(typing.NamedTuple):
     """A request to replace a control host by a new one.
 
@@ -230,3 +253,33 @@
     check_leader(services, now_s)
     await services.replace_voter(request.old, request.new, request.address)
     return request
+
+
+async def list_evacuations(services: Services, now_s: float) -> EvacuationsView:
+    """Return the evacuated availability zones.
+
+    Raises
+    ------
+    RefusedError
+        If this host is not the leader.
+    """
+    check_leader(services, now_s)
+    return EvacuationsView(tuple(await services.evacuations.list_evacuated()))
+
+
+async def change_evacuation(
+    services: Services, request: Evacuation, now_s: float
+) -> Evacuation:
+    """Start or end the evacuation of an availability zone and return the request.
+
+    Raises
+    ------
+    RefusedError
+        If this host is not the leader, the zone is unknown or the outcome is unknown.
+    """
+    check_leader(services, now_s)
+    if request.is_evacuated:
+        await services.evacuations.start(request.zone)
+    else:
+        await services.evacuations.end(request.zone)
+    return request
--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -89,6 +89,7 @@
             status_providers=status.build_providers(self),
             move_primary=self._move_primary,
             replace_voter=self._replace_voter,
+            evacuations=self.evacuations,
             operator_token_digest=self._settings.operator_token_digest,
         )
         router.register_fallback(self._answer_operator)
@@ -121,6 +122,9 @@
         self.heartbeat_server.register_section(CONFIGURATION, self.distributor)
         self.heartbeat_server.register_section(DRAINING, self.draining)
 
+    def _list_zones(self) -> set[str]:
+        return super()._list_zones() | {self._settings.availability_zone}
+
     def _get_limits(self) -> dict[str, admission_settings.Limit]:
         return adapters.build_limits(self.configuration.document)
 
@@ -179,21 +183,29 @@
         return moves
 
     def _find_target(self, group: typing.Any) -> str | None:
-        """Return the instance to which a drained primary should move.
+        """Return the instance to which a drained or evacuated primary should move.
 
-        None if the primary is not drained, or if no other instance is available.
+        None if the primary is neither, or if no other instance is available.
         """
         servers = self.directory.servers
         document = self.configuration.document
         primary = servers.get(group.primary)
-        if primary is None or not adapters.is_drained(document, primary):
+        if primary is None:
+            return None
+        may_stay = self._may_promote(primary.instance)
+        if may_stay and not adapters.is_drained(document, primary):
             return None
         others = [
             servers[instance]
             for instance in group.instances
             if instance in servers and instance != group.primary
         ]
-        eligible = [item for item in others if not adapters.is_drained(document, item)]
+        eligible = [
+            item
+            for item in others
+            if self._may_promote(item.instance)
+            and not adapters.is_drained(document, item)
+        ]
         if not eligible:
             return None
         return min(item.instance for item in eligible)
--- a/sedgeswitch/daemon/entry.py
+++ b/sedgeswitch/daemon/entry.py
@@ -21,6 +21,7 @@
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import entry_section as groups_sections
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import table
 from sedgeswitch.membership import directory
 from sedgeswitch.membership import entry_peers
 from sedgeswitch.membership import machine
@@ -93,7 +94,10 @@
         self.session_floors = self._build_session_floors()
         self.session_floors.register_handlers(peer_server)
         self._register_sections()
-        self.transactions = pool_transactions.TransactionTable(settings.host_id, rng)
+        self.transactions = pool_transactions.TransactionTable(
+            settings.host_id, rng, self._find_evacuated_zone
+        )
+        self.groups.set_exclusion(self._is_primary_evacuated)
         self.forwarder = forwarding.Forwarder(settings.host_id, self.peers.call)
         peer_server.register_handler(
             pool_messages.ForwardedRequest, self.forwarder.answer
@@ -209,7 +213,10 @@
             self._metrics,
         )
         authoriser = authorisation.Authoriser(
-            self.configuration, self.backends, self._settings.freshness_bound_s
+            self.configuration,
+            self.backends,
+            self._settings.freshness_bound_s,
+            self._is_evacuated,
         )
         admission = fleet.FleetAdmission(self.host_limiter)
         self.writer = writes.Writer(components)
@@ -240,15 +247,35 @@
         self.host_limiter.set_limits(limits)
 
     def _is_excluded(self, item: directory.BackendServer) -> bool:
-        """Return whether a backend server is drained and not a primary.
+        """Return whether a server is drained or evacuated, and not a primary.
 
         This host neither observes nor uses such a server.
         """
         group = self.groups.get_group(item.group)
         if group is not None and group.primary == item.instance:
             return False
+        if self._is_evacuated(item):
+            return True
         return adapters.is_drained(self.configuration.document, item)
 
+    def _is_evacuated(self, item: directory.BackendServer) -> bool:
+        return item.availability_zone in self.evacuations.zones
+
+    def _is_primary_evacuated(self, permit: table.WritePermit) -> bool:
+        item = self.directory.servers.get(permit.primary)
+        return item is not None and self._is_evacuated(item)
+
+    def _find_evacuated_zone(
+        self, transaction: pool_transactions.Transaction
+    ) -> str | None:
+        """Return the zone whose evacuation ends an open transaction now, if any."""
+        item = self.directory.servers.get(transaction.context.permit.primary)
+        if item is None:
+            return None
+        zone = item.availability_zone
+        end_s = self.evacuations.get_transaction_end_s(zone)
+        return zone if clocks.get_now_s() >= end_s else None
+
     def _count_drained(self) -> dict[str, int]:
         return {
             item.instance: self.backends.count_in_use(item.instance)
@@ -283,6 +310,7 @@
         lease_left_s = max(self.heartbeat_client.lease_until_s - now_s, 0.0)
         self._metrics.set_gauge("lease.left_s", lease_left_s)
         self._metrics.set_gauge("configuration.version", self.configuration.version)
+        self._metrics.set_gauge("evacuated_zones", len(self.evacuations.zones))
         self._metrics.set_gauge("groups.version", self.groups.get_version())
         self._metrics.set_gauge("transactions.open", self.transactions.open_count)
         self._metrics.set_gauge("share.divisor", self.backends.share.divisor)
--- a/sedgeswitch/groups/table.py
+++ b/sedgeswitch/groups/table.py
@@ -31,6 +31,11 @@
     timeline: int
 
 
+def _exclude_none(permit: WritePermit) -> bool:  # noqa: ARG001
+    """Return False, so that no primary is excluded."""
+    return False
+
+
 class GroupTable:
     """The copy of the replicated groups on an entry host, and the host's lease.
 
@@ -50,6 +55,21 @@
         self._lease_until_s = float("-inf")
         self._changed = trio.Event()
         self._listeners: list[typing.Callable[[], None]] = []
+        self._is_primary_excluded: typing.Callable[[WritePermit], bool] = _exclude_none
+
+    def set_exclusion(
+        self, is_primary_excluded: typing.Callable[[WritePermit], bool]
+    ) -> None:
+        """Set the function that returns whether nothing may be sent to a primary.
+
+        Permits for such a primary remain valid for the acknowledgement of writes that
+        it has run.
+        """
+        self._is_primary_excluded = is_primary_excluded
+
+    def is_primary_excluded(self, permit: WritePermit) -> bool:
+        """Return whether nothing may be sent to the primary that a permit names."""
+        return self._is_primary_excluded(permit)
 
     def register_listener(self, listener: typing.Callable[[], None]) -> None:
         """Register a function that is called after each change of the table."""
@@ -152,7 +172,7 @@
         await self._changed.wait()
 
     async def wait_serving(self, group: str, deadline_s: float) -> WritePermit:
-        """Wait for a permit to write to a group.
+        """Wait for a permit to write to a group whose primary is not excluded.
 
         Parameters
         ----------
@@ -167,7 +187,7 @@
         """
         while trio.current_time() <= deadline_s:
             permit = self.get_write_permit(group, clocks.get_now_s())
-            if permit is not None:
+            if permit is not None and not self._is_primary_excluded(permit):
                 return permit
             with trio.move_on_at(deadline_s):
                 await self._changed.wait()
--- a/sedgeswitch/pools/transactions.py
+++ b/sedgeswitch/pools/transactions.py
@@ -1,10 +1,12 @@
 """Open transactions, each with exclusive use of its connection."""
 
 import collections
+import collections.abc
 import enum
 import random
 import typing
 
+import loguru
 import trio
 
 from sedgeswitch import verdicts
@@ -57,6 +59,9 @@
         self.is_busy = False
 
 
+FindZone = collections.abc.Callable[[Transaction], str | None]
+
+
 class _OpenTransaction(typing.NamedTuple):
     """An open transaction, its connection and the pool of the connection."""
 
@@ -74,9 +79,18 @@
         Part of each transaction id, from which any host finds the owner.
     rng : random.Random
         Generates the random part of transaction ids.
+    find_evacuated_zone : callable, optional
+        ``find_evacuated_zone(transaction)`` returns the availability zone whose
+        evacuation ends an open transaction now, None if there is none.
     """
 
-    def __init__(self, host_id: str, rng: random.Random):
+    def __init__(
+        self,
+        host_id: str,
+        rng: random.Random,
+        find_evacuated_zone: FindZone = lambda transaction: None,  # noqa: ARG005
+    ):
+        self._find_evacuated_zone = find_evacuated_zone
         self._host_id = host_id
         self._rng = rng
         self._open: dict[str, _OpenTransaction] = {}
@@ -216,25 +230,52 @@
 
     async def close(self, transaction: Transaction) -> None:
         """Roll back the transaction if it is open, and release its connection."""
+        await self._end(transaction, may_send=True)
+
+    async def discard(self, transaction: Transaction) -> None:
+        """Roll back the transaction by closing its connection, without a statement."""
+        await self._end(transaction, may_send=False)
+
+    async def end_if_evacuated(self, transaction: Transaction) -> bool:
+        """Discard the transaction if an evacuation ends it now, and return whether."""
+        zone = self._find_evacuated_zone(transaction)
+        if zone is None:
+            return False
+        loguru.logger.info(
+            "evacuation ended a transaction",
+            zone=zone,
+            transaction=transaction.transaction_id,
+        )
+        await self.discard(transaction)
+        return True
+
+    async def _end(self, transaction: Transaction, may_send: bool) -> None:
         entry = self._open.get(transaction.transaction_id)
         if entry is None:
             return
         # No other operation may use the connection during the rollback.
         transaction.is_busy = True
         with trio.CancelScope(shield=True):
-            if not entry.pooled.is_usable:
+            if not may_send:
+                await entry.pooled.close()
+            elif not entry.pooled.is_usable:
                 await _roll_back(entry.pooled)
             ending = self._endings.get(transaction.transaction_id)
             await self._finish(entry, ending[1] if ending else Ending.ROLLED_BACK)
 
     async def run(self) -> None:
-        """Roll back expired transactions, until cancelled."""
+        """Roll back expired and evacuated transactions, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 now_s = trio.current_time()
                 for entry in self._open.values():
                     transaction = entry.transaction
-                    if transaction.expires_s <= now_s and not transaction.is_busy:
+                    if transaction.is_busy:
+                        continue
+                    if self._find_evacuated_zone(transaction) is not None:
+                        transaction.is_busy = True
+                        nursery.start_soon(self.end_if_evacuated, transaction)
+                    elif transaction.expires_s <= now_s:
                         transaction.is_busy = True
                         nursery.start_soon(self.close, transaction)
                 await trio.sleep(EXPIRY_CHECK_INTERVAL_S)
--- a/sedgeswitch/statements/authorisation.py
+++ b/sedgeswitch/statements/authorisation.py
@@ -1,5 +1,6 @@
 """Checks of keys and selectors: the organisation of a request and its servers."""
 
+import collections.abc
 import typing
 
 from sedgeswitch import verdicts
@@ -19,6 +20,9 @@
 }
 
 
+IsEvacuated = collections.abc.Callable[[directory.BackendServer], bool]
+
+
 class SelectorFields(typing.NamedTuple):
     """The fields of a request that selectors match.
 
@@ -47,6 +51,8 @@
     freshness_bound_s : float
         Age of the configuration, in seconds, beyond which every request is refused,
         because a key may have been withdrawn in a newer configuration.
+    is_evacuated : callable, optional
+        Returns whether a backend server is in an evacuated availability zone.
     """
 
     def __init__(
@@ -54,7 +60,9 @@
         configuration: follower.Follower,
         pools: backends.Backends,
         freshness_bound_s: float,
+        is_evacuated: IsEvacuated = lambda server: False,  # noqa: ARG005
     ):
+        self._is_evacuated = is_evacuated
         self._configuration = configuration
         self._backends = pools
         self._freshness_bound_s = freshness_bound_s
@@ -127,13 +135,19 @@
         # Only the digest is stored, because a traceback may show the stored fields.
         digest = None if bearer_key is None else key_format.get_digest(bearer_key)
         eligibility = _Eligibility(
-            self._configuration, self._backends, organisation, selector_fields, digest
+            self._configuration,
+            self._backends,
+            organisation,
+            selector_fields,
+            digest,
+            self._is_evacuated,
         )
         if not eligibility.list_servers():
             raise verdicts.build_not_run(
                 503,
                 "no_backend_server",
-                "every backend server that may serve the request is absent or drained",
+                "every backend server that may serve the request is absent, drained or"
+                " in an evacuated availability zone",
                 refusals.RETRY_AFTER_MS,
             )
         overload = index.document.overload
@@ -156,6 +170,7 @@
     organisation: str | None
     selector_fields: SelectorFields
     key_digest: str | None
+    is_evacuated: IsEvacuated
 
     def list_servers(self) -> list[directory.BackendServer]:
         self._check_key()
@@ -177,6 +192,8 @@
             raise _build_unauthorised(lookup.KeyProblem.WITHDRAWN)
 
     def _may_serve(self, server: directory.BackendServer) -> bool:
+        if self.is_evacuated(server):
+            return False
         index = self.configuration.index
         group, work, access = self.selector_fields
         matched = index.get_selectors(self.organisation, work, access, group)
--- a/sedgeswitch/statements/primaries.py
+++ b/sedgeswitch/statements/primaries.py
@@ -42,7 +42,8 @@
     return verdicts.build_not_run(
         503,
         NOT_ELIGIBLE,
-        "no selector allows the primary, or it is drained or not announced",
+        "no selector allows the primary, or it is drained, not announced or in an"
+        " evacuated availability zone",
         refusals.RETRY_AFTER_MS,
     )
 
--- a/sedgeswitch/statements/transactions.py
+++ b/sedgeswitch/statements/transactions.py
@@ -219,6 +219,10 @@
         server = primaries.get_primary(transaction_context.permit, work)
         instance_pool = self._components.backends.get_pool(server, work.database)
         pooled = await context.acquire(instance_pool, work, expires_s)
+        # Its zone may have been evacuated during the wait for a connection.
+        if self._components.groups.is_primary_excluded(transaction_context.permit):
+            await instance_pool.release(pooled, trio.current_time())
+            raise primaries.build_not_eligible()
         try:
             return await self._transaction_table.begin(
                 instance_pool, pooled, transaction_context, expires_s
@@ -235,6 +239,7 @@
         await self._admit(organisation, transaction.expires_s)
         # Another statement may have started during the wait for admission.
         transaction = self._transaction_table.get(transaction_id, organisation)
+        await self._check_may_send(transaction)
         parameters = requests.encode_parameters(body.get("parameters", []))
         try:
             with trio.move_on_at(transaction.expires_s) as scope:
@@ -263,6 +268,7 @@
         if ending is not None:
             return _build_repeated_commit_response(transaction_id, ending)
         transaction = self._get_for_commit(transaction_id, organisation)
+        await self._check_may_send(transaction)
         transaction_context = transaction.context
         if not self._components.groups.is_permit_valid(
             transaction_context.permit, clocks.get_now_s()
@@ -287,6 +293,25 @@
         headers = (("Sedge-Position", tokens.encode_token(seen_positions)),)
         return http.build_json(ended, headers)
 
+    async def _check_may_send(self, transaction: transactions.Transaction) -> None:
+        """Roll back and refuse if nothing may be sent to the transaction's instance.
+
+        Raises
+        ------
+        verdicts.RefusedError
+            410, not run, after an evacuation; 503, not run, without a lease.
+        """
+        if await self._transaction_table.end_if_evacuated(transaction):
+            raise verdicts.build_not_run(
+                410,
+                "transaction_ended",
+                "the availability zone of the primary is evacuated; the transaction"
+                " was rolled back",
+            )
+        if not self._components.groups.has_lease(clocks.get_now_s()):
+            await self._transaction_table.discard(transaction)
+            raise refusals.build_lease_lost(verdicts.Verdict.NOT_RUN)
+
     def _get_for_commit(
         self, transaction_id: str, organisation: str
     ) -> transactions.Transaction:
@@ -322,7 +347,8 @@
         organisation: str,
     ) -> http.Response:
         transaction = self._transaction_table.get(transaction_id, organisation)
-        await self._transaction_table.close(transaction)
+        if not await self._transaction_table.end_if_evacuated(transaction):
+            await self._transaction_table.close(transaction)
         ended = Ended(transaction_id, transactions.Ending.ROLLED_BACK.value)
         return http.build_json(ended)
 
--- a/sedgeswitch/statements/writes.py
+++ b/sedgeswitch/statements/writes.py
@@ -181,21 +181,29 @@
             permit, work, statement.session, committed.position, statement.deadline_s
         )
         if statement.idempotency_key:
-            self._schedule_ledger_cleanup(work, instance_pool)
+            self._schedule_ledger_cleanup(work, instance_pool, permit)
         answer = requests.Answer(*committed.rows, server.instance, False)
         return answer, position
 
     def _schedule_ledger_cleanup(
-        self, work: context.AuthorisedWork, instance_pool: pool.InstancePool
+        self,
+        work: context.AuthorisedWork,
+        instance_pool: pool.InstancePool,
+        permit: table.WritePermit,
     ) -> None:
         now_s = trio.current_time()
         if now_s < self._next_cleanup_s.get(work.group, now_s):
             return
         self._next_cleanup_s[work.group] = now_s + LEDGER_CLEANUP_INTERVAL_S
-        self._nursery.start_soon(self._delete_expired, work.organisation, instance_pool)
+        self._nursery.start_soon(
+            self._delete_expired, work.organisation, instance_pool, permit
+        )
 
     async def _delete_expired(
-        self, organisation: str, instance_pool: pool.InstancePool
+        self,
+        organisation: str,
+        instance_pool: pool.InstancePool,
+        permit: table.WritePermit,
     ) -> None:
         deadline_s = trio.current_time() + LEDGER_CLEANUP_TIMEOUT_S
         try:
@@ -203,6 +211,8 @@
         except verdicts.RefusedError:
             return
         try:
+            if self._components.groups.is_primary_excluded(permit):
+                return
             with trio.move_on_at(deadline_s):
                 await ledger.delete_expired(pooled, self._get_unix_s())
         except base.DriverError as error:
