Test evacuations of sedgeswitchd

Change: tests of authorisation, transactions, the wait for another primary, and of real daemons with the standin instances.

--- a/sedgeswitch/daemon/tests/test_end_to_end.py
+++ b/sedgeswitch/daemon/tests/test_end_to_end.py
@@ -1,13 +1,16 @@
 import collections
 import http.client
 import itertools
+import json
 import os
 import pathlib
 import threading
+import time
 import unittest
 
 from sedgeswitch.daemon.tests import builders
 from sedgeswitch.daemon.tests import sessions
+from sedgeswitch.evacuations import sections
 
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 RECORD_VARIABLE = "SEDGESWITCH_RECORD_GOLDEN"
@@ -158,6 +161,36 @@
         self.assertEqual(traffic.closing_hosts, {leaving})
 
 
+class EvacuationTest(FleetTest):
+    def test_evacuated_zone_gets_no_statements_and_no_primary_after_the_end(self):
+        zone = builders.ZONES[0]
+        with Traffic(self.fleet, "evacuate", builders.HOST_IDS) as traffic:
+            traffic.wait_for_more_writes()
+            self.fleet.check_command("evacuate", zone)
+            self.fleet.check_command("evacuate", zone)
+            builders.wait_until(
+                lambda: self.fleet.get_primary() != builders.INSTANCES[0], "a primary"
+            )
+            time.sleep(sections.DEFAULT_BOUND_S)
+            before = self.fleet.call_instance("lots-a", "GET", "/ran")
+            traffic.wait_for_more_writes()
+            body = builders.build_statement("read", builders.SELECT_SQL)
+            for host_id in builders.HOST_IDS * MIN_COUNT:
+                self.assertEqual(self.fleet.send(host_id, body)[0], 200)
+            after = self.fleet.call_instance("lots-a", "GET", "/ran")
+            listed = self.fleet.check_command("evacuations", "--json").stdout
+            self.assertEqual({"zones": [zone]}, json.loads(listed))
+            primary = self.fleet.get_primary()
+            self.fleet.check_command("end-evacuation", zone)
+            traffic.wait_for_more_writes()
+            time.sleep(1.0)
+            self.assertEqual(primary, self.fleet.get_primary())
+        self.assertEqual(after["executed"], before["executed"])
+        self.assertEqual(traffic.errors, [])
+        refused = self.fleet.run_command("evacuate", "nowhere")
+        self.assertIn(zone, refused.stderr)
+
+
 class FailoverTest(FleetTest):
     def test_killed_primary_neither_loses_nor_repeats_an_acknowledged_write(self):
         with Traffic(self.fleet, "kill", builders.HOST_IDS * 2) as traffic:
--- a/sedgeswitch/groups/tests/test_rules.py
+++ b/sedgeswitch/groups/tests/test_rules.py
@@ -170,6 +170,31 @@
         self.assertFalse(self.table.apply_changes(1, older.get_groups()))
         self.assertIsNone(self.table.get_write_permit("g", 1.0))
 
+    def test_primary_in_an_evacuated_zone_is_waited_for_until_it_is_replaced(self):
+        async def wait():
+            excluded = {"a"}
+            self.table.set_exclusion(lambda permit: permit.primary in excluded)
+            found = []
+
+            async def find():
+                found.append(await self.table.wait_serving("g", 5.0))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(find)
+                await trio.sleep(1.0)
+                self.assertEqual([], found)
+                for command in (
+                    ttypes.Fence("g", 1, "test"),
+                    ttypes.Choose("g", 1, "b"),
+                    ttypes.Promoted("g", 2, "b", 2, 0),
+                ):
+                    self.machine.apply(4, machine.encode_command(command))
+                self.update_table()
+            return found[0].primary
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        self.assertEqual("b", trio.run(wait, clock=clock))
+
     def test_write_during_failover_is_rejected_not_run_at_its_deadline(self):
         self.fence()
 
--- a/sedgeswitch/statements/tests/test_authorisation.py
+++ b/sedgeswitch/statements/tests/test_authorisation.py
@@ -25,13 +25,16 @@
 
 
 class AuthorisationTest(unittest.TestCase):
-    def run_authorised(self, scenario):
+    def run_authorised(self, scenario, evacuated=()):
         async def run(group, host):  # noqa: ARG001
             configuration = types.SimpleNamespace(
                 index=build_index(), get_age_s=lambda now_s: now_s
             )
             authoriser = authorisation.Authoriser(
-                configuration, host.backends, FRESHNESS_BOUND_S
+                configuration,
+                host.backends,
+                FRESHNESS_BOUND_S,
+                lambda server: server.instance in evacuated,
             )
             await trio.lowlevel.checkpoint()
             return scenario(authoriser, configuration)
@@ -58,6 +61,28 @@
         found = self.run_authorised(scenario)
         self.assertEqual(found, (True, False, ["draw-0", "draw-2"]))
 
+    def test_evacuation_applies_to_work_authorised_before_it(self):
+        evacuated = set()
+
+        def scenario(authoriser, configuration):  # noqa: ARG001
+            eligibility = authoriser.authorise("ward-4", SELECTOR_FIELDS).eligibility
+            before = eligibility.may_run_on("draw-1")
+            evacuated.add("draw-1")
+            names = [server.instance for server in eligibility.list_servers()]
+            return before, eligibility.may_run_on("draw-1"), names
+
+        found = self.run_authorised(scenario, evacuated)
+        self.assertEqual(found, (True, False, ["draw-0", "draw-2"]))
+
+    def test_work_is_refused_at_once_if_all_servers_are_evacuated(self):
+        def scenario(authoriser, configuration):  # noqa: ARG001
+            return self.get_refusal_status(
+                authoriser.authorise, "ward-4", SELECTOR_FIELDS
+            )
+
+        evacuated = {"draw-0", "draw-1", "draw-2"}
+        self.assertEqual(self.run_authorised(scenario, evacuated), 503)
+
     def test_key_withdrawn_while_request_waits_is_refused(self):
         key = key_format.generate_key(random.Random(1).randbytes)
 
--- a/sedgeswitch/statements/tests/test_transactions.py
+++ b/sedgeswitch/statements/tests/test_transactions.py
@@ -37,6 +37,62 @@
 
         builders.run(body)
 
+    def test_evacuation_ends_a_transaction_without_a_statement(self):
+        # Guards against statements, also of a rollback, that reach an evacuated zone.
+        async def body(fleet, path):
+            owner = fleet.hosts["entry-0"]
+            await owner.send(f"{path}/statements", INSERT)
+            before = list(fleet.server.executed)
+            owner.evacuated_zone = "koshi-1"
+            for kind in ("statements", "commit"):
+                status, problem = await owner.send(
+                    f"{path}/{kind}", INSERT if kind == "statements" else None
+                )
+                self.assertEqual((status, problem["verdict"]), (410, "not_run"))
+            self.assertEqual(before, fleet.server.executed)
+            self.assertEqual(0, owner.transaction_table.open_count)
+
+        builders.run(body)
+
+    def test_evacuation_ends_an_idle_transaction(self):
+        async def body(fleet, path):
+            owner = fleet.hosts["entry-0"]
+            before = list(fleet.server.executed)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(owner.transaction_table.run)
+                owner.evacuated_zone = "koshi-1"
+                await trio.sleep(0.5)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(0, owner.transaction_table.open_count)
+            self.assertEqual(before, fleet.server.executed)
+            status, _ = await owner.send(f"{path}/statements", INSERT)
+            self.assertEqual(410, status)
+
+        builders.run(body)
+
+    def test_rollback_of_an_evacuated_transaction_sends_nothing(self):
+        async def body(fleet, path):
+            owner = fleet.hosts["entry-0"]
+            before = list(fleet.server.executed)
+            owner.evacuated_zone = "koshi-1"
+            status, answer = await owner.send(f"{path}/rollback")
+            self.assertEqual((status, answer["ending"]), (200, "rolled_back"))
+            self.assertEqual(before, fleet.server.executed)
+
+        builders.run(body)
+
+    def test_host_without_lease_sends_no_statement_of_a_transaction(self):
+        # Guards against a partitioned host that does not learn of an evacuation.
+        async def body(fleet, path):
+            owner = fleet.hosts["entry-0"]
+            before = list(fleet.server.executed)
+            owner.groups.set_lease(float("-inf"))
+            status, problem = await owner.send(f"{path}/statements", INSERT)
+            self.assertEqual((status, problem["verdict"]), (503, "not_run"))
+            self.assertEqual(before, fleet.server.executed)
+
+        builders.run(body)
+
     def test_concurrent_statement_is_refused_as_busy(self):
         async def body(fleet, path):
             answers = []
--- a/sedgeswitch/statements/tests/transaction_builders.py
+++ b/sedgeswitch/statements/tests/transaction_builders.py
@@ -76,7 +76,11 @@
         self.groups = table.GroupTable()
         self.groups.set_lease(1e9)
         self.set_term(1)
-        self.transaction_table = pool_transactions.TransactionTable(host_id, rng)
+        # Zone whose evacuation ends all open transactions now.
+        self.evacuated_zone = None
+        self.transaction_table = pool_transactions.TransactionTable(
+            host_id, rng, lambda transaction: self.evacuated_zone
+        )
         forwarder = forwarding.Forwarder(host_id, fleet.call)
         self.forwarder = forwarder
         components = context.Components(
