--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -199,17 +199,14 @@
 
 
 def find_refusal(
-    components: Components,
-    acquired: connections.AcquiredConnection,
-    access: accesses.Access,
+    components: Components, acquired: connections.AcquiredConnection
 ) -> str | None:
     """Return why a statement may not be sent on a connection, None if it may.
 
-    The restrictions and the lease may have changed during the wait for it.
+    The restrictions of all statements and the lease may have changed during the wait
+    for it; those of the operation were checked before.
     """
-    reason = eligibility.find_exclusion(
-        acquired.server, build_restrictions(components, access)
-    )
+    reason = eligibility.find_exclusion(acquired.server, components.get_restrictions())
     if reason is not None:
         return f"{acquired.server.instance} may not run it: {reason}"
     return find_missing_lease(components, acquired)
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -294,7 +294,7 @@
                 if is_on_replica
                 else self._get_attempt_deadline_s(deadline_s)
             )
-            refusal = context.find_refusal(self._components, acquired, read.access)
+            refusal = context.find_refusal(self._components, acquired)
             if refusal is not None:
                 raise steps.FailedError(
                     sessions.Failure.OVERLOADED, refusal, is_retryable=True
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -101,7 +101,7 @@
                     return build_not_run(
                         "the primary is being replaced, or this host lost its lease"
                     )
-                refusal = context.find_refusal(components, acquired, access)
+                refusal = context.find_refusal(components, acquired)
                 if refusal is not None:
                     return build_not_run(refusal)
                 sent_s = clocks.get_now_s()
