--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -16,6 +16,7 @@
 from sedgeswitch.databases import machine as database_machine
 from sedgeswitch.databases import sections as database_sections
 from sedgeswitch.drivers import base
+from sedgeswitch.evacuations import sections as evacuations_sections
 from sedgeswitch.forwarding import admission as home_admission
 from sedgeswitch.forwarding import forwarder
 from sedgeswitch.forwarding import holder
@@ -24,6 +25,7 @@
 from sedgeswitch.forwarding import placement
 from sedgeswitch.groups import entry_section
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.membership import directory
 from sedgeswitch.membership import entry_peers
 from sedgeswitch.membership import machine as members_machine
 from sedgeswitch.membership import member_sections
@@ -32,8 +34,10 @@
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
+from sedgeswitch.relay import open_transactions
 from sedgeswitch.relay import probes
 from sedgeswitch.relay import session
+from sedgeswitch.routing import eligibility
 from sedgeswitch.routing import policies
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
@@ -75,6 +79,9 @@
         How far organisations may exceed their limits.
     region_by_zone : mapping of str to str
         Region of each availability zone.
+    evacuation_bound_s : float
+        Time after its acknowledgement within which no statement may reach an
+        evacuated zone, in seconds.
     reads_near_primary : bool
         See `relay.context.Components`.
     """
@@ -87,6 +94,7 @@
     groups: groups_settings.GroupSettings
     tolerance: relay_groups.Tolerance
     region_by_zone: collections.abc.Mapping[str, str]
+    evacuation_bound_s: float = evacuations_sections.DEFAULT_BOUND_S
     reads_near_primary: bool = False
 
 
@@ -128,6 +136,7 @@
             options.heartbeat_interval_s,
             started_s,
             relay_groups.ADMISSION,
+            options.evacuation_bound_s,
         )
         self._entry_peers = entry_peers.EntryPeers()
         self._hosts = host_calls.HostCalls(self._entry_peers)
@@ -137,7 +146,9 @@
         admit_locally = fleet.FleetAdmission(self.host_limiter).admit
         self._home = home_admission.Home(admit_locally)
         servers = relay_groups.RelayDirectory(
-            lambda: self.directory.servers, lambda: self.databases.document
+            lambda: self.directory.servers,
+            lambda: self.databases.document,
+            self._is_unobserved,
         )
         local_observations = context.LocalObservations(self.groups)
         self.groups_section = entry_section.EntrySection(
@@ -148,6 +159,9 @@
             reports_acknowledged=True,
         )
         self._register_sections()
+        self._open_transactions = open_transactions.OpenTransactions(
+            self.evacuations.get_transaction_end_s
+        )
         self._components = context.Components(
             self.databases,
             self.groups,
@@ -166,6 +180,8 @@
                 admit_locally,
             ).admit,
             rng,
+            self._get_restrictions,
+            self._open_transactions,
             reads_near_primary=options.reads_near_primary,
         )
         self.holder = holder.Holder(
@@ -226,6 +242,29 @@
             "links_waited_for": sum(load.waiting for load in loads),
             "transactions_held": self.holder.open_transactions,
             "hosts_unavailable": self._hosts.count_unavailable(),
+            "evacuated_zones": len(self.evacuations.zones),
+        }
+
+    def _get_restrictions(self) -> eligibility.Restrictions:
+        """Return what limits the choice of an instance for all statements."""
+        return eligibility.Restrictions(self.evacuations.zones)
+
+    def _is_unobserved(self, server: directory.BackendServer) -> bool:
+        """Return whether a server is in an evacuated zone and not a primary.
+
+        This host sends no probes to such a server.
+        """
+        if server.availability_zone not in self.evacuations.zones:
+            return False
+        group = self.groups.get_group(server.group)
+        return group is None or group.primary != server.instance
+
+    def _list_evacuated_addresses(self) -> set[tuple[str, int]]:
+        """Return host and port of the instances in evacuated zones."""
+        return {
+            (server.host, server.port)
+            for server in self.directory.servers.values()
+            if server.availability_zone in self.evacuations.zones
         }
 
     def _build_backends(
@@ -307,9 +346,13 @@
         while True:
             if not self.heartbeat_client.is_lease_valid(clocks.get_now_s()):
                 self.backends.share.drop()
+            if self.evacuations.zones:
+                await self._open_transactions.end_due(clocks.get_now_s())
             fenced = relay_groups.list_fenced_instances(self.groups.get_groups())
             self.backends.reserve_connections(fenced)
             await self.backends.close_surplus()
             await self.backends.close_unannounced()
-            await self.backends.close_idle(set(), trio.current_time())
+            await self.backends.close_idle(
+                self._list_evacuated_addresses(), trio.current_time()
+            )
             await trio.sleep(entry_core.MAINTENANCE_INTERVAL_S)
