Run statements only in the allowed regions of their caller

Databases and organisations may list the regions in which their statements run (allowedRegions of routes and tenants). Reads, writes and transactions choose only instances in the intersection of both lists, and forward only to holders in it; what no such instance can run is refused at once, as not run, with the reason. A transaction follows the configuration now in force, so that no statement reaches an instance that a change has excluded. The fields of cold instances are decoded too; nothing uses them yet.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -34,6 +34,7 @@
 from sedgeswitch.relay import context
 from sedgeswitch.relay import probes
 from sedgeswitch.relay import session
+from sedgeswitch.routing import eligibility
 from sedgeswitch.routing import policies
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
@@ -160,6 +161,7 @@
                 admit_locally,
             ).admit,
             rng,
+            self._get_restrictions,
         )
         self.holder = holder.Holder(
             self._components._replace(
@@ -255,6 +257,9 @@
             connections.PoolConnector(self.backends),
         )
 
+    def _get_restrictions(self) -> eligibility.Restrictions:
+        return eligibility.Restrictions(region_by_zone=self._options.region_by_zone)
+
     def _get_holding(self, instance: str) -> backends.Holding:
         server = self.directory.servers.get(instance)
         if server is None:
--- a/sedgeswitch/databases/documents.py
+++ b/sedgeswitch/databases/documents.py
@@ -45,6 +45,8 @@
         data of the primary.
     is_public : bool
         Whether callers without a key are served.
+    allowed_regions : tuple of str
+        Regions in which its statements may run; empty for all.
     """
 
     name: str
@@ -56,6 +58,7 @@
     priority: int = 0
     max_staleness_s: float = 0.0
     is_public: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 class Group(typing.NamedTuple):
@@ -69,11 +72,18 @@
     sync_replicas : int
         Number of replicas that must have a write before the primary acknowledges
         it.
+    cold_start_s : float
+        Time for which an instance is slow after its start, in seconds.
+    cold_rate_per_s : float
+        Statements per second that all hosts together may send to an instance during
+        that time; 0 for no limit.
     """
 
     name: str
     max_connections: int
     sync_replicas: int = 0
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 class Organisation(typing.NamedTuple):
@@ -88,6 +98,8 @@
         Refill rate and capacity of its token bucket.
     priority : int
         0 is the highest.
+    allowed_regions : tuple of str
+        Regions in which its statements may run; empty for all.
     """
 
     name: str
@@ -95,6 +107,7 @@
     rate_per_s: float
     burst: float
     priority: int = 0
+    allowed_regions: tuple[str, ...] = ()
 
 
 class Document(typing.NamedTuple):
@@ -148,6 +161,32 @@
     return document
 
 
+def build_group_regions(document: Document) -> dict[str, frozenset[str]]:
+    """Return the regions that all databases of a group allow, by group.
+
+    A group whose databases allow all regions is left out.
+    """
+    lists: dict[str, list[tuple[str, ...]]] = {}
+    for database in document.databases.values():
+        if database.allowed_regions:
+            lists.setdefault(database.group, []).append(database.allowed_regions)
+    return {group: intersect_regions(items) for group, items in lists.items()}
+
+
+def intersect_regions(
+    lists: collections.abc.Iterable[collections.abc.Collection[str]],
+) -> frozenset[str] | None:
+    """Return the regions that every list names; an empty list names all regions.
+
+    Returns
+    -------
+    frozenset of str or None
+        None if all regions are allowed; an empty set if the lists have none in common.
+    """
+    restricting = [frozenset(regions) for regions in lists if regions]
+    return frozenset.intersection(*restricting) if restricting else None
+
+
 def index_keys(document: Document) -> dict[str, str]:
     """Return the name of the organisation of each key.
 
--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -107,24 +107,33 @@
         return backends.Holding(0)
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        allowed_regions: frozenset[str] | None = None,
     ) -> connections.AcquiredConnection:
         """Acquire a connection; see `connections.Connector.acquire`.
 
         A forwarded connection is acquired by the holder, with the first statement.
         """
-        host_id = self._choose_host(server, organisation, clocks.get_now_s())
+        host_id = self._choose_host(
+            server, organisation, clocks.get_now_s(), allowed_regions
+        )
         if host_id == self._options.host_id:
             return await self._local.acquire(server, organisation, deadline_s)
         await trio.lowlevel.checkpoint()
         return ForwardedConnection(self, host_id, server, organisation)
 
     def get_load(
-        self, server: directory.BackendServer, organisation: str
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        allowed_regions: frozenset[str] | None = None,
     ) -> pool.PoolLoad:
         """Return the load of this host's pool, or what holders' answers show of it."""
         now_s = clocks.get_now_s()
-        host_id = self._choose_host(server, organisation, now_s)
+        host_id = self._choose_host(server, organisation, now_s, allowed_regions)
         if host_id == self._options.host_id:
             return self._local.get_load(server, organisation)
         service_s = self._delays.get_service_s(server.instance, now_s)
@@ -170,12 +179,18 @@
             loguru.logger.exception("discarding a transaction at {} failed", host_id)
 
     def _choose_host(
-        self, server: directory.BackendServer, organisation: str, now_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        now_s: float,
+        allowed_regions: frozenset[str] | None,
     ) -> str:
         """Return the first available host of an instance, by default this one."""
         own_id = self._options.host_id
         location = self._build_location(server)
-        for host_id in self._placement.order_hosts(location, organisation):
+        for host_id in self._placement.order_hosts(
+            location, organisation, allowed_regions
+        ):
             if host_id == own_id or self._hosts.is_available(host_id, now_s):
                 return host_id
         return own_id
--- a/sedgeswitch/forwarding/placement.py
+++ b/sedgeswitch/forwarding/placement.py
@@ -101,11 +101,16 @@
             selection = self._selections[location] = self._select(location)
         return selection
 
-    def order_hosts(self, location: Location, organisation: str) -> list[str]:
+    def order_hosts(
+        self,
+        location: Location,
+        organisation: str,
+        allowed_regions: frozenset[str] | None = None,
+    ) -> list[str]:
         """Return the hosts to send an organisation's statements to, best first.
 
         An organisation has the same first holder on all hosts, so that its connections
-        are reused.
+        are reused. Hosts outside `allowed_regions` are left out; None for all regions.
         """
         selection = self.select(location)
         holders = sorted(
@@ -115,7 +120,12 @@
             ),
             reverse=True,
         )
-        return [*holders, *selection.substitutes]
+        hosts = [*holders, *selection.substitutes]
+        if allowed_regions is None:
+            return hosts
+        return [
+            host_id for host_id in hosts if self._get_region(host_id) in allowed_regions
+        ]
 
     def order_homes(self, organisation: str, zone: str) -> tuple[str, ...]:
         """Return the hosts that draw an organisation's tokens for callers in a zone.
@@ -152,6 +162,9 @@
         )
         return 1 if is_same_region else OTHER_REGION
 
+    def _get_region(self, host_id: str) -> str | None:
+        return self._region_by_zone.get(self._zone_by_host.get(host_id))
+
     def _select(self, location: Location) -> Selection:
         hosts_by_distance: dict[int, list[str]] = {}
         for host_id, zone in self._zone_by_host.items():
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -126,6 +126,7 @@
             startup.StartupTimes(0.0),
             self.admission.admit,
             random.Random(2),
+            lambda: world.restrictions,
         )
         local = connections.PoolConnector(self.backends)
         self.holder = holder.Holder(self.components._replace(connector=local))
--- a/sedgeswitch/observability/exposition.py
+++ b/sedgeswitch/observability/exposition.py
@@ -29,6 +29,11 @@
     ("outcome",),
     registry=REGISTRY,
 )
+EXCLUSIONS = prometheus_client.Counter(
+    "sedgeswitch_excluded_statements",
+    "Statements refused because no instance that they may run on can run them.",
+    registry=REGISTRY,
+)
 FORWARDS = prometheus_client.Counter(
     "sedgeswitch_forwards",
     "Statements forwarded to the holder of a connection, by outcome.",
--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -17,6 +17,9 @@
 }
 
 
+_NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _Route(typing.TypedDict):
     name: str
     # Name of the database that clients connect to.
@@ -33,6 +36,8 @@
     maxStalenessMs: typing.NotRequired[float]
     # Whether clients may connect without a key.
     public: typing.NotRequired[bool]
+    # Regions in which its statements may run; all if missing or empty.
+    allowedRegions: typing.NotRequired[list[str]]
 
 
 class _Service(typing.TypedDict):
@@ -40,6 +45,10 @@
     # Maximum number of connections to one instance, from all hosts together.
     maxConns: typing.NotRequired[int]
     syncReplicas: typing.NotRequired[int]
+    # Time for which an instance is slow after its start, and the most statements per
+    # second that it may get during that time; 0 for no limit.
+    coldStartS: typing.NotRequired[_NotNegative]
+    coldPerS: typing.NotRequired[_NotNegative]
 
 
 class _Limits(typing.TypedDict, total=False):
@@ -53,6 +62,8 @@
     priority: typing.NotRequired[int]
     ratePerS: typing.NotRequired[float]
     burst: typing.NotRequired[float]
+    # As for a route; where both are set, both apply.
+    allowedRegions: typing.NotRequired[list[str]]
 
 
 class _Configuration(typing.TypedDict):
@@ -159,6 +170,7 @@
         route.get("priority", 0),
         route.get("maxStalenessMs", 0.0) / MS_PER_S,
         route.get("public", False),
+        tuple(route.get("allowedRegions", ())),
     )
 
 
@@ -167,6 +179,8 @@
         service["name"],
         min(service.get("maxConns", _DEFAULT_MAX_CONNECTIONS), catalog.MAX_INT32),
         service.get("syncReplicas", 0),
+        service.get("coldStartS", 0.0),
+        service.get("coldPerS", 0.0),
     )
 
 
@@ -177,4 +191,5 @@
         tenant.get("ratePerS", _UNLIMITED_PER_S),
         tenant.get("burst", _UNLIMITED_PER_S),
         tenant.get("priority", 0),
+        tuple(tenant.get("allowedRegions", ())),
     )
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -26,6 +26,27 @@
         self.assertEqual(34, document.groups["lots"].max_connections)
         self.assertEqual(3.0, document.transaction_idle_s)
 
+    def test_allowed_regions_and_cold_start_are_optional(self):
+        document = documents.decode_document(builders.build_configuration())
+        self.assertEqual((), document.databases["draw"].allowed_regions)
+        self.assertEqual((), document.organisations["ward"].allowed_regions)
+        group = document.groups["lots"]
+        self.assertEqual((0.0, 0.0), (group.cold_start_s, group.cold_rate_per_s))
+
+    def test_allowed_regions_and_cold_start_are_decoded(self):
+        document = documents.decode_document(
+            builders.build_configuration(
+                routes=[builders.ROUTE | {"allowedRegions": ["bagmati", "koshi"]}],
+                tenants=[builders.TENANT | {"allowedRegions": ["koshi"]}],
+                services=[builders.SERVICE | {"coldStartS": 6, "coldPerS": 12.5}],
+            )
+        )
+        database = document.databases["draw"]
+        self.assertEqual(("bagmati", "koshi"), database.allowed_regions)
+        self.assertEqual(("koshi",), document.organisations["ward"].allowed_regions)
+        group = document.groups["lots"]
+        self.assertEqual((6.0, 12.5), (group.cold_start_s, group.cold_rate_per_s))
+
     def test_unknown_fields_are_ignored(self):
         documents.decode_document(builders.build_configuration(later={"x": 1}))
 
@@ -56,6 +77,18 @@
             "version that messages cannot hold": builders.build_configuration(
                 version=2**63
             ),
+            "regions as text": builders.build_configuration(
+                routes=[route | {"allowedRegions": "koshi"}]
+            ),
+            "region as number": builders.build_configuration(
+                tenants=[tenant | {"allowedRegions": [3]}]
+            ),
+            "negative cold rate": builders.build_configuration(
+                services=[builders.SERVICE | {"coldPerS": -1}]
+            ),
+            "negative cold start": builders.build_configuration(
+                services=[builders.SERVICE | {"coldStartS": -1}]
+            ),
             "routes missing": msgspec.json.encode({"version": 1, "services": []}),
         }
         for name, body in invalid.items():
@@ -190,6 +223,9 @@
             "apiKeys",
             "bindAddrs",
             "maxStalenessMs",
+            "allowedRegions",
+            "coldStartS",
+            "coldPerS",
         )
         root = pathlib.Path(settings.__file__).parent.parent
         found = [
--- a/sedgeswitch/relay/access.py
+++ b/sedgeswitch/relay/access.py
@@ -84,9 +84,35 @@
         organisation is not None,
         document.version,
         document.transaction_idle_s,
+        _get_allowed_regions(database, organisation),
     )
 
 
+def update_regions(access: Access, document: documents.Document) -> Access:
+    """Return an access with the allowed regions of the document now in force.
+
+    A database or an organisation that the document lacks keeps the limits that the
+    operation began with.
+    """
+    if document.version == access.version:
+        return access
+    database = document.databases.get(access.database.database)
+    organisation = None
+    if access.is_rate_limited:
+        organisation = document.organisations.get(access.organisation)
+    if database is None or (access.is_rate_limited and organisation is None):
+        return access
+    return access._replace(allowed_regions=_get_allowed_regions(database, organisation))
+
+
+def _get_allowed_regions(
+    database: documents.Database, organisation: documents.Organisation | None
+) -> frozenset[str] | None:
+    """Return the regions that both allow, None for all regions."""
+    organisation_regions = () if organisation is None else organisation.allowed_regions
+    return documents.intersect_regions((database.allowed_regions, organisation_regions))
+
+
 def _build_denial(
     failure: sessions.Failure, detail: str, age_s: float
 ) -> steps.FailedError:
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -51,10 +51,16 @@
     """Acquires connections to instances."""
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        allowed_regions: frozenset[str] | None = None,
     ) -> AcquiredConnection:
         """Acquire a connection to an instance on behalf of an organisation.
 
+        Statements are forwarded only to hosts in `allowed_regions`; None for all.
+
         Raises
         ------
         steps.FailedError
@@ -63,7 +69,10 @@
         """
 
     def get_load(
-        self, server: directory.BackendServer, organisation: str
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        allowed_regions: frozenset[str] | None = None,
     ) -> pool.PoolLoad:
         """Return the load that an organisation's statement for an instance meets."""
 
@@ -106,7 +115,11 @@
         self._backends = backends
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        allowed_regions: frozenset[str] | None = None,  # noqa: ARG002
     ) -> PooledAcquiredConnection:
         """Acquire a pooled connection; see `Connector.acquire`."""
         instance_pool = self._backends.get_pool(server, server.group)
@@ -123,7 +136,10 @@
         return PooledAcquiredConnection(server, instance_pool, pooled)
 
     def get_load(
-        self, server: directory.BackendServer, organisation: str
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        allowed_regions: frozenset[str] | None = None,  # noqa: ARG002
     ) -> pool.PoolLoad:
         """Return the load of this host's pool; see `Connector.get_load`."""
         return self._backends.get_pool(server, server.group).get_load(organisation)
@@ -135,9 +151,12 @@
     server: directory.BackendServer,
     organisation: str,
     deadline_s: float,
+    allowed_regions: frozenset[str] | None = None,
 ) -> typing.AsyncIterator[AcquiredConnection]:
     """Acquire a connection and release it at the end of an ``async with`` block."""
-    acquired = await connector.acquire(server, organisation, deadline_s)
+    acquired = await connector.acquire(
+        server, organisation, deadline_s, allowed_regions
+    )
     try:
         yield acquired
     finally:
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -192,6 +192,35 @@
     )
 
 
+def check_any_eligible(components: Components, access: accesses.Access) -> None:
+    """Check that at least one instance of the group may run an operation.
+
+    Raises
+    ------
+    steps.FailedError
+        ``OVERLOADED`` if every announced instance is excluded. No statement has run.
+    """
+    if access.allowed_regions is not None and not access.allowed_regions:
+        raise _build_exclusion(access, "no region is allowed for it")
+    restrictions = build_restrictions(components, access)
+    if restrictions.allowed_regions is None and not restrictions.evacuated_zones:
+        return
+    servers = components.backends.get_servers(access.database.group)
+    reasons = [eligibility.find_exclusion(server, restrictions) for server in servers]
+    if reasons and None not in reasons:
+        reason = " or ".join(sorted(set(reasons)))
+        raise _build_exclusion(access, f"every instance may not run it: {reason}")
+
+
+def _build_exclusion(access: accesses.Access, detail: str) -> steps.FailedError:
+    """Return the failure of an operation that no present instance may run."""
+    exposition.EXCLUSIONS.inc()
+    regions = access.allowed_regions
+    if regions is not None:
+        detail = f"{detail}; allowed regions: {', '.join(sorted(regions)) or 'none'}"
+    return steps.FailedError(sessions.Failure.OVERLOADED, detail)
+
+
 def get_primary_server(
     components: Components, permit: table.WritePermit, access: accesses.Access
 ) -> directory.BackendServer:
@@ -212,9 +241,8 @@
         )
     reason = eligibility.find_exclusion(server, build_restrictions(components, access))
     if reason is not None:
-        raise steps.FailedError(
-            sessions.Failure.OVERLOADED,
-            f"the primary {server.instance} may not run it: {reason}",
+        raise _build_exclusion(
+            access, f"the primary {server.instance} may not run it: {reason}"
         )
     return server
 
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -112,8 +112,10 @@
         ------
         steps.FailedError
             If no instance ran the read by the deadline; earlier if the failure is not
-            retryable or the group has had no primary for ``OUTAGE_TIMEOUT_S``.
+            retryable, every instance is excluded, or the group has had no primary for
+            ``OUTAGE_TIMEOUT_S``.
         """
+        context.check_any_eligible(self._components, access)
         read = _ReadRequest(access, session_floor, deadline_s, run, keeps_connection)
         result = await self._run_on_replicas(read)
         return result or await self._run_on_primary(read)
@@ -195,7 +197,7 @@
             eligible,
             group.primary,
             lambda server: self._components.connector.get_load(
-                server, access.organisation
+                server, access.organisation, access.allowed_regions
             ),
         )
         return ordered[0] if ordered else None
@@ -282,7 +284,10 @@
     ) -> ReadResult:
         """Run a read on one instance; a `floor` is given for replicas only."""
         acquired = await self._components.connector.acquire(
-            server, read.access.organisation, deadline_s
+            server,
+            read.access.organisation,
+            deadline_s,
+            read.access.allowed_regions,
         )
         is_handed_over = False
         reply = None
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -23,6 +23,7 @@
 from sedgeswitch.relay import context
 from sedgeswitch.relay import session
 from sedgeswitch.relay import steps
+from sedgeswitch.routing import eligibility
 from sedgeswitch.routing import policies
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
@@ -217,6 +218,7 @@
         names = ("a", "b", "c")
         self.instances = {name: FakeInstance(name, name == "a", self) for name in names}
         self.admitted = []
+        self.restrictions = eligibility.Restrictions()
         self.refusal = None
         self.servers = directory.EntryDirectory()
         for place, name in enumerate(names):
@@ -256,6 +258,7 @@
             startup.StartupTimes(0.0),
             self.admit,
             random.Random(0),
+            lambda: self.restrictions,
         )
 
     def announce(self, name, place, max_connections=20, is_leaving=False):
@@ -265,6 +268,29 @@
         )  # fmt: skip
         self.servers._by_group = {}
 
+    def change_server(self, name, **changes):
+        """Announce an instance with other values, as after an answer of the leader."""
+        servers = self.servers.servers
+        servers[name] = servers[name]._replace(**changes)
+        self.servers._by_group = {}
+        for listener in self.servers._listeners:
+            listener()
+
+    def restrict(self, version=2, database_regions=(), organisation_regions=()):
+        """Put a document in force that limits all databases and the organisation."""
+        document = build_document(version)
+        databases = {
+            name: database._replace(allowed_regions=database_regions)
+            for name, database in document.databases.items()
+        }
+        organisations = {
+            name: organisation._replace(allowed_regions=organisation_regions)
+            for name, organisation in document.organisations.items()
+        }
+        self.put_in_force(
+            build_document(version, databases=databases, organisations=organisations)
+        )
+
     def put_in_force(self, document):
         self.document = document
         answer = messages.Answer(document.version, machine.zlib.compress(b"x"))
--- a/sedgeswitch/relay/transactions.py
+++ b/sedgeswitch/relay/transactions.py
@@ -12,6 +12,7 @@
 from sedgeswitch.relay import reads
 from sedgeswitch.relay import steps
 from sedgeswitch.relay import writes
+from sedgeswitch.routing import eligibility
 from sedgeswitch.utils import clocks
 
 # Timeout of a rollback, in seconds; after it the connection is closed instead.
@@ -78,6 +79,7 @@
         steps.FailedError
             ``ABORTED`` or another failure after which the transaction has no effect.
         """
+        await self._update_access()
         if self._acquired is None:
             await self._bind(values, deadline_s)
         self._has_written = self._has_written or is_write
@@ -101,6 +103,7 @@
             ``IN_DOUBT`` if the commit may have run, ``ABORTED`` or another failure if
             it was not sent.
         """
+        await self._update_access()
         if self._acquired is None:
             await self._bind(values, deadline_s)
         permit = self._permit
@@ -151,6 +154,30 @@
         if acquired is not None:
             await acquired.discard(is_observed=False)
 
+    async def _update_access(self) -> None:
+        """Apply the allowed regions of the configuration now in force.
+
+        Raises
+        ------
+        steps.FailedError
+            ``ABORTED`` if the instance of the transaction is outside them.
+        """
+        components = self._components
+        self.access = accesses.update_regions(
+            self.access, components.databases.document
+        )
+        if self._acquired is None:
+            return
+        server = self._acquired.server
+        restrictions = context.build_restrictions(components, self.access)
+        if eligibility.is_outside_regions(server, restrictions):
+            await self.discard()
+            raise steps.FailedError(
+                sessions.Failure.ABORTED,
+                f"{server.instance} is outside the allowed regions since a change of"
+                " the configuration; transaction rolled back",
+            )
+
     def _is_permit_valid(self) -> bool:
         now_s = clocks.get_now_s()
         return self._components.groups.is_permit_valid(self._permit, now_s)
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -58,6 +58,7 @@
             ``IN_DOUBT`` if the write may have run, otherwise a failure after which it
             has no effect.
         """
+        context.check_any_eligible(self._components, access)
         backoff = context.build_backoff(self._components)
         while True:
             permit = await reads.wait_for_permit(
@@ -94,7 +95,11 @@
             components.interrupter.interruptible(permit),
         ):
             async with connections.hold_connection(
-                components.connector, server, access.organisation, deadline_s
+                components.connector,
+                server,
+                access.organisation,
+                deadline_s,
+                access.allowed_regions,
             ) as acquired:
                 # The permit may have ended while this write waited for a connection.
                 if not components.groups.is_permit_valid(permit, clocks.get_now_s()):
