Move a primary into the allowed regions of its databases

A primary outside the regions that all databases of its group allow could run none of their writes. The leader now moves it to an instance inside, as it does for a primary that announces its end, and prefers such instances in a failover. Each move is logged with its reason; the gauge groups_outside_regions counts the groups concerned.

--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -32,9 +32,11 @@
 from sedgeswitch.membership import server_machine
 from sedgeswitch.observability import metrics
 from sedgeswitch.pools import shares
+from sedgeswitch.routing import eligibility
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import records
 from sedgeswitch.utils import tasks
 
 # Longest wait for a quorum to accept a document, in seconds.
@@ -65,6 +67,8 @@
         Number of voters up to which control hosts that request to join are added.
     unresponsive_limit_s : float
         Time without contact after which such a host replaces a voter.
+    region_by_zone : mapping of str to str
+        Region of each availability zone; empty if unknown.
     """
 
     node: agreement_settings.NodeSettings
@@ -76,6 +80,7 @@
     control_addresses: collections.abc.Mapping[str, peer.Address]
     voter_count: int
     unresponsive_limit_s: float
+    region_by_zone: collections.abc.Mapping[str, str] = records.EMPTY_MAPPING
 
 
 class RelayControl(control_core.ControlCore):
@@ -111,6 +116,8 @@
         self.databases = database_machine.DocumentMachine()
         self.servers = server_machine.ServerMachine()
         self.view = database_machine.DocumentView(self.databases, decode)
+        # Allowed regions by group, and the version of the document they are from.
+        self._group_regions: tuple[int, dict[str, frozenset[str]]] = (0, {})
         self._document_section = database_sections.ControlSection(self.databases)
         self._rollout = rollout.Rollout()
         super().__init__(
@@ -167,6 +174,7 @@
             "groups_version": self.groups.get_version(),
             "groups_fenced": len(self.groups.get_fenced()),
             "backend_servers": len(self.directory.servers),
+            "groups_outside_regions": self._count_groups_outside_regions(),
             "commit_index": self.node.commit_index,
             "applied_index": self.node.applied_index,
         }
@@ -278,34 +286,77 @@
     def _get_configuration_version(self) -> int:
         return self.databases.version
 
-    def _get_promotion_rank(self, group: str, instance: str) -> tuple:  # noqa: ARG002
-        """Rank instances that have not announced their end first, then by name."""
+    def _get_promotion_rank(self, group: str, instance: str) -> tuple:
+        """Rank instances by whether they may stay primary, then by name.
+
+        Those that have announced their end come last, before them those outside the
+        allowed regions of the group's databases.
+        """
         item = self.directory.servers.get(instance)
-        return (item is None or item.is_leaving, instance)
+        is_leaving = item is None or item.is_leaving
+        is_outside = item is not None and self._is_outside_regions(group, item)
+        return ((is_leaving, is_outside), instance)
+
+    def _is_outside_regions(self, group: str, item: directory.BackendServer) -> bool:
+        """Return whether a database of the group may not use an instance."""
+        document = self.view.document
+        if self._group_regions[0] != document.version:
+            regions_by_group = documents.build_group_regions(document)
+            self._group_regions = (document.version, regions_by_group)
+        restrictions = eligibility.Restrictions(
+            allowed_regions=self._group_regions[1].get(group),
+            region_by_zone=self._options.region_by_zone,
+        )
+        return eligibility.is_outside_regions(item, restrictions)
+
+    def _count_groups_outside_regions(self) -> int:
+        servers = self.directory.servers
+        return sum(
+            group.primary in servers
+            and self._is_outside_regions(group.group, servers[group.primary])
+            for group in self.groups.get_groups()
+        )
 
     def _find_moves(self, now_s: float) -> list[primary_mover.PrimaryMove]:
-        """Return the moves of primaries that have announced that they will end."""
+        """Return the moves of primaries that cannot stay where they are.
+
+        These have announced that they will end, or are outside the allowed regions of
+        the group's databases while an instance inside them is announced.
+        """
         if self.node.get_leadership(now_s) is None:
             return []
         servers = self.directory.servers
         moves = []
         for group in self.groups.get_groups():
             primary = servers.get(group.primary)
-            if primary is None or not primary.is_leaving:
+            if primary is None:
+                continue
+            is_outside = self._is_outside_regions(group.group, primary)
+            if not primary.is_leaving and not is_outside:
                 continue
-            target = _find_target(group, servers)
-            if target is not None:
-                moves.append(primary_mover.PrimaryMove(group.group, target))
+            target = self._find_target(group, servers)
+            # A move from one instance outside the regions to another gains nothing.
+            if target is not None and (
+                primary.is_leaving
+                or not self._is_outside_regions(group.group, servers[target])
+            ):
+                reason = "leaving" if primary.is_leaving else "outside allowed regions"
+                moves.append(primary_mover.PrimaryMove(group.group, target, reason))
         return moves
 
-
-def _find_target(
-    group: ttypes.Group, servers: dict[str, directory.BackendServer]
-) -> str | None:
-    """Return an instance that has not announced its end, or None if there is none."""
-    candidates = [
-        name
-        for name in group.instances
-        if name != group.primary and name in servers and not servers[name].is_leaving
-    ]
-    return min(candidates, default=None)
+    def _find_target(
+        self, group: ttypes.Group, servers: dict[str, directory.BackendServer]
+    ) -> str | None:
+        """Return the best instance that has not announced its end, None without one."""
+        candidates = [
+            name
+            for name in group.instances
+            if name != group.primary
+            and name in servers
+            and not servers[name].is_leaving
+        ]
+        return min(
+            candidates,
+            key=lambda name: self._get_promotion_rank(group.group, name),
+            default=None,
+        )
--- /dev/null
+++ b/sedgeswitch/daemon/tests/relay_builders.py
@@ -0,0 +1,76 @@
+"""Control hosts of a relay fleet whose groups and servers are set by a test."""
+
+import random
+import types
+
+from sedgeswitch.agreement import settings as agreement_settings
+from sedgeswitch.daemon import relay_control
+from sedgeswitch.daemon import relay_groups
+from sedgeswitch.databases import documents
+from sedgeswitch.groups import machine
+from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.membership import directory
+from sedgeswitch.observability import metrics
+from sedgeswitch.transport import peer
+from sedgeswitch.transport import server
+
+GROUP = "lots"
+REGIONS = {"bagmati-a": "bagmati", "koshi-a": "koshi", "koshi-b": "koshi"}
+
+
+def build_server(instance, zone, **changes):
+    built = directory.BackendServer(
+        instance, GROUP, "10.0.0.9", 80, zone, {}, 3, 34, False
+    )
+    return built._replace(**changes)
+
+
+def build_document(version=1, regions_by_database=types.MappingProxyType({})):
+    """Return a document in which each database allows the given regions."""
+    databases = {
+        name: documents.Database(
+            name,
+            name,
+            GROUP,
+            documents.Freshness.BOUNDED,
+            1.0,
+            0.4,
+            allowed_regions=tuple(regions),
+        )
+        for name, regions in regions_by_database.items()
+    }
+    return documents.Document(version, databases, {GROUP: documents.Group(GROUP, 34)})
+
+
+def build_control(folder, document, servers, primary):
+    """Return a leader with one group of the given servers."""
+    options = relay_control.ControlOptions(
+        agreement_settings.NodeSettings("control-1", ()),
+        folder,
+        4.0,
+        groups_settings.GroupSettings(),
+        relay_groups.Tolerance(),
+        peer.Address("127.0.0.1", 7560),
+        {},
+        3,
+        1.0,
+        REGIONS,
+    )
+    control = relay_control.RelayControl(
+        options,
+        lambda text: document,  # noqa: ARG005
+        None,
+        server.Server(),
+        None,
+        metrics.Metrics(),
+        random.Random(1),
+    )
+    control.view = types.SimpleNamespace(document=document)
+    control.node.get_leadership = lambda now_s: True  # noqa: ARG005
+    for item in servers:
+        control.directory.record_announcement(item, 0.0)
+    names = [item.instance for item in servers]
+    command = ttypes.RegisterGroup(GROUP, primary, 1, names)
+    control.groups.apply(1, machine.encode_command(command))
+    return control
--- /dev/null
+++ b/sedgeswitch/daemon/tests/test_primary_moves.py
@@ -0,0 +1,82 @@
+"""Tests of the leader's decisions where the primary of a group should be."""
+
+import tempfile
+import unittest
+
+from sedgeswitch.daemon.tests import relay_builders
+from sedgeswitch.draining import primary_mover
+
+
+class MoveTest(unittest.TestCase):
+    SERVERS = (
+        relay_builders.build_server("a", "bagmati-a"),
+        relay_builders.build_server("b", "koshi-a"),
+        relay_builders.build_server("c", "koshi-b"),
+    )
+
+    def build(self, regions_by_database=None, servers=SERVERS, primary="a"):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        document = relay_builders.build_document(1, regions_by_database or {})
+        return relay_builders.build_control(folder.name, document, servers, primary)
+
+    def list_targets(self, *arguments, **options):
+        return [
+            move.instance for move in self.build(*arguments, **options)._find_moves(0.0)
+        ]
+
+    def change(self, instance, **changes):
+        return tuple(
+            item._replace(**changes) if item.instance == instance else item
+            for item in self.SERVERS
+        )
+
+    def test_primary_stays_without_allowed_regions(self):
+        self.assertEqual([], self.list_targets({"draw": ()}))
+
+    def test_primary_outside_regions_moves_into_them(self):
+        control = self.build({"draw": ("koshi",), "lots": ()})
+        reason = "outside allowed regions"
+        move = primary_mover.PrimaryMove(relay_builders.GROUP, "b", reason)
+        self.assertEqual([move], control._find_moves(0.0))
+        self.assertEqual(1, control._count_groups_outside_regions())
+
+    def test_target_is_in_regions_of_all_databases(self):
+        both = {"draw": ("koshi", "mechi"), "lots": ("bagmati", "koshi")}
+        self.assertEqual(["b"], self.list_targets(both))
+        self.assertEqual([], self.list_targets(both, primary="c"))
+
+    def test_regions_without_a_common_one_cause_no_move(self):
+        apart = {"draw": ("bagmati",), "lots": ("koshi",)}
+        for primary in ("a", "b"):
+            with self.subTest(primary):
+                self.assertEqual([], self.list_targets(apart, primary=primary))
+
+    def test_primary_stays_while_no_instance_is_in_regions(self):
+        leaving = self.change("a", is_leaving=True)
+        only_leaving = {"draw": ("bagmati",)}
+        self.assertEqual([], self.list_targets(only_leaving, leaving, "b"))
+
+    def test_leaving_primary_prefers_instance_in_regions(self):
+        leaving = self.change("b", is_leaving=True)
+        regions = {"draw": ("koshi",)}
+        self.assertEqual(["c"], self.list_targets(regions, leaving, "b"))
+
+    def test_leaving_primary_moves_out_of_regions_if_it_must(self):
+        leaving = self.change("a", is_leaving=True)
+        self.assertEqual(["b"], self.list_targets({"draw": ("bagmati",)}, leaving))
+
+    def test_leaving_primary_moves_to_first_by_name(self):
+        leaving = self.change("a", is_leaving=True)
+        self.assertEqual(["b"], self.list_targets(servers=leaving))
+
+    def test_promotion_prefers_instances_in_regions(self):
+        control = self.build({"draw": ("koshi",)})
+        ranked = sorted(
+            ("a", "b", "c"), key=lambda name: control._get_promotion_rank("lots", name)
+        )
+        self.assertEqual(["b", "c", "a"], ranked)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sedgeswitch/draining/primary_mover.py
+++ b/sedgeswitch/draining/primary_mover.py
@@ -22,10 +22,13 @@
     group : str
     instance : str
         The instance that should become the primary.
+    reason : str
+        Why the present primary cannot stay, for the log.
     """
 
     group: str
     instance: str
+    reason: str = "drained"
 
 
 class DrainedPrimaryMover:
@@ -70,6 +73,12 @@
         return now_s >= self._retry_at_s.get(group, 0.0)
 
     async def _move(self, move: PrimaryMove) -> None:
+        loguru.logger.info(
+            "moving a primary",
+            group=move.group,
+            instance=move.instance,
+            reason=move.reason,
+        )
         try:
             await self._move_primary(move.group, move.instance)
         except verdicts.RefusedError as error:
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -199,6 +199,7 @@
             settings.control_peers,
             settings.voter_count,
             settings.unresponsive_limit_s,
+            settings.region_by_zone,
         )
         self._control = relay_control.RelayControl(
             options,
