Wait before a move into the allowed regions is repeated

A target that does not catch up leaves the old primary in place after a fence of up to 2 s. The move was then due again at once, so that the group would have been fenced most of the time. It is now repeated after 30 s; moves of leaving primaries are as before.

--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -45,6 +45,9 @@
 CONFIRM_TIMEOUT_S = 1.0
 # Interval of comparisons of the versions that entry hosts report, in seconds.
 ROLLOUT_INTERVAL_S = 0.1
+# Time before a primary outside the allowed regions is moved again after its target did
+# not catch up, in seconds. Each attempt stops writes for up to `catch_up_s` (2 s).
+REGION_MOVE_RETRY_S = 30.0
 
 
 class ControlOptions(typing.NamedTuple):
@@ -340,8 +343,7 @@
                 primary.is_leaving
                 or not self._is_outside_regions(group.group, servers[target])
             ):
-                reason = "leaving" if primary.is_leaving else "outside allowed regions"
-                moves.append(primary_mover.PrimaryMove(group.group, target, reason))
+                moves.append(_build_move(group.group, target, primary.is_leaving))
         return moves
 
     def _find_target(
@@ -360,3 +362,11 @@
             key=lambda name: self._get_promotion_rank(group.group, name),
             default=None,
         )
+
+
+def _build_move(group: str, target: str, is_leaving: bool) -> primary_mover.PrimaryMove:
+    if is_leaving:
+        return primary_mover.PrimaryMove(group, target, "leaving")
+    return primary_mover.PrimaryMove(
+        group, target, "outside allowed regions", REGION_MOVE_RETRY_S
+    )
--- a/sedgeswitch/daemon/tests/test_primary_moves.py
+++ b/sedgeswitch/daemon/tests/test_primary_moves.py
@@ -3,6 +3,7 @@
 import tempfile
 import unittest
 
+from sedgeswitch.daemon import relay_control
 from sedgeswitch.daemon.tests import relay_builders
 from sedgeswitch.draining import primary_mover
 
@@ -36,8 +37,12 @@
 
     def test_primary_outside_regions_moves_into_them(self):
         control = self.build({"draw": ("koshi",), "lots": ()})
-        reason = "outside allowed regions"
-        move = primary_mover.PrimaryMove(relay_builders.GROUP, "b", reason)
+        move = primary_mover.PrimaryMove(
+            relay_builders.GROUP,
+            "b",
+            "outside allowed regions",
+            relay_control.REGION_MOVE_RETRY_S,
+        )
         self.assertEqual([move], control._find_moves(0.0))
         self.assertEqual(1, control._count_groups_outside_regions())
 
--- a/sedgeswitch/draining/primary_mover.py
+++ b/sedgeswitch/draining/primary_mover.py
@@ -24,11 +24,15 @@
         The instance that should become the primary.
     reason : str
         Why the present primary cannot stay, for the log.
+    retry_delay_s : float
+        Time before the group is tried again if the move ends with another primary,
+        in seconds.
     """
 
     group: str
     instance: str
     reason: str = "drained"
+    retry_delay_s: float = 0.0
 
 
 class DrainedPrimaryMover:
@@ -42,6 +46,7 @@
     move_primary : async callable
         ``await move_primary(group, instance)``; raises `verdicts.RefusedError`
         if the move is rejected, after which it is retried in `RETRY_DELAY_S`.
+        Otherwise it returns a report with the attribute ``new_primary``.
     """
 
     def __init__(
@@ -80,7 +85,16 @@
             reason=move.reason,
         )
         try:
-            await self._move_primary(move.group, move.instance)
+            report = await self._move_primary(move.group, move.instance)
+            if move.retry_delay_s and report.new_primary != move.instance:
+                loguru.logger.warning(
+                    "primary was not moved",
+                    group=move.group,
+                    instance=move.instance,
+                    primary=report.new_primary,
+                )
+                retry_at_s = trio.current_time() + move.retry_delay_s
+                self._retry_at_s[move.group] = retry_at_s
         except verdicts.RefusedError as error:
             loguru.logger.warning("primary of {} stays: {}", move.group, error)
             self._retry_at_s[move.group] = trio.current_time() + RETRY_DELAY_S
--- a/sedgeswitch/draining/tests/test_draining.py
+++ b/sedgeswitch/draining/tests/test_draining.py
@@ -91,16 +91,19 @@
 
 
 class DrainedPrimaryMoverTest(unittest.TestCase):
-    def _run(self, move_primary, groups=("lots", "visits")):
+    def _run(self, move_primary, groups=("lots", "visits"), **options):
         """Return the group and time of each attempted move, in order."""
         attempts = []
 
         async def move(group, instance):  # noqa: ARG001
             attempts.append((group, trio.current_time()))
-            await move_primary(group)
+            return await move_primary(group)
 
         async def run():
-            moves = [primary_mover.PrimaryMove(group, f"{group}-1") for group in groups]
+            moves = [
+                primary_mover.PrimaryMove(group, f"{group}-1", **options)
+                for group in groups
+            ]
             started_s = trio.current_time()
             with trio.move_on_after(5.0):
                 await primary_mover.DrainedPrimaryMover(lambda _: moves, move).run()
@@ -121,6 +124,15 @@
         (_, first_s), (_, second_s), *_ = self._run(refuse, ["lots"])
         self.assertGreaterEqual(second_s - first_s, primary_mover.RETRY_DELAY_S)
 
+    def test_move_that_reinstated_the_old_primary_is_not_repeated_at_once(self):
+        """Guards against a group that is fenced again and again by such moves."""
+
+        async def reinstate(group):
+            return types.SimpleNamespace(new_primary=f"{group}-0")
+
+        attempts = self._run(reinstate, ["lots"], retry_delay_s=3.0)
+        self.assertEqual([("lots", 0.0), ("lots", 3.0)], attempts)
+
 
 if __name__ == "__main__":
     unittest.main()
