Announce instances that are cold after their start

An instance is slow for some time after its start, and its group may limit the rate of statements to it. Announcements of such instances now say that they are cold, in an optional field that is left out otherwise; it changes twice for each start, not with each heartbeat. Cold instances come last for reads and for promotion. A group without a limit (coldPerS) has no cold instances, so its announcements are unchanged.

--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -177,6 +177,9 @@
             "groups_version": self.groups.get_version(),
             "groups_fenced": len(self.groups.get_fenced()),
             "backend_servers": len(self.directory.servers),
+            "backend_servers_cold": sum(
+                item.is_cold for item in self.directory.servers.values()
+            ),
             "groups_outside_regions": self._count_groups_outside_regions(),
             "commit_index": self.node.commit_index,
             "applied_index": self.node.applied_index,
@@ -293,12 +296,13 @@
         """Rank instances by whether they may stay primary, then by name.
 
         Those that have announced their end come last, before them those outside the
-        allowed regions of the group's databases.
+        allowed regions of the group's databases. Otherwise, cold ones come last.
         """
         item = self.directory.servers.get(instance)
         is_leaving = item is None or item.is_leaving
         is_outside = item is not None and self._is_outside_regions(group, item)
-        return ((is_leaving, is_outside), instance)
+        is_cold = item is not None and item.is_cold
+        return ((is_leaving, is_outside), (is_cold, instance))
 
     def _is_outside_regions(self, group: str, item: directory.BackendServer) -> bool:
         """Return whether a database of the group may not use an instance."""
--- a/sedgeswitch/daemon/tests/test_primary_moves.py
+++ b/sedgeswitch/daemon/tests/test_primary_moves.py
@@ -75,6 +75,23 @@
         leaving = self.change("a", is_leaving=True)
         self.assertEqual(["b"], self.list_targets(servers=leaving))
 
+    def test_cold_instances_rank_last_for_promotion(self):
+        control = self.build(servers=self.change("b", is_cold=True), primary="a")
+        ranked = sorted(
+            ("a", "b", "c"), key=lambda name: control._get_promotion_rank("lots", name)
+        )
+        self.assertEqual(["a", "c", "b"], ranked)
+
+    def test_warm_instance_is_preferred_as_target(self):
+        cold = self.change("b", is_cold=True)
+        self.assertEqual(["c"], self.list_targets({"draw": ("koshi",)}, cold))
+
+    def test_rank_of_warm_instances_is_by_name_before_position(self):
+        """The first two items of a rank take precedence over the position."""
+        control = self.build()
+        ranks = [control._get_promotion_rank("lots", name)[:2] for name in ("b", "c")]
+        self.assertLess(*ranks)
+
     def test_promotion_prefers_instances_in_regions(self):
         control = self.build({"draw": ("koshi",)})
         ranked = sorted(
--- a/sedgeswitch/membership/directory.py
+++ b/sedgeswitch/membership/directory.py
@@ -41,6 +41,9 @@
     max_connections : int
     is_leaving : bool
         Whether the instance has announced that it will stop soon.
+    is_cold : bool
+        Whether the instance is slow after its start and its group limits the rate of
+        statements to such instances.
     """
 
     instance: str
@@ -52,11 +55,13 @@
     slots: int
     max_connections: int
     is_leaving: bool = False
+    is_cold: bool = False
 
 
 def build_message(server: BackendServer) -> messages.Announcement:
     """Return the announcement message of a backend server."""
-    return messages.Announcement(*server)
+    # Left out unless true, so that other announcements are as in earlier releases.
+    return messages.Announcement(*server._replace(is_cold=server.is_cold or None))
 
 
 def build_server(message: messages.Announcement) -> BackendServer:
@@ -71,6 +76,7 @@
         message.slots,
         message.max_connections,
         bool(message.is_leaving),
+        bool(message.is_cold),
     )
 
 
--- a/sedgeswitch/membership/messages.thrift
+++ b/sedgeswitch/membership/messages.thrift
@@ -45,6 +45,8 @@
   7: required i32 slots,
   8: required i32 max_connections,
   9: optional bool is_leaving,
+  // Whether the instance is slow after its start and its group limits its rate.
+  10: optional bool is_cold,
 }
 
 // From an entry host to the leader: the announcements it received since its last
--- a/sedgeswitch/membership/tests/test_directory.py
+++ b/sedgeswitch/membership/tests/test_directory.py
@@ -5,6 +5,7 @@
 
 from sedgeswitch.membership import directory
 from sedgeswitch.membership.tests import builders
+from sedgeswitch.transport import catalog
 
 ANNOUNCEMENT_INTERVAL_S = 2.5
 
@@ -108,5 +109,31 @@
         self.assertEqual(hosts.entries[0].servers, {})
 
 
+class ColdInstanceTest(unittest.TestCase):
+    def test_announcement_without_the_field_is_of_a_warm_instance(self):
+        """Guards against announcements of hosts of an earlier release."""
+        message = directory.build_message(builders.build_server())
+        self.assertIsNone(message.is_cold)
+        self.assertFalse(directory.build_server(message).is_cold)
+
+    def test_directory_changes_twice_for_each_start(self):
+        hosts = Hosts(0)
+        versions = set()
+        for second, is_cold in enumerate((False, True, True, True, False, False)):
+            server = builders.build_server()._replace(is_cold=is_cold)
+            hosts.leader.record_announcement(server, float(second))
+            versions.add(hosts.leader.get_version())
+            hosts.send_heartbeat(0, float(second))
+            self.assertEqual(is_cold, hosts.entries[0].servers["lots-0"].is_cold)
+        self.assertEqual(3, len(versions))
+
+    def test_new_leader_starts_with_cold_instances(self):
+        message = directory.build_message(
+            builders.build_server()._replace(is_cold=True)
+        )
+        decoded = catalog.decode_struct(type(message), catalog.encode_struct(message))
+        self.assertTrue(directory.build_server(decoded).is_cold)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sedgeswitch/platform/announcements.py
+++ b/sedgeswitch/platform/announcements.py
@@ -1,5 +1,6 @@
 """Decodes heartbeats of instances into announcements of backend servers."""
 
+import collections.abc
 import typing
 
 import msgspec
@@ -55,7 +56,10 @@
 
 
 def decode_heartbeat(
-    instance: str, body: bytes, max_connections: typing.Mapping[str, int]
+    instance: str,
+    body: bytes,
+    max_connections: typing.Mapping[str, int],
+    limited_groups: collections.abc.Container[str] = (),
 ) -> Announcement:
     """Return the announcement that a heartbeat contains.
 
@@ -67,6 +71,9 @@
         The heartbeat as JSON.
     max_connections : mapping of str to int
         Maximum number of connections to an instance, by configured group.
+    limited_groups : container of str, optional
+        Groups that limit the rate of statements to an instance that is slow after its
+        start.
 
     Raises
     ------
@@ -96,6 +103,7 @@
         heartbeat["slots"],
         max_connections[heartbeat["service"]],
         heartbeat["state"] == "draining",
+        heartbeat.get("coldLeftMs", 0.0) > 0 and heartbeat["service"] in limited_groups,
     )
     return Announcement(server, heartbeat.get("born", 0), heartbeat["sequence"])
 
--- a/sedgeswitch/platform/operator_edge.py
+++ b/sedgeswitch/platform/operator_edge.py
@@ -99,9 +99,10 @@
                 RETRY_AFTER_MS,
             )
         limits = {name: group.max_connections for name, group in groups.items()}
+        limited = {name for name, group in groups.items() if group.cold_rate_per_s}
         try:
             announcement = announcements.decode_heartbeat(
-                values[0], request.body, limits
+                values[0], request.body, limits, limited
             )
         except checks.CheckError as error:
             raise verdicts.build_not_run(400, "invalid", str(error)) from error
@@ -120,6 +121,7 @@
                 instance=announcement.server.instance,
                 group=announcement.server.group,
                 is_leaving=announcement.server.is_leaving,
+                is_cold=announcement.server.is_cold,
                 born_ms=announcement.born_ms,
             )
         servers.record_announcement(announcement.server, clocks.get_now_s())
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -104,15 +104,49 @@
     def test_heartbeat_announces_a_backend_server(self):
         server = self.decode().server
         self.assertEqual(("i-1", "lots", "10.0.0.9", 8080), server[:4])
-        self.assertEqual((3, 34, False), server[6:])
+        self.assertEqual((3, 34, False, False), server[6:])
         self.assertTrue(self.decode(state="draining").server.is_leaving)
 
+    def test_instance_is_cold_only_in_a_group_that_limits_its_rate(self):
+        body = builders.build_heartbeat(coldLeftMs=1200.5)
+        for limited_groups, is_cold in ((("lots",), True), (("other",), False)):
+            decoded = announcements.decode_heartbeat(
+                "i-1", body, {"lots": 34}, limited_groups
+            )
+            self.assertEqual(is_cold, decoded.server.is_cold)
+
+    def test_instance_without_remaining_cold_time_is_warm(self):
+        without = builders.HEARTBEAT.keys() - {"coldLeftMs"}
+        bodies = (
+            builders.build_heartbeat(coldLeftMs=0),
+            msgspec.json.encode({name: builders.HEARTBEAT[name] for name in without}),
+        )
+        for body in bodies:
+            decoded = announcements.decode_heartbeat(
+                "i-1", body, {"lots": 34}, ("lots",)
+            )
+            self.assertFalse(decoded.server.is_cold)
+
+    def test_heartbeats_of_a_cold_instance_announce_the_same(self):
+        """Guards against changes of the directory with each heartbeat."""
+        decoded = {
+            announcements.decode_heartbeat(
+                "i-1",
+                builders.build_heartbeat(coldLeftMs=left_ms),
+                {"lots": 34},
+                ("lots",),
+            ).server.is_cold
+            for left_ms in (6000, 5000, 1)
+        }
+        self.assertEqual({True}, decoded)
+
     def test_invalid_heartbeat_raises(self):
         for changes in (
             {"state": "resting"},
             {"service": "unknown"},
             {"address": "nowhere"},
             {"slots": "three"},
+            {"coldLeftMs": "soon"},
             {"sequence": None},
             {"born": 1.5},
         ):
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -200,7 +200,8 @@
                 server, access.organisation, access.allowed_regions
             ),
         )
-        return ordered[0] if ordered else None
+        # `min` keeps the order of the policy among warm and among cold instances.
+        return min(ordered, key=lambda server: server.is_cold, default=None)
 
     async def _try_replica(
         self,
