Limit the statements that holders send to cold instances

An instance that is slow after its start was sent statements at the full rate, and the platform allows only coldPerS of them each second. Each holder now paces its statements to its share of the rate (admission.cold_start), also those of transactions. Statements for a primary and of open transactions wait for a token while their deadline allows, others are refused as not run, so that a read goes to another instance. Substitutes send nothing. Callers' hosts use the holders in turn, so that one organisation gets the whole rate. A holder whose connections to an instance all broke treats it as cold until an announcement follows, or for coldStartS. Without a limit all is as before.

Nothing was measured.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -30,6 +30,7 @@
 from sedgeswitch.observability import decisions
 from sedgeswitch.observability import startup
 from sedgeswitch.pools import pool
+from sedgeswitch.relay import cold_instances
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import probes
@@ -128,6 +129,16 @@
         self._hosts = host_calls.HostCalls(self._entry_peers)
         self._placement = placement.Placement(options.region_by_zone)
         self.backends = self._build_backends(driver, rng)
+        self._cold = cold_instances.ColdInstances(
+            self.directory,
+            self.groups,
+            lambda: self.databases.document.groups,
+            self._get_holding,
+        )
+        # Connections of this host's own pools.
+        self._connector = cold_instances.LimitedConnector(
+            connections.PoolConnector(self.backends), self._cold
+        )
         self.forwarder = self._build_forwarder()
         admit_locally = fleet.FleetAdmission(self.host_limiter).admit
         self._home = home_admission.Home(admit_locally)
@@ -138,7 +149,9 @@
         self.groups_section = entry_section.EntrySection(
             self.groups,
             servers,
-            probes.ProbeDriver(driver, self.backends, local_observations),
+            probes.ProbeDriver(
+                driver, self.backends, local_observations, self._cold.record_loss
+            ),
             options.groups,
             reports_acknowledged=True,
         )
@@ -164,9 +177,7 @@
             self._get_restrictions,
         )
         self.holder = holder.Holder(
-            self._components._replace(
-                connector=connections.PoolConnector(self.backends)
-            )
+            self._components._replace(connector=self._connector)
         )
         peer_server.register_handler(messages.ForwardRequest, self.holder.answer)
         peer_server.register_handler(messages.AdmitRequest, self._home.answer)
@@ -183,6 +194,7 @@
     def stop_holding(self) -> None:
         """Accept no further statements of other hosts' callers."""
         self.holder.leave()
+        self._cold.leave()
         self._home.leave()
 
     async def leave(self) -> None:
@@ -220,6 +232,7 @@
             "links_idle": sum(load.idle for load in loads),
             "links_waited_for": sum(load.waiting for load in loads),
             "transactions_held": self.holder.open_transactions,
+            "cold_instances": self._cold.count(trio.current_time()),
             "hosts_unavailable": self._hosts.count_unavailable(),
         }
 
@@ -254,7 +267,7 @@
             ),
             self._placement,
             self._hosts,
-            connections.PoolConnector(self.backends),
+            self._connector,
         )
 
     def _get_restrictions(self) -> eligibility.Restrictions:
--- a/sedgeswitch/daemon/tests/relay_builders.py
+++ b/sedgeswitch/daemon/tests/relay_builders.py
@@ -1,17 +1,22 @@
-"""Control hosts of a relay fleet whose groups and servers are set by a test."""
+"""Hosts of a relay fleet whose configuration and servers are set by a test."""
 
 import random
 import types
 
 from sedgeswitch.agreement import settings as agreement_settings
 from sedgeswitch.daemon import relay_control
+from sedgeswitch.daemon import relay_entry
 from sedgeswitch.daemon import relay_groups
 from sedgeswitch.databases import documents
+from sedgeswitch.databases import machine as database_machine
+from sedgeswitch.databases import messages
 from sedgeswitch.groups import machine
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.membership import directory
+from sedgeswitch.membership import messages as membership_messages
 from sedgeswitch.observability import metrics
+from sedgeswitch.transport import catalog
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 
@@ -26,7 +31,12 @@
     return built._replace(**changes)
 
 
-def build_document(version=1, regions_by_database=types.MappingProxyType({})):
+def build_document(
+    version=1,
+    regions_by_database=types.MappingProxyType({}),
+    cold_start_s=0.0,
+    cold_rate_per_s=0.0,
+):
     """Return a document in which each database allows the given regions."""
     databases = {
         name: documents.Database(
@@ -40,7 +50,8 @@
         )
         for name, regions in regions_by_database.items()
     }
-    return documents.Document(version, databases, {GROUP: documents.Group(GROUP, 34)})
+    group = documents.Group(GROUP, 34, 1, cold_start_s, cold_rate_per_s)
+    return documents.Document(version, databases, {GROUP: group})
 
 
 def build_control(folder, document, servers, primary):
@@ -74,3 +85,34 @@
     command = ttypes.RegisterGroup(GROUP, primary, 1, names)
     control.groups.apply(1, machine.encode_command(command))
     return control
+
+
+def build_entry(document, driver=None):
+    """Return an entry host that has received a document but no servers."""
+    options = relay_entry.EntryOptions(
+        "host-1",
+        "bagmati-a",
+        peer.Address("127.0.0.1", 7561),
+        {},
+        0.5,
+        groups_settings.GroupSettings(),
+        relay_groups.Tolerance(),
+        REGIONS,
+    )
+    entry = relay_entry.RelayEntry(
+        options,
+        lambda text: document,  # noqa: ARG005
+        driver,
+        server.Server(),
+        random.Random(1),
+    )
+    answer = messages.Answer(document.version, database_machine.zlib.compress(b"x"))
+    entry.databases.receive_answer(catalog.encode_struct(answer), 0.0)
+    return entry
+
+
+def announce(entry, *servers):
+    """Give an entry host the full directory, as an answer of the leader does."""
+    upserts = [directory.build_message(item) for item in servers]
+    answer = membership_messages.DirectoryAnswer(1, 1, True, upserts, [], [])
+    entry.directory.receive_answer(catalog.encode_struct(answer), 0.0)
--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -89,6 +89,8 @@
         self._hosts = hosts
         self._local = local
         self._delays = delays.ServiceDelays()
+        # Number of connections acquired at cold instances.
+        self._cold_turns = 0
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -120,6 +122,7 @@
         host_id = self._choose_host(
             server, organisation, clocks.get_now_s(), allowed_regions
         )
+        self._cold_turns += server.is_cold
         if host_id == self._options.host_id:
             return await self._local.acquire(server, organisation, deadline_s)
         await trio.lowlevel.checkpoint()
@@ -188,13 +191,30 @@
         """Return the first available host of an instance, by default this one."""
         own_id = self._options.host_id
         location = self._build_location(server)
-        for host_id in self._placement.order_hosts(
-            location, organisation, allowed_regions
-        ):
+        hosts = self._placement.order_hosts(location, organisation, allowed_regions)
+        if server.is_cold:
+            hosts = self._rotate_holders(location, hosts)
+        for host_id in hosts:
             if host_id == own_id or self._hosts.is_available(host_id, now_s):
                 return host_id
         return own_id
 
+    def _rotate_holders(
+        self, location: placement.Location, hosts: list[str]
+    ) -> list[str]:
+        """Return the holders among hosts, beginning with another one each time.
+
+        Only holders send to a cold instance, each a part of its rate, so that an
+        organisation that used one holder alone would get only this part.
+        """
+        holders = [
+            host_id
+            for host_id in hosts
+            if host_id in self._placement.select(location).holders
+        ]
+        first = self._cold_turns % len(holders) if holders else 0
+        return holders[first:] + holders[:first]
+
     def _build_location(self, server: directory.BackendServer) -> placement.Location:
         shared = server.max_connections - self._options.reserved_connections
         return placement.Location(
@@ -206,7 +226,7 @@
         if answer.is_host_unavailable:
             return
         service_s = (answer.service_ms or 0) / _MS_PER_S
-        if answer.failure == sessions.Failure.OVERLOADED.name:
+        if answer.failure == sessions.Failure.OVERLOADED.name or answer.is_cold:
             service_s = max(service_s, BUSY_SERVICE_S)
         self._delays.record(instance, service_s, clocks.get_now_s())
 
--- a/sedgeswitch/forwarding/holder.py
+++ b/sedgeswitch/forwarding/holder.py
@@ -10,6 +10,7 @@
 from sedgeswitch.forwarding import messages
 from sedgeswitch.groups import positions
 from sedgeswitch.observability import exposition
+from sedgeswitch.relay import cold_instances
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import steps
@@ -265,6 +266,8 @@
             except sessions.ConnectionLostError as error:
                 observations.record_no_answer(server.instance)
                 return _build_no_answer(f"{server.instance}: {error}")
+            except steps.FailedError as error:
+                return _build_refusal(error)
         if reply is None:
             observations.record_no_answer(server.instance)
             return _build_no_answer(f"{server.instance} did not answer in time")
@@ -335,6 +338,7 @@
     answer = _build_not_run(error.detail)
     answer.is_retryable = error.is_retryable
     answer.is_host_unavailable = isinstance(error, _HolderUnavailableError) or None
+    answer.is_cold = isinstance(error, cold_instances.ColdInstanceError) or None
     return answer
 
 
--- a/sedgeswitch/forwarding/messages.thrift
+++ b/sedgeswitch/forwarding/messages.thrift
@@ -96,6 +96,8 @@
   // Time that the holder and the instance took, in milliseconds.
   12: optional i32 service_ms,
   13: optional InstanceLoad load,
+  // For NOT_RUN: whether the reason is that the instance is slow after its start.
+  20: optional bool is_cold,
 }
 
 // Asks a host that draws the tokens of an organisation to admit one request.
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -16,6 +16,7 @@
 from sedgeswitch.observability import decisions
 from sedgeswitch.observability import startup
 from sedgeswitch.pools import pool
+from sedgeswitch.relay import cold_instances
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import session
@@ -95,13 +96,22 @@
             random.Random(1),
             lambda name: self.forwarder.get_holding(world.servers.servers[name]),
         )
+        self.cold = cold_instances.ColdInstances(
+            world.servers,
+            world.groups,
+            lambda: world.databases.document.groups,
+            lambda name: self.forwarder.get_holding(world.servers.servers[name]),
+        )
+        local = cold_instances.LimitedConnector(
+            connections.PoolConnector(self.backends), self.cold
+        )
         self.placement = placement.Placement(REGIONS)
         self.hosts = host_calls.HostCalls(FakePeers(fleet, member.host_id))
         self.forwarder = forwarder.Forwarder(
             forwarder.Options(member.host_id, RESERVED_CONNECTIONS, lambda: 3.0),
             self.placement,
             self.hosts,
-            connections.PoolConnector(self.backends),
+            local,
         )
         self.admission = admission.HomeAdmission(
             member.host_id,
@@ -128,7 +138,6 @@
             random.Random(2),
             lambda: world.restrictions,
         )
-        local = connections.PoolConnector(self.backends)
         self.holder = holder.Holder(self.components._replace(connector=local))
         self.set_share(1)
 
--- a/sedgeswitch/observability/exposition.py
+++ b/sedgeswitch/observability/exposition.py
@@ -34,6 +34,18 @@
     "Statements refused because no instance that they may run on can run them.",
     registry=REGISTRY,
 )
+COLD_STATEMENTS = prometheus_client.Counter(
+    "sedgeswitch_cold_statements",
+    "Statements for instances that are slow after their start, by outcome.",
+    ("outcome",),
+    registry=REGISTRY,
+)
+COLD_WAIT_SECONDS = prometheus_client.Histogram(
+    "sedgeswitch_cold_wait_seconds",
+    "Time that statements waited for a token of such an instance.",
+    buckets=BUCKETS_S,
+    registry=REGISTRY,
+)
 FORWARDS = prometheus_client.Counter(
     "sedgeswitch_forwards",
     "Statements forwarded to the holder of a connection, by outcome.",
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -59,8 +59,9 @@
         Whether the connection may have session state, so that it must be reset.
     ticket : fair_queue.Ticket or None
         Slot of the request that uses the connection.
-    last_used_s : float
-        Time of trio's clock at which the connection was opened or last released.
+    opened_s, last_used_s : float
+        Times of trio's clock at which the connection was opened, and at which it was
+        opened or last released.
     """
 
     def __init__(self, connection: base.Connection, now_s: float):
@@ -69,6 +70,7 @@
         self.position: positions.Position | None = None
         self.is_dirty = False
         self.ticket: fair_queue.Ticket | None = None
+        self.opened_s = now_s
         self.last_used_s = now_s
 
     @property
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -78,7 +78,14 @@
 
 
 class PooledAcquiredConnection:
-    """A connection of this host's pool; implements `AcquiredConnection`."""
+    """A connection of this host's pool; implements `AcquiredConnection`.
+
+    Attributes
+    ----------
+    opened_s, last_used_s : float
+        Times of trio's clock at which it was opened, and at which it was opened or
+        last released before.
+    """
 
     def __init__(
         self,
@@ -89,6 +96,8 @@
         self.server = server
         self._pool = instance_pool
         self._pooled = pooled
+        self.opened_s = pooled.opened_s
+        self.last_used_s = pooled.last_used_s
         self.connection: sessions.SessionConnection = pooled.connection
 
     async def release(self, is_observed: bool = True) -> None:
--- a/sedgeswitch/relay/probes.py
+++ b/sedgeswitch/relay/probes.py
@@ -5,6 +5,7 @@
 and opens its own connection only if none is idle.
 """
 
+import collections.abc
 import typing
 
 import trio
@@ -19,6 +20,12 @@
 # Greatest age at which a reply to a statement replaces a probe, in seconds.
 MAX_STATE_AGE_S = 0.45
 
+RecordLoss = collections.abc.Callable[[str, float], None]
+
+
+def _ignore_loss(instance: str, last_used_s: float) -> None:
+    """Ignore the loss of a connection."""
+
 
 class ProbeDriver:
     """Opens probe connections for `groups.watcher.Watcher`.
@@ -29,6 +36,9 @@
         Opens connections that can read an instance's state.
     backends : backends.Backends
     local_observations : context.LocalObservations
+    record_loss : callable, optional
+        ``record_loss(instance, last_used_s)`` is called for an idle connection that is
+        found to be lost; see `admission.cold_start.record_loss`.
     """
 
     def __init__(
@@ -36,16 +46,23 @@
         driver: typing.Any,
         backends: statement_backends.Backends,
         local_observations: context.LocalObservations,
+        record_loss: RecordLoss = _ignore_loss,
     ):
         self._driver = driver
         self._backends = backends
         self._local_observations = local_observations
+        self._record_loss = record_loss
 
     async def connect(self, target: base.Target, timeout_s: float) -> "ProbeConnection":
         """Return a probe connection, which is opened only when a probe needs it."""
         await trio.lowlevel.checkpoint()
         return ProbeConnection(
-            self._driver, self._backends, self._local_observations, target, timeout_s
+            self._driver,
+            self._backends,
+            self._local_observations,
+            target,
+            timeout_s,
+            self._record_loss,
         )
 
 
@@ -59,7 +76,9 @@
         local_observations: context.LocalObservations,
         target: base.Target,
         timeout_s: float,
+        record_loss: RecordLoss = _ignore_loss,
     ):
+        self._record_loss = record_loss
         self._driver = driver
         self._backends = backends
         self._local_observations = local_observations
@@ -108,6 +127,9 @@
             return None
         try:
             return await pooled.connection.read_state()
+        except sessions.ConnectionLostError:
+            self._record_loss(server.instance, pooled.last_used_s)
+            raise
         finally:
             with trio.CancelScope(shield=True):
                 now_s = trio.current_time()
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -284,10 +284,12 @@
         deadline_s: float,
     ) -> ReadResult:
         """Run a read on one instance; a `floor` is given for replicas only."""
+        # A cold primary may have no token for long; replicas are tried again meanwhile.
+        is_limited = floor is None and server.is_cold
         acquired = await self._components.connector.acquire(
             server,
             read.access.organisation,
-            deadline_s,
+            self._get_attempt_deadline_s(deadline_s) if is_limited else deadline_s,
             read.access.allowed_regions,
         )
         is_handed_over = False
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -77,9 +77,16 @@
         self.loses_answers = False
         self.failures = []
         self.ran = []
+        # When each statement arrived, including the beginnings of transactions.
+        self.arrived_s = []
         self.connections = []
         self.connection_limit = 1000
 
+    def restart(self):
+        """Close all connections, as a restart of the instance does."""
+        for connection in self.connections:
+            connection.is_lost = True
+
     def count_open(self):
         return sum(connection.is_open for connection in self.connections)
 
@@ -97,6 +104,7 @@
         self.values = {}
         self.transaction = None
         self.is_open = True
+        self.is_lost = False
         instance.connections.append(self)
 
     @property
@@ -104,6 +112,7 @@
         return self.is_open and self.transaction is None
 
     async def run(self, statement, shape=None, floor=None):
+        self._arrive()
         word = statement.text.split()[0]
         is_write = word == b"WRITE" or (shape is not None and shape.is_write)
         await self._simulate_latency()
@@ -128,6 +137,7 @@
         return self._reply()
 
     async def begin(self, is_read_only, floor=None):
+        self._arrive()
         await self._simulate_latency()
         if self._is_behind(floor):
             return self._reply(sessions.Failure.BEHIND)
@@ -137,6 +147,7 @@
         return self._reply()
 
     async def roll_back(self):
+        self._arrive()
         await self._simulate_latency()
         self.transaction = None
         return self._reply()
@@ -157,6 +168,13 @@
             self.is_open = False
             raise
 
+    def _arrive(self):
+        if self.is_lost:
+            self.is_open = False
+            self.transaction = None
+            raise sessions.ConnectionLostError("closed by the instance")
+        self.instance.arrived_s.append(trio.current_time())
+
     def _is_behind(self, floor):
         return floor is not None and self.instance.position < floor
 
--- a/sedgeswitch/relay/tests/test_probes.py
+++ b/sedgeswitch/relay/tests/test_probes.py
@@ -8,6 +8,7 @@
 import trio
 
 from sedgeswitch.drivers import base
+from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import positions
 from sedgeswitch.relay import probes
@@ -40,8 +41,12 @@
             world = builders.World()
             driver = CountingDriver()
             local_observations = world.components.local_observations
+            self.losses = []
             probe_driver = probes.ProbeDriver(
-                driver, world.backends, local_observations
+                driver,
+                world.backends,
+                local_observations,
+                lambda instance, last_used_s: self.losses.append(instance),
             )
             target = base.Target("10.0.0.0", 80, builders.GROUP, instance="a")
             connection = await probe_driver.connect(target, 1.0)
@@ -80,6 +85,24 @@
             self.assertEqual(0, driver.opened)
             load = world.backends.get_loads()["a"]
             self.assertEqual((0, 1), (load.in_use, load.idle))
+            self.assertEqual([], self.losses)
+
+        self.run_probe(body)
+
+    def test_idle_connection_that_a_probe_finds_lost_is_recorded(self):
+        """Guards against a restart that only a probe notices."""
+
+        async def body(world, driver, connection):
+            await world.build_session().run(builders.build_step(b"READ x"))
+
+            async def read_state():
+                raise sessions.ConnectionLostError("closed by the instance")
+
+            world.instances["a"].connections[0].read_state = read_state
+            await trio.sleep(2 * probes.MAX_STATE_AGE_S)
+            with self.assertRaises(base.DriverError):
+                await connection.read_state()
+            self.assertEqual(["a"], self.losses)
 
         self.run_probe(body)
 
