Refuse writes to cold instances in time, and skip closed connections

A trial with three processes and fake instances on loopback showed three faults while a primary was cold. A write that was refused near its deadline was sent to a holder again, whose refusal came too late, so that 8 of 40 writes were reported in doubt that had not run; it is now refused unless 0.3 s are left. Rollbacks were charged to later seconds and held up all other statements; without a token the connection is now closed instead. Idle connections that a restart had closed took the tokens of a second; they are now closed before a connection is acquired.

--- a/sedgeswitch/admission/cold_start.py
+++ b/sedgeswitch/admission/cold_start.py
@@ -22,7 +22,6 @@
     Attributes
     ----------
     tokens : float
-        Negative after statements that could not wait.
     updated_s : float
         Time at which there were so many tokens.
     """
@@ -47,7 +46,7 @@
 def get_tokens(bucket: Bucket, share_per_s: float, now_s: float) -> float:
     """Return the tokens of a bucket at a time."""
     if share_per_s <= 0.0:
-        return min(bucket.tokens, 0.0)
+        return 0.0
     refilled = share_per_s * max(now_s - bucket.updated_s, 0.0)
     return min(bucket.tokens + refilled, _CAPACITY)
 
@@ -60,14 +59,6 @@
     return Bucket(tokens - 1.0, now_s)
 
 
-def charge(bucket: Bucket, share_per_s: float, now_s: float) -> Bucket:
-    """Return the bucket after a statement that cannot wait, such as a rollback.
-
-    Later statements wait until the rate is kept again.
-    """
-    return Bucket(get_tokens(bucket, share_per_s, now_s) - 1.0, now_s)
-
-
 def get_wait_s(bucket: Bucket, share_per_s: float, now_s: float) -> float:
     """Return the time until the bucket has a token; infinite without a share."""
     if share_per_s <= 0.0:
--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.observability import exposition
 from sedgeswitch.pools import pool
+from sedgeswitch.relay import cold_instances
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import steps
 from sedgeswitch.statements import backends
@@ -361,6 +362,10 @@
         detail = answer.detail or ""
         if answer.outcome == messages.Outcome.NOT_RUN and was_in_transaction:
             raise steps.FailedError(sessions.Failure.ABORTED, detail)
+        if answer.is_cold:
+            raise cold_instances.ColdInstanceError(
+                sessions.Failure.OVERLOADED, detail, bool(answer.is_retryable)
+            )
         if answer.outcome == messages.Outcome.NOT_RUN:
             raise steps.FailedError(
                 sessions.Failure.OVERLOADED, detail, bool(answer.is_retryable)
--- a/sedgeswitch/platform/instance_driver.py
+++ b/sedgeswitch/platform/instance_driver.py
@@ -52,6 +52,11 @@
         """Whether the connection is open and outside any transaction."""
         return self._is_open and self._transaction_state == wire.IDLE
 
+    @property
+    def is_closed_by_peer(self) -> bool:
+        """Whether the instance has closed the connection, which is not in use."""
+        return sockets.is_closed_by_peer(self._stream)
+
     async def handshake(self, *fields: bytes) -> None:
         """Send CONNECT and wait for the answer.
 
--- a/sedgeswitch/platform/tests/test_line_protocol.py
+++ b/sedgeswitch/platform/tests/test_line_protocol.py
@@ -102,6 +102,17 @@
         lines = self.exchange([b"ROW row one\r\n" + DONE], use)
         self.assertEqual([b"QUERY 5c0e AFTER 3.7 READ 1a4"], lines)
 
+    def test_connection_that_the_instance_closed_is_recognised(self):
+        async def main():
+            ends = [trio.SocketStream(item) for item in trio.socket.socketpair()]
+            connection = instance_driver.LineConnection(ends[0])
+            self.assertFalse(connection.is_closed_by_peer)
+            await ends[1].aclose()
+            self.assertTrue(connection.is_closed_by_peer)
+            await connection.close()
+
+        trio.run(main)
+
     def test_shape_is_prepared_once_per_connection(self):
         shape = sessions.StatementShape(True, b"q2c")
 
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -293,6 +293,20 @@
         for pooled in expired:
             await self._close(pooled)
 
+    async def close_lost(self) -> None:
+        """Close the idle connections that the instance has closed.
+
+        Only connections with an attribute `is_closed_by_peer` can be recognised.
+        """
+        lost = [
+            pooled
+            for pooled in self._idle
+            if getattr(pooled.connection, "is_closed_by_peer", False)
+        ]
+        self._idle = [pooled for pooled in self._idle if pooled not in lost]
+        for pooled in lost:
+            await self._close(pooled)
+
     async def close(self) -> None:
         """Close every idle connection."""
         idle, self._idle = self._idle, []
--- a/sedgeswitch/relay/cold_instances.py
+++ b/sedgeswitch/relay/cold_instances.py
@@ -36,10 +36,18 @@
 # seconds.
 POLL_INTERVAL_S = 0.05
 _MS_PER_S = 1000
+# Reply to a rollback by closing the connection.
+_ROLLED_BACK = sessions.Reply((), b"", None, "", False, False, None)
 
 _Result = typing.TypeVar("_Result")
 
 
+# Shortest time left in which a write is tried again, in seconds. A forwarded attempt
+# takes a round trip between regions and the margins of both hosts; one that ends after
+# the deadline would be in doubt.
+MIN_RETRY_LEFT_S = 0.3
+
+
 class ColdInstanceError(steps.FailedError):
     """Raised when a cold instance has no token for a statement, which has not run."""
 
@@ -168,15 +176,6 @@
         if not is_taken:
             raise self._build_refusal(state, is_bound)
 
-    def charge(self, instance: str) -> None:
-        """Record a statement to an instance that cannot wait for a token."""
-        now_s = trio.current_time()
-        if self.is_cold(instance, now_s):
-            state = self._states[instance]
-            share_per_s = self._get_share_per_s(state, is_bound=True)
-            state.bucket = cold_start.charge(state.bucket, share_per_s, now_s)
-            exposition.COLD_STATEMENTS.labels("sent").inc()
-
     def record_loss(self, instance: str, last_used_s: float) -> None:
         """Record that a connection was lost; see `cold_start.record_loss`."""
         state = self._states.get(instance)
@@ -330,6 +329,8 @@
             is_waiting = self._cold.is_primary(server)
             await self._cold.take(server.instance, deadline_s, is_waiting)
             token_s = trio.current_time()
+            # A restart has closed the idle connections; each would waste a token.
+            await self._local.close_lost(server)
         acquired = await self._local.acquire(server, organisation, deadline_s)
         return LimitedConnection(acquired, self._cold, token_s)
 
@@ -406,8 +407,16 @@
         return await self._observe(self._acquired.connection.begin(is_read_only, floor))
 
     async def roll_back(self) -> sessions.Reply:
-        """Roll back the open transaction, without waiting for a token."""
-        self._cold.charge(self.server.instance)
+        """Roll back the open transaction, without waiting for a token.
+
+        Without a token the connection is closed, which rolls back too and is no
+        statement.
+        """
+        try:
+            await self._cold.take(self.server.instance, 0.0, False, is_bound=True)
+        except ColdInstanceError:
+            await self.close()
+            return _ROLLED_BACK
         return await self._observe(self._acquired.connection.roll_back())
 
     async def set_session_values(
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -144,6 +144,10 @@
             ) from error
         return PooledAcquiredConnection(server, instance_pool, pooled)
 
+    async def close_lost(self, server: directory.BackendServer) -> None:
+        """Close the idle connections that an instance has closed."""
+        await self._backends.get_pool(server, server.group).close_lost()
+
     def get_load(
         self,
         server: directory.BackendServer,
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -111,6 +111,10 @@
     def is_usable(self):
         return self.is_open and self.transaction is None
 
+    @property
+    def is_closed_by_peer(self):
+        return self.is_lost
+
     async def run(self, statement, shape=None, floor=None):
         self._arrive()
         word = statement.text.split()[0]
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -8,6 +8,7 @@
 from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import table
 from sedgeswitch.relay import access as accesses
+from sedgeswitch.relay import cold_instances
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import reads
@@ -66,6 +67,11 @@
             )
             try:
                 reply = await self._run_under_permit(permit, access, deadline_s, run)
+            except cold_instances.ColdInstanceError as error:
+                reply = build_not_run(error.detail)
+                left_s = deadline_s - trio.current_time()
+                if left_s < cold_instances.MIN_RETRY_LEFT_S:
+                    return reply
             except steps.FailedError as error:
                 if not error.is_retryable:
                     raise
--- a/sedgeswitch/transport/sockets.py
+++ b/sedgeswitch/transport/sockets.py
@@ -76,6 +76,22 @@
         raise trio.BrokenResourceError(str(error)) from error
 
 
+def is_closed_by_peer(stream: trio.abc.ReceiveStream) -> bool:
+    """Return whether a stream on which nothing is expected is at its end or broken.
+
+    Parameters
+    ----------
+    stream : trio.abc.ReceiveStream
+        No other task may be receiving on it at the same time.
+
+    Returns
+    -------
+    bool
+        True also if unexpected bytes have arrived; False if the stream is no socket.
+    """
+    return isinstance(stream, trio.SocketStream) and stream.socket.is_readable()
+
+
 async def accept_until(
     listen_scope: trio.CancelScope,
     handler: collections.abc.Callable[
