Notice a restart when a new connection is opened

After a restart that no announcement shows yet, a statement of another organisation opened a new connection, which worked, while the idle connections that the restart had closed were not used. The holder now looks at them when it opens a connection.

Run: forwarding.tests.test_cold_instances (the new test failed before), test_forwarding, daemon.tests.test_relay_entry and pools.tests.test_pool pass.

--- a/sedgeswitch/forwarding/tests/test_cold_instances.py
+++ b/sedgeswitch/forwarding/tests/test_cold_instances.py
@@ -371,6 +371,22 @@
 
         run_in_fleet(body)
 
+    def test_new_connection_after_an_unnoticed_restart_is_limited(self):
+        """Guards against connections of one organisation that hide the restart."""
+
+        async def body(fleet):
+            world = fleet.world
+            await self.warm_up(fleet)
+            host = fleet.hosts[fleet.get_home()]
+            world.instances[PRIMARY].restart()
+            acquired = await host.holder._components.connector.acquire(
+                world.servers.servers[PRIMARY], "ward-5", trio.current_time() + 1.0
+            )
+            self.assertEqual(1, host.cold.count(trio.current_time()))
+            await acquired.release()
+
+        run_in_fleet(body)
+
     def test_suspicion_ends_after_the_cold_time(self):
         async def body(fleet):
             await self.warm_up(fleet)
--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -293,8 +293,8 @@
         for pooled in expired:
             await self._close(pooled)
 
-    async def close_lost(self) -> None:
-        """Close the idle connections that the instance has closed.
+    async def close_lost(self) -> list[PooledConnection]:
+        """Close the idle connections that the instance has closed, and return them.
 
         Only connections with an attribute `is_closed_by_peer` can be recognised.
         """
@@ -306,6 +306,7 @@
         self._idle = [pooled for pooled in self._idle if pooled not in lost]
         for pooled in lost:
             await self._close(pooled)
+        return lost
 
     async def close(self) -> None:
         """Close every idle connection."""
--- a/sedgeswitch/relay/cold_instances.py
+++ b/sedgeswitch/relay/cold_instances.py
@@ -323,15 +323,26 @@
         """
         if not self._cold.has_limit(server.group):
             return await self._local.acquire(server, organisation, deadline_s)
+        started_s = trio.current_time()
         token_s = -math.inf
-        if self._cold.is_cold(server.instance, trio.current_time()):
+        if self._cold.is_cold(server.instance, started_s):
             # Before the connection, so that none is opened without a token.
             is_waiting = self._cold.is_primary(server)
             await self._cold.take(server.instance, deadline_s, is_waiting)
             token_s = trio.current_time()
             # A restart has closed the idle connections; each would waste a token.
-            await self._local.close_lost(server)
+            await self._close_lost(server)
         acquired = await self._local.acquire(server, organisation, deadline_s)
+        is_done = False
+        try:
+            # A new connection works after a restart, so that only the idle ones of
+            # other organisations show that there was one.
+            if acquired.opened_s >= started_s:
+                await self._close_lost(server)
+            is_done = True
+        finally:
+            if not is_done:
+                await acquired.release()
         return LimitedConnection(acquired, self._cold, token_s)
 
     def get_load(
@@ -343,6 +354,10 @@
         """Return the load of this host's pool; see `Connector.get_load`."""
         return self._local.get_load(server, organisation)
 
+    async def _close_lost(self, server: directory.BackendServer) -> None:
+        for last_used_s in await self._local.close_lost(server):
+            self._cold.record_loss(server.instance, last_used_s)
+
 
 class LimitedConnection:
     """A connection whose statements take a token while its instance is cold.
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -144,9 +144,16 @@
             ) from error
         return PooledAcquiredConnection(server, instance_pool, pooled)
 
-    async def close_lost(self, server: directory.BackendServer) -> None:
-        """Close the idle connections that an instance has closed."""
-        await self._backends.get_pool(server, server.group).close_lost()
+    async def close_lost(self, server: directory.BackendServer) -> list[float]:
+        """Close the idle connections that an instance has closed.
+
+        Returns
+        -------
+        list of float
+            When each was opened or last released, on trio's clock.
+        """
+        instance_pool = self._backends.get_pool(server, server.group)
+        return [pooled.last_used_s for pooled in await instance_pool.close_lost()]
 
     def get_load(
         self,
