Accept is_cold in the product's own announcements

The endpoint accepts the fields of a backend server by name; since the server had the field is_cold, which it refused, so that two tests of daemon.tests.test_announcements failed. They pass now; the tests are unchanged.

--- a/sedgeswitch/daemon/announcements.py
+++ b/sedgeswitch/daemon/announcements.py
@@ -25,6 +25,7 @@
     slots: _Count
     max_connections: _Count
     is_leaving: typing.NotRequired[bool]
+    is_cold: typing.NotRequired[bool]
 
 
 _FIELDS = frozenset(_Body.__annotations__)
