Name the log line of a started move so that explain finds it

sedgeswitch explain selects lines about primaries by the beginning of their text, which 'moving a primary' did not have.

Run: draining.tests.test_draining, daemon.tests.test_primary_moves and observability.tests.test_explain pass.

--- a/sedgeswitch/draining/primary_mover.py
+++ b/sedgeswitch/draining/primary_mover.py
@@ -79,7 +79,7 @@
 
     async def _move(self, move: PrimaryMove) -> None:
         loguru.logger.info(
-            "moving a primary",
+            "primary move started",
             group=move.group,
             instance=move.instance,
             reason=move.reason,
