Merge allowed regions and cold instances

Moves of primaries give one reason: leaving, availability zone evacuated, or outside allowed regions. Where all instances of a group are excluded, callers get one text.

--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -32,9 +32,11 @@
 from sedgeswitch.membership import server_machine
 from sedgeswitch.observability import metrics
 from sedgeswitch.pools import shares
+from sedgeswitch.routing import eligibility
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
+from sedgeswitch.utils import records
 from sedgeswitch.utils import tasks
 
 # Longest wait for a quorum to accept a document, in seconds.
@@ -43,6 +45,12 @@
 CONFIRM_TIMEOUT_S = 1.0
 # Interval of comparisons of the versions that entry hosts report, in seconds.
 ROLLOUT_INTERVAL_S = 0.1
+# Time before a primary outside the allowed regions is moved again after its target did
+# not catch up, in seconds. Each attempt stops writes for up to `catch_up_s` (2 s).
+REGION_MOVE_RETRY_S = 30.0
+
+
+_OUTSIDE_REGIONS = "outside allowed regions"
 
 
 class ControlOptions(typing.NamedTuple):
@@ -67,6 +75,8 @@
         Time without contact after which such a host replaces a voter.
     zones : frozenset of str
         Availability zones that the settings name.
+    region_by_zone : mapping of str to str
+        Region of each availability zone; empty if unknown.
     """
 
     node: agreement_settings.NodeSettings
@@ -79,6 +89,7 @@
     voter_count: int
     unresponsive_limit_s: float
     zones: frozenset[str] = frozenset()
+    region_by_zone: collections.abc.Mapping[str, str] = records.EMPTY_MAPPING
 
 
 class RelayControl(control_core.ControlCore):
@@ -114,6 +125,8 @@
         self.databases = database_machine.DocumentMachine()
         self.servers = server_machine.ServerMachine()
         self.view = database_machine.DocumentView(self.databases, decode)
+        # Allowed regions by group, and the version of the document they are from.
+        self._group_regions: tuple[int, dict[str, frozenset[str]]] = (0, {})
         self._document_section = database_sections.ControlSection(self.databases)
         self._rollout = rollout.Rollout()
         super().__init__(
@@ -171,6 +184,10 @@
             "groups_fenced": len(self.groups.get_fenced()),
             "evacuated_zones": len(self._evacuations.zones),
             "backend_servers": len(self.directory.servers),
+            "backend_servers_cold": sum(
+                item.is_cold for item in self.directory.servers.values()
+            ),
+            "groups_outside_regions": self._count_groups_outside_regions(),
             "commit_index": self.node.commit_index,
             "applied_index": self.node.applied_index,
         }
@@ -285,13 +302,45 @@
     def _get_configuration_version(self) -> int:
         return self.databases.version
 
-    def _get_promotion_rank(self, group: str, instance: str) -> tuple:  # noqa: ARG002
-        """Rank instances that have not announced their end first, then by name."""
+    def _get_promotion_rank(self, group: str, instance: str) -> tuple:
+        """Rank instances by whether they may stay primary, then by name.
+
+        Those that have announced their end come last, before them those outside the
+        allowed regions of the group's databases. Otherwise, cold ones come last.
+        """
         item = self.directory.servers.get(instance)
-        return (item is None or item.is_leaving, instance)
+        is_leaving = item is None or item.is_leaving
+        is_outside = item is not None and self._is_outside_regions(group, item)
+        is_cold = item is not None and item.is_cold
+        return ((is_leaving, is_outside), (is_cold, instance))
+
+    def _is_outside_regions(self, group: str, item: directory.BackendServer) -> bool:
+        """Return whether a database of the group may not use an instance."""
+        document = self.view.document
+        if self._group_regions[0] != document.version:
+            regions_by_group = documents.build_group_regions(document)
+            self._group_regions = (document.version, regions_by_group)
+        restrictions = eligibility.Restrictions(
+            allowed_regions=self._group_regions[1].get(group),
+            region_by_zone=self._options.region_by_zone,
+        )
+        return eligibility.is_outside_regions(item, restrictions)
+
+    def _count_groups_outside_regions(self) -> int:
+        servers = self.directory.servers
+        return sum(
+            group.primary in servers
+            and self._is_outside_regions(group.group, servers[group.primary])
+            for group in self.groups.get_groups()
+        )
 
     def _find_moves(self, now_s: float) -> list[primary_mover.PrimaryMove]:
-        """Return the moves of primaries that will end or whose zone is evacuated."""
+        """Return the moves of primaries that cannot stay where they are.
+
+        These have announced that they will end, are in an evacuated availability zone,
+        or are outside the allowed regions of the group's databases while an instance
+        inside them is announced.
+        """
         if self.node.get_leadership(now_s) is None:
             return []
         servers = self.directory.servers
@@ -300,29 +349,49 @@
             primary = servers.get(group.primary)
             if primary is None:
                 continue
-            if not primary.is_leaving and self._may_promote(primary.instance):
+            reason = self._find_reason_to_move(group.group, primary)
+            if reason is None:
                 continue
-            target = _find_target(group, servers, self._may_promote)
-            if target is not None:
-                moves.append(primary_mover.PrimaryMove(group.group, target))
+            target = self._find_target(group, servers)
+            # A move from one instance outside the regions to another gains nothing.
+            if target is not None and (
+                reason != _OUTSIDE_REGIONS
+                or not self._is_outside_regions(group.group, servers[target])
+            ):
+                moves.append(_build_move(group.group, target, reason))
         return moves
 
+    def _find_reason_to_move(
+        self, group: str, primary: directory.BackendServer
+    ) -> str | None:
+        """Return why a primary cannot stay, None if it can."""
+        if primary.is_leaving:
+            return "leaving"
+        if not self._may_promote(primary.instance):
+            return "availability zone evacuated"
+        if self._is_outside_regions(group, primary):
+            return _OUTSIDE_REGIONS
+        return None
+
+    def _find_target(
+        self, group: ttypes.Group, servers: dict[str, directory.BackendServer]
+    ) -> str | None:
+        """Return the best instance that may become the primary, None without one."""
+        candidates = [
+            name
+            for name in group.instances
+            if name != group.primary
+            and name in servers
+            and not servers[name].is_leaving
+            and self._may_promote(name)
+        ]
+        return min(
+            candidates,
+            key=lambda name: self._get_promotion_rank(group.group, name),
+            default=None,
+        )
 
-def _find_target(
-    group: ttypes.Group,
-    servers: dict[str, directory.BackendServer],
-    may_promote: collections.abc.Callable[[str], bool],
-) -> str | None:
-    """Return an instance that may be promoted and has not announced its end, or None.
 
-    None is returned if there is no such instance.
-    """
-    candidates = [
-        name
-        for name in group.instances
-        if name != group.primary
-        and name in servers
-        and not servers[name].is_leaving
-        and may_promote(name)
-    ]
-    return min(candidates, default=None)
+def _build_move(group: str, target: str, reason: str) -> primary_mover.PrimaryMove:
+    retry_delay_s = REGION_MOVE_RETRY_S if reason == _OUTSIDE_REGIONS else 0.0
+    return primary_mover.PrimaryMove(group, target, reason, retry_delay_s)
--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.observability import exposition
 from sedgeswitch.pools import pool
+from sedgeswitch.relay import cold_instances
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import steps
 from sedgeswitch.statements import backends
@@ -89,6 +90,8 @@
         self._hosts = hosts
         self._local = local
         self._delays = delays.ServiceDelays()
+        # Number of connections acquired at cold instances.
+        self._cold_turns = 0
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -107,24 +110,34 @@
         return backends.Holding(0)
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        allowed_regions: frozenset[str] | None = None,
     ) -> connections.AcquiredConnection:
         """Acquire a connection; see `connections.Connector.acquire`.
 
         A forwarded connection is acquired by the holder, with the first statement.
         """
-        host_id = self._choose_host(server, organisation, clocks.get_now_s())
+        host_id = self._choose_host(
+            server, organisation, clocks.get_now_s(), allowed_regions
+        )
+        self._cold_turns += server.is_cold
         if host_id == self._options.host_id:
             return await self._local.acquire(server, organisation, deadline_s)
         await trio.lowlevel.checkpoint()
         return ForwardedConnection(self, host_id, server, organisation)
 
     def get_load(
-        self, server: directory.BackendServer, organisation: str
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        allowed_regions: frozenset[str] | None = None,
     ) -> pool.PoolLoad:
         """Return the load of this host's pool, or what holders' answers show of it."""
         now_s = clocks.get_now_s()
-        host_id = self._choose_host(server, organisation, now_s)
+        host_id = self._choose_host(server, organisation, now_s, allowed_regions)
         if host_id == self._options.host_id:
             return self._local.get_load(server, organisation)
         service_s = self._delays.get_service_s(server.instance, now_s)
@@ -170,16 +183,39 @@
             loguru.logger.exception("discarding a transaction at {} failed", host_id)
 
     def _choose_host(
-        self, server: directory.BackendServer, organisation: str, now_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        now_s: float,
+        allowed_regions: frozenset[str] | None,
     ) -> str:
         """Return the first available host of an instance, by default this one."""
         own_id = self._options.host_id
         location = self._build_location(server)
-        for host_id in self._placement.order_hosts(location, organisation):
+        hosts = self._placement.order_hosts(location, organisation, allowed_regions)
+        if server.is_cold:
+            hosts = self._rotate_holders(location, hosts)
+        for host_id in hosts:
             if host_id == own_id or self._hosts.is_available(host_id, now_s):
                 return host_id
         return own_id
 
+    def _rotate_holders(
+        self, location: placement.Location, hosts: list[str]
+    ) -> list[str]:
+        """Return the holders among hosts, beginning with another one each time.
+
+        Only holders send to a cold instance, each a part of its rate, so that an
+        organisation that used one holder alone would get only this part.
+        """
+        holders = [
+            host_id
+            for host_id in hosts
+            if host_id in self._placement.select(location).holders
+        ]
+        first = self._cold_turns % len(holders) if holders else 0
+        return holders[first:] + holders[:first]
+
     def _build_location(self, server: directory.BackendServer) -> placement.Location:
         shared = server.max_connections - self._options.reserved_connections
         return placement.Location(
@@ -191,7 +227,7 @@
         if answer.is_host_unavailable:
             return
         service_s = (answer.service_ms or 0) / _MS_PER_S
-        if answer.failure == sessions.Failure.OVERLOADED.name:
+        if answer.failure == sessions.Failure.OVERLOADED.name or answer.is_cold:
             service_s = max(service_s, BUSY_SERVICE_S)
         self._delays.record(instance, service_s, clocks.get_now_s())
 
@@ -328,6 +364,10 @@
         detail = answer.detail or ""
         if answer.outcome == messages.Outcome.NOT_RUN and was_in_transaction:
             raise steps.FailedError(sessions.Failure.ABORTED, detail)
+        if answer.is_cold:
+            raise cold_instances.ColdInstanceError(
+                sessions.Failure.OVERLOADED, detail, bool(answer.is_retryable)
+            )
         if answer.outcome == messages.Outcome.NOT_RUN:
             raise steps.FailedError(
                 sessions.Failure.OVERLOADED, detail, bool(answer.is_retryable)
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -199,6 +199,7 @@
             settings.voter_count,
             settings.unresponsive_limit_s,
             frozenset([settings.availability_zone, *settings.region_by_zone]),
+            settings.region_by_zone,
         )
         self._control = relay_control.RelayControl(
             options,
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -26,6 +26,27 @@
         self.assertEqual(34, document.groups["lots"].max_connections)
         self.assertEqual(3.0, document.transaction_idle_s)
 
+    def test_allowed_regions_and_cold_start_are_optional(self):
+        document = documents.decode_document(builders.build_configuration())
+        self.assertEqual((), document.databases["draw"].allowed_regions)
+        self.assertEqual((), document.organisations["ward"].allowed_regions)
+        group = document.groups["lots"]
+        self.assertEqual((0.0, 0.0), (group.cold_start_s, group.cold_rate_per_s))
+
+    def test_allowed_regions_and_cold_start_are_decoded(self):
+        document = documents.decode_document(
+            builders.build_configuration(
+                routes=[builders.ROUTE | {"allowedRegions": ["bagmati", "koshi"]}],
+                tenants=[builders.TENANT | {"allowedRegions": ["koshi"]}],
+                services=[builders.SERVICE | {"coldStartS": 6, "coldPerS": 12.5}],
+            )
+        )
+        database = document.databases["draw"]
+        self.assertEqual(("bagmati", "koshi"), database.allowed_regions)
+        self.assertEqual(("koshi",), document.organisations["ward"].allowed_regions)
+        group = document.groups["lots"]
+        self.assertEqual((6.0, 12.5), (group.cold_start_s, group.cold_rate_per_s))
+
     def test_unknown_fields_are_ignored(self):
         documents.decode_document(builders.build_configuration(later={"x": 1}))
 
@@ -56,6 +77,18 @@
             "version that messages cannot hold": builders.build_configuration(
                 version=2**63
             ),
+            "regions as text": builders.build_configuration(
+                routes=[route | {"allowedRegions": "koshi"}]
+            ),
+            "region as number": builders.build_configuration(
+                tenants=[tenant | {"allowedRegions": [3]}]
+            ),
+            "negative cold rate": builders.build_configuration(
+                services=[builders.SERVICE | {"coldPerS": -1}]
+            ),
+            "negative cold start": builders.build_configuration(
+                services=[builders.SERVICE | {"coldStartS": -1}]
+            ),
             "routes missing": msgspec.json.encode({"version": 1, "services": []}),
         }
         for name, body in invalid.items():
@@ -71,15 +104,49 @@
     def test_heartbeat_announces_a_backend_server(self):
         server = self.decode().server
         self.assertEqual(("i-1", "lots", "10.0.0.9", 8080), server[:4])
-        self.assertEqual((3, 34, False), server[6:])
+        self.assertEqual((3, 34, False, False), server[6:])
         self.assertTrue(self.decode(state="draining").server.is_leaving)
 
+    def test_instance_is_cold_only_in_a_group_that_limits_its_rate(self):
+        body = builders.build_heartbeat(coldLeftMs=1200.5)
+        for limited_groups, is_cold in ((("lots",), True), (("other",), False)):
+            decoded = announcements.decode_heartbeat(
+                "i-1", body, {"lots": 34}, limited_groups
+            )
+            self.assertEqual(is_cold, decoded.server.is_cold)
+
+    def test_instance_without_remaining_cold_time_is_warm(self):
+        without = builders.HEARTBEAT.keys() - {"coldLeftMs"}
+        bodies = (
+            builders.build_heartbeat(coldLeftMs=0),
+            msgspec.json.encode({name: builders.HEARTBEAT[name] for name in without}),
+        )
+        for body in bodies:
+            decoded = announcements.decode_heartbeat(
+                "i-1", body, {"lots": 34}, ("lots",)
+            )
+            self.assertFalse(decoded.server.is_cold)
+
+    def test_heartbeats_of_a_cold_instance_announce_the_same(self):
+        """Guards against changes of the directory with each heartbeat."""
+        decoded = {
+            announcements.decode_heartbeat(
+                "i-1",
+                builders.build_heartbeat(coldLeftMs=left_ms),
+                {"lots": 34},
+                ("lots",),
+            ).server.is_cold
+            for left_ms in (6000, 5000, 1)
+        }
+        self.assertEqual({True}, decoded)
+
     def test_invalid_heartbeat_raises(self):
         for changes in (
             {"state": "resting"},
             {"service": "unknown"},
             {"address": "nowhere"},
             {"slots": "three"},
+            {"coldLeftMs": "soon"},
             {"sequence": None},
             {"born": 1.5},
         ):
@@ -203,6 +270,9 @@
             "apiKeys",
             "bindAddrs",
             "maxStalenessMs",
+            "allowedRegions",
+            "coldStartS",
+            "coldPerS",
         )
         root = pathlib.Path(settings.__file__).parent.parent
         found = [
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -54,10 +54,16 @@
     """Acquires connections to instances."""
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        allowed_regions: frozenset[str] | None = None,
     ) -> AcquiredConnection:
         """Acquire a connection to an instance on behalf of an organisation.
 
+        Statements are forwarded only to hosts in `allowed_regions`; None for all.
+
         Raises
         ------
         steps.FailedError
@@ -66,13 +72,23 @@
         """
 
     def get_load(
-        self, server: directory.BackendServer, organisation: str
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        allowed_regions: frozenset[str] | None = None,
     ) -> pool.PoolLoad:
         """Return the load that an organisation's statement for an instance meets."""
 
 
 class PooledAcquiredConnection:
-    """A connection of this host's pool; implements `AcquiredConnection`."""
+    """A connection of this host's pool; implements `AcquiredConnection`.
+
+    Attributes
+    ----------
+    opened_s, last_used_s : float
+        Times of trio's clock at which it was opened, and at which it was opened or
+        last released before.
+    """
 
     is_forwarded = False
 
@@ -85,6 +101,8 @@
         self.server = server
         self._pool = instance_pool
         self._pooled = pooled
+        self.opened_s = pooled.opened_s
+        self.last_used_s = pooled.last_used_s
         self.connection: sessions.SessionConnection = pooled.connection
 
     async def release(self, is_observed: bool = True) -> None:
@@ -111,7 +129,11 @@
         self._backends = backends
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        allowed_regions: frozenset[str] | None = None,  # noqa: ARG002
     ) -> PooledAcquiredConnection:
         """Acquire a pooled connection; see `Connector.acquire`."""
         instance_pool = self._backends.get_pool(server, server.group)
@@ -127,8 +149,22 @@
             ) from error
         return PooledAcquiredConnection(server, instance_pool, pooled)
 
+    async def close_lost(self, server: directory.BackendServer) -> list[float]:
+        """Close the idle connections that an instance has closed.
+
+        Returns
+        -------
+        list of float
+            When each was opened or last released, on trio's clock.
+        """
+        instance_pool = self._backends.get_pool(server, server.group)
+        return [pooled.last_used_s for pooled in await instance_pool.close_lost()]
+
     def get_load(
-        self, server: directory.BackendServer, organisation: str
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        allowed_regions: frozenset[str] | None = None,  # noqa: ARG002
     ) -> pool.PoolLoad:
         """Return the load of this host's pool; see `Connector.get_load`."""
         return self._backends.get_pool(server, server.group).get_load(organisation)
@@ -140,9 +176,12 @@
     server: directory.BackendServer,
     organisation: str,
     deadline_s: float,
+    allowed_regions: frozenset[str] | None = None,
 ) -> typing.AsyncIterator[AcquiredConnection]:
     """Acquire a connection and release it at the end of an ``async with`` block."""
-    acquired = await connector.acquire(server, organisation, deadline_s)
+    acquired = await connector.acquire(
+        server, organisation, deadline_s, allowed_regions
+    )
     try:
         yield acquired
     finally:
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -115,8 +115,10 @@
         ------
         steps.FailedError
             If no instance ran the read by the deadline; earlier if the failure is not
-            retryable or the group has had no primary for ``OUTAGE_TIMEOUT_S``.
+            retryable, every instance is excluded, or the group has had no primary for
+            ``OUTAGE_TIMEOUT_S``.
         """
+        context.check_any_eligible(self._components, access)
         read = _ReadRequest(access, session_floor, deadline_s, run, keeps_connection)
         result = await self._run_on_replicas(read)
         return result or await self._run_on_primary(read)
@@ -227,10 +229,11 @@
             eligible,
             group.primary if permit is None else "",
             lambda server: self._components.connector.get_load(
-                server, access.organisation
+                server, access.organisation, access.allowed_regions
             ),
         )
-        return ordered[0] if ordered else None
+        # `min` keeps the order of the policy among warm and among cold instances.
+        return min(ordered, key=lambda server: server.is_cold, default=None)
 
     async def _try_replica(
         self,
@@ -341,8 +344,13 @@
         deadline_s: float,
     ) -> ReadResult:
         """Run a read on one instance; a `floor` is given for replicas only."""
+        # A cold primary may have no token for long; replicas are tried again meanwhile.
+        is_limited = floor is None and server.is_cold
         acquired = await self._components.connector.acquire(
-            server, read.access.organisation, deadline_s
+            server,
+            read.access.organisation,
+            self._get_attempt_deadline_s(deadline_s) if is_limited else deadline_s,
+            read.access.allowed_regions,
         )
         is_handed_over = False
         reply = None
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -23,6 +23,7 @@
 from sedgeswitch.relay import context
 from sedgeswitch.relay import session
 from sedgeswitch.relay import steps
+from sedgeswitch.routing import eligibility
 from sedgeswitch.routing import policies
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
@@ -76,9 +77,16 @@
         self.loses_answers = False
         self.failures = []
         self.ran = []
+        # When each statement arrived, including the beginnings of transactions.
+        self.arrived_s = []
         self.connections = []
         self.connection_limit = 1000
 
+    def restart(self):
+        """Close all connections, as a restart of the instance does."""
+        for connection in self.connections:
+            connection.is_lost = True
+
     def count_open(self):
         return sum(connection.is_open for connection in self.connections)
 
@@ -96,13 +104,19 @@
         self.values = {}
         self.transaction = None
         self.is_open = True
+        self.is_lost = False
         instance.connections.append(self)
 
     @property
     def is_usable(self):
         return self.is_open and self.transaction is None
 
+    @property
+    def is_closed_by_peer(self):
+        return self.is_lost
+
     async def run(self, statement, shape=None, floor=None):
+        self._arrive()
         word = statement.text.split()[0]
         is_write = word == b"WRITE" or (shape is not None and shape.is_write)
         await self._simulate_latency()
@@ -127,6 +141,7 @@
         return self._reply()
 
     async def begin(self, is_read_only, floor=None):
+        self._arrive()
         await self._simulate_latency()
         if self._is_behind(floor):
             return self._reply(sessions.Failure.BEHIND)
@@ -136,6 +151,7 @@
         return self._reply()
 
     async def roll_back(self):
+        self._arrive()
         await self._simulate_latency()
         self.transaction = None
         return self._reply()
@@ -156,6 +172,13 @@
             self.is_open = False
             raise
 
+    def _arrive(self):
+        if self.is_lost:
+            self.is_open = False
+            self.transaction = None
+            raise sessions.ConnectionLostError("closed by the instance")
+        self.instance.arrived_s.append(trio.current_time())
+
     def _is_behind(self, floor):
         return floor is not None and self.instance.position < floor
 
@@ -217,6 +240,7 @@
         names = ("a", "b", "c")
         self.instances = {name: FakeInstance(name, name == "a", self) for name in names}
         self.admitted = []
+        self.restrictions = eligibility.Restrictions()
         self.refusal = None
         self.servers = directory.EntryDirectory()
         for place, name in enumerate(names):
@@ -256,6 +280,7 @@
             startup.StartupTimes(0.0),
             self.admit,
             random.Random(0),
+            lambda: self.restrictions,
         )
 
     def announce(self, name, place, max_connections=20, is_leaving=False):
@@ -265,6 +290,29 @@
         )  # fmt: skip
         self.servers._by_group = {}
 
+    def change_server(self, name, **changes):
+        """Announce an instance with other values, as after an answer of the leader."""
+        servers = self.servers.servers
+        servers[name] = servers[name]._replace(**changes)
+        self.servers._by_group = {}
+        for listener in self.servers._listeners:
+            listener()
+
+    def restrict(self, version=2, database_regions=(), organisation_regions=()):
+        """Put a document in force that limits all databases and the organisation."""
+        document = build_document(version)
+        databases = {
+            name: database._replace(allowed_regions=database_regions)
+            for name, database in document.databases.items()
+        }
+        organisations = {
+            name: organisation._replace(allowed_regions=organisation_regions)
+            for name, organisation in document.organisations.items()
+        }
+        self.put_in_force(
+            build_document(version, databases=databases, organisations=organisations)
+        )
+
     def put_in_force(self, document):
         self.document = document
         answer = messages.Answer(document.version, machine.zlib.compress(b"x"))
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -8,6 +8,7 @@
 from sedgeswitch.drivers import sessions
 from sedgeswitch.groups import table
 from sedgeswitch.relay import access as accesses
+from sedgeswitch.relay import cold_instances
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import reads
@@ -58,6 +59,7 @@
             ``IN_DOUBT`` if the write may have run, otherwise a failure after which it
             has no effect.
         """
+        context.check_any_eligible(self._components, access)
         backoff = context.build_backoff(self._components)
         while True:
             permit = await reads.wait_for_permit(
@@ -65,6 +67,11 @@
             )
             try:
                 reply = await self._run_under_permit(permit, access, deadline_s, run)
+            except cold_instances.ColdInstanceError as error:
+                reply = build_not_run(error.detail)
+                left_s = deadline_s - trio.current_time()
+                if left_s < cold_instances.MIN_RETRY_LEFT_S:
+                    return reply
             except steps.FailedError as error:
                 if not error.is_retryable:
                     raise
@@ -94,7 +101,11 @@
             components.interrupter.interruptible(permit),
         ):
             async with connections.hold_connection(
-                components.connector, server, access.organisation, deadline_s
+                components.connector,
+                server,
+                access.organisation,
+                deadline_s,
+                access.allowed_regions,
             ) as acquired:
                 # The permit may have ended while this write waited for a connection.
                 if not components.groups.is_permit_valid(permit, clocks.get_now_s()):
