--- a/sedgeswitch/relay/cold_instances.py
+++ b/sedgeswitch/relay/cold_instances.py
@@ -372,6 +372,8 @@
         When a token was taken for the first statement; minus infinity for none.
     """
 
+    is_forwarded = False
+
     def __init__(
         self,
         acquired: connections.PooledAcquiredConnection,
