Let pools use a scheduler in place of the fair queue

A pool passes the description of work to a scheduler and limits its running statements to the host's part of the announced slots. A connection of such a pool gives up its slot between the statements of an open transaction. Without a scheduler, nothing changes.

--- a/sedgeswitch/pools/pool.py
+++ b/sedgeswitch/pools/pool.py
@@ -9,6 +9,8 @@
 from sedgeswitch.admission import fair_queue
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import positions
+from sedgeswitch.scheduling import scheduler
+from sedgeswitch.scheduling import work as works
 
 RESET_SQL = "DISCARD ALL"
 RESET_TIMEOUT_S = 2.0
@@ -57,7 +59,7 @@
         by a restart, which closes its connections.
     is_dirty : bool
         Whether the connection may have session state, so that it must be reset.
-    ticket : fair_queue.Ticket or None
+    ticket : fair_queue.Ticket or scheduler.Ticket or None
         Slot of the request that uses the connection.
     last_used_s : float
         Time of trio's clock at which the connection was opened or last released.
@@ -68,7 +70,7 @@
         self.organisation = ""
         self.position: positions.Position | None = None
         self.is_dirty = False
-        self.ticket: fair_queue.Ticket | None = None
+        self.ticket: fair_queue.Ticket | scheduler.Ticket | None = None
         self.last_used_s = now_s
 
     @property
@@ -124,8 +126,9 @@
         organisation and never used for another; otherwise it is reset between
         organisations.
     target : base.Target
-    slots : fair_queue.FairQueue
-        Queue for connections; it has one slot for each connection of the capacity.
+    slots : fair_queue.FairQueue or scheduler.Scheduler
+        Queue for connections; it has one slot for each connection of the capacity. A
+        scheduler also limits the statements that run at the same time.
     capacity : int
         Most connections that may be open.
     settings : PoolSettings
@@ -135,7 +138,7 @@
         self,
         driver: base.Driver,
         target: base.Target,
-        slots: fair_queue.FairQueue,
+        slots: fair_queue.FairQueue | scheduler.Scheduler,
         capacity: int,
         settings: PoolSettings,
     ):
@@ -143,6 +146,8 @@
         self._is_bound_to_user = getattr(driver, "is_bound_to_user", False)
         self._target = target
         self._slots = slots
+        # The queue, if it is a scheduler; only a scheduler takes a description of work.
+        self.scheduler = slots if isinstance(slots, scheduler.Scheduler) else None
         self._settings = settings
         self._idle: list[PooledConnection] = []
         self._connect_s = 0.01
@@ -170,6 +175,14 @@
         self._capacity = capacity
         self._slots.set_slots(capacity, trio.current_time())
 
+    def set_instance_slots(self, slots: int, holders: int) -> None:
+        """Set how many statements the instance runs, and how many hosts share it.
+
+        It has no effect on a pool without a scheduler.
+        """
+        if self.scheduler is not None:
+            self.scheduler.set_instance_slots(slots, holders, trio.current_time())
+
     async def close_surplus(self) -> None:
         """Close idle connections beyond the capacity."""
         while self._idle and self._open > self._capacity:
@@ -202,7 +215,9 @@
             self._connect_s,
         )
 
-    async def acquire(self, organisation: str, deadline_s: float) -> PooledConnection:
+    async def acquire(
+        self, organisation: str, deadline_s: float, work: works.Work | None = None
+    ) -> PooledConnection:
         """Return a connection for an organisation, without state of earlier users.
 
         Parameters
@@ -210,6 +225,8 @@
         organisation : str
         deadline_s : float
             Time of trio's clock at which the wait ends.
+        work : work.Work, optional
+            Description of the work, for a scheduler.
 
         Raises
         ------
@@ -219,7 +236,12 @@
         pooled = None
         while pooled is None:
             now_s = trio.current_time()
-            ticket = await self._slots.acquire(organisation, deadline_s, now_s)
+            if self.scheduler is None:
+                ticket = await self._slots.acquire(organisation, deadline_s, now_s)
+            else:
+                ticket = await self.scheduler.acquire(
+                    organisation, deadline_s, now_s, work
+                )
             try:
                 pooled = await self._prepare(organisation, deadline_s)
             finally:
@@ -227,6 +249,9 @@
                     self._slots.release(ticket, trio.current_time(), is_observed=False)
         pooled.organisation = organisation
         pooled.ticket = ticket
+        if self.scheduler is not None and pooled.last_used_s > ticket.started_s:
+            # The connection was opened for this request.
+            self.scheduler.mark_ready(ticket, pooled.last_used_s)
         return pooled
 
     async def acquire_idle(self) -> PooledConnection | None:
--- a/sedgeswitch/relay/access.py
+++ b/sedgeswitch/relay/access.py
@@ -32,6 +32,8 @@
         Idle time after which an open transaction is rolled back, in seconds.
     allowed_regions : frozenset of str or None
         Regions in which the operation's statements may run; None for all.
+    organisation_priority : int
+        0 is the highest, also for a caller without an organisation.
     """
 
     database: documents.Database
@@ -40,6 +42,7 @@
     version: int
     transaction_idle_s: float
     allowed_regions: frozenset[str] | None = None
+    organisation_priority: int = 0
 
 
 def check_access(
@@ -84,6 +87,7 @@
         organisation is not None,
         document.version,
         document.transaction_idle_s,
+        organisation_priority=0 if organisation is None else organisation.priority,
     )
 
 
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -10,6 +10,8 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import steps
+from sedgeswitch.scheduling import connections as scheduled_connections
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.statements import backends as statement_backends
 
 PUBLIC_ORGANISATION = "public"
@@ -51,10 +53,16 @@
     """Acquires connections to instances."""
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        work: works.Work | None = None,
     ) -> AcquiredConnection:
         """Acquire a connection to an instance on behalf of an organisation.
 
+        `work` describes what it is for; None if statements are not scheduled.
+
         Raises
         ------
         steps.FailedError
@@ -81,6 +89,10 @@
         self._pool = instance_pool
         self._pooled = pooled
         self.connection: sessions.SessionConnection = pooled.connection
+        if instance_pool.scheduler is not None:
+            self.connection = scheduled_connections.ScheduledConnection(
+                pooled.connection, instance_pool.scheduler, pooled.ticket
+            )
 
     async def release(self, is_observed: bool = True) -> None:
         """Return the connection to its pool, which closes it if it is not usable."""
@@ -106,12 +118,16 @@
         self._backends = backends
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        work: works.Work | None = None,
     ) -> PooledAcquiredConnection:
         """Acquire a pooled connection; see `Connector.acquire`."""
         instance_pool = self._backends.get_pool(server, server.group)
         try:
-            pooled = await instance_pool.acquire(organisation, deadline_s)
+            pooled = await instance_pool.acquire(organisation, deadline_s, work)
         except verdicts.RefusedError as error:
             refusal = error.refusal
             raise steps.FailedError(
@@ -135,9 +151,10 @@
     server: directory.BackendServer,
     organisation: str,
     deadline_s: float,
+    work: works.Work | None = None,
 ) -> typing.AsyncIterator[AcquiredConnection]:
     """Acquire a connection and release it at the end of an ``async with`` block."""
-    acquired = await connector.acquire(server, organisation, deadline_s)
+    acquired = await connector.acquire(server, organisation, deadline_s, work)
     try:
         yield acquired
     finally:
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -22,6 +22,7 @@
 from sedgeswitch.relay import freshness
 from sedgeswitch.relay import steps
 from sedgeswitch.routing import eligibility
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.utils import backoff
@@ -64,6 +65,8 @@
     get_restrictions : callable
         Returns the restrictions of all statements that are in force on this host;
         `build_restrictions` adds those of one operation.
+    is_scheduling : bool
+        Whether statements are scheduled by class and urgency.
     """
 
     databases: database_sections.EntrySection
@@ -80,6 +83,7 @@
     get_restrictions: collections.abc.Callable[[], eligibility.Restrictions] = (
         eligibility.Restrictions
     )
+    is_scheduling: bool = False
 
 
 class LocalObservations:
@@ -192,6 +196,31 @@
     )
 
 
+def build_work(
+    components: Components, access: accesses.Access, kind: works.Kind, deadline_s: float
+) -> works.Work | None:
+    """Return the description of an operation, None if statements are not scheduled.
+
+    Parameters
+    ----------
+    components : Components
+    access : access.Access
+    kind : work.Kind
+    deadline_s : float
+        End of the operation's statement timeout, on trio's clock.
+    """
+    if not components.is_scheduling:
+        return None
+    database = access.database
+    started_s = deadline_s - database.statement_timeout_s
+    return works.build_work(
+        kind,
+        database.priority,
+        access.organisation_priority,
+        started_s + database.target_latency_s,
+    )
+
+
 def get_primary_server(
     components: Components, permit: table.WritePermit, access: accesses.Access
 ) -> directory.BackendServer:
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -15,6 +15,7 @@
 from sedgeswitch.relay import context
 from sedgeswitch.relay import steps
 from sedgeswitch.routing import eligibility
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.utils import clocks
 
 # Share of the remaining time of a read that one attempt may take before the read is
@@ -281,8 +282,10 @@
         deadline_s: float,
     ) -> ReadResult:
         """Run a read on one instance; a `floor` is given for replicas only."""
+        kind = works.Kind.TRANSACTION if read.keeps_connection else works.Kind.READ
+        work = context.build_work(self._components, read.access, kind, read.deadline_s)
         acquired = await self._components.connector.acquire(
-            server, read.access.organisation, deadline_s
+            server, read.access.organisation, deadline_s, work
         )
         is_handed_over = False
         reply = None
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -12,6 +12,7 @@
 from sedgeswitch.relay import context
 from sedgeswitch.relay import reads
 from sedgeswitch.relay import steps
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.utils import clocks
 
 # Failures after which the write has not run, so that it may be sent again.
@@ -87,6 +88,7 @@
     ) -> sessions.Reply:
         components = self._components
         server = context.get_primary_server(components, permit, access)
+        work = context.build_work(components, access, works.Kind.WRITE, deadline_s)
         is_sent = False
         reply = None
         with (
@@ -94,7 +96,7 @@
             components.interrupter.interruptible(permit),
         ):
             async with connections.hold_connection(
-                components.connector, server, access.organisation, deadline_s
+                components.connector, server, access.organisation, deadline_s, work
             ) as acquired:
                 # The permit may have ended while this write waited for a connection.
                 if not components.groups.is_permit_valid(permit, clocks.get_now_s()):
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -11,6 +11,7 @@
 from sedgeswitch.pools import shares
 from sedgeswitch.routing import candidates
 from sedgeswitch.routing import policies
+from sedgeswitch.scheduling import scheduler
 from sedgeswitch.utils import records
 
 # Assumed network round trips to backend servers, in seconds.
@@ -22,7 +23,7 @@
 # that opening a connection takes.
 SCARCE_IDLE_TIMEOUT_S = 0.25
 
-BuildSlots = collections.abc.Callable[[int], fair_queue.FairQueue]
+BuildSlots = collections.abc.Callable[[int], fair_queue.FairQueue | scheduler.Scheduler]
 GetLoad = collections.abc.Callable[[directory.BackendServer], pool.PoolLoad]
 
 
@@ -165,6 +166,7 @@
             entry = self._pools[target] = _PoolEntry(
                 instance_pool, server.max_connections
             )
+            self._limit_statements(target.instance, instance_pool)
         elif entry.max_connections != server.max_connections:
             entry = self._pools[target] = _PoolEntry(
                 entry.instance_pool, server.max_connections
@@ -314,6 +316,19 @@
                 target, entry.max_connections, divisor
             )
             entry.instance_pool.set_capacity(capacity)
+            self._limit_statements(target.instance, entry.instance_pool)
+
+    def _limit_statements(
+        self, instance: str, instance_pool: pool.InstancePool
+    ) -> None:
+        """Limit the running statements of a pool to this host's part of the slots."""
+        server = self._servers.servers.get(instance)
+        if instance_pool.scheduler is None or server is None:
+            return
+        holders = self.share.divisor
+        if self._get_holding is not None:
+            holders = self._get_holding(instance).divisor
+        instance_pool.set_instance_slots(server.slots, holders)
 
     def _is_within_share(self, divisor: int) -> bool:
         return all(
