Send the urgency of forwarded statements and return the holder's load

Holders schedule forwarded statements by the fields of the request, and answer with the load of the instance. A caller's host refuses a statement that the reported backlog delays beyond its deadline, so that a read tries another replica and no hop is lost.

17 tests of forwarding.tests.test_scheduling pass, among them that messages and queues are as before without scheduling; tests of forwarding pass.

--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -21,6 +21,8 @@
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import steps
+from sedgeswitch.scheduling import backlogs
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.statements import backends
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
@@ -43,6 +45,8 @@
 # A statement that is forwarded needs no free connection at this host.
 _UNLIMITED_CAPACITY = 1_000_000
 _MS_PER_S = 1000
+# Largest time to a target that is sent, in seconds.
+_MAX_TARGET_S = 86_400.0
 
 
 class Options(typing.NamedTuple):
@@ -55,11 +59,15 @@
         Connections of each instance that are not divided among its holders.
     get_transaction_idle_s : callable
         Returns the time after which an idle transaction is rolled back, in seconds.
+    is_scheduling : bool
+        Whether statements that a holder's backlog delays beyond their deadline are
+        refused here.
     """
 
     host_id: str
     reserved_connections: int
     get_transaction_idle_s: collections.abc.Callable[[], float]
+    is_scheduling: bool = False
 
 
 class Forwarder:
@@ -89,6 +97,7 @@
         self._hosts = hosts
         self._local = local
         self._delays = delays.ServiceDelays()
+        self._backlogs = backlogs.Backlogs() if options.is_scheduling else None
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -107,17 +116,24 @@
         return backends.Holding(0)
 
     async def acquire(
-        self, server: directory.BackendServer, organisation: str, deadline_s: float
+        self,
+        server: directory.BackendServer,
+        organisation: str,
+        deadline_s: float,
+        work: works.Work | None = None,
     ) -> connections.AcquiredConnection:
         """Acquire a connection; see `connections.Connector.acquire`.
 
-        A forwarded connection is acquired by the holder, with the first statement.
+        A forwarded connection is acquired by the holder, with the first statement. It
+        is refused here if the holder has reported a backlog that is too long.
         """
         host_id = self._choose_host(server, organisation, clocks.get_now_s())
         if host_id == self._options.host_id:
-            return await self._local.acquire(server, organisation, deadline_s)
+            return await self._local.acquire(server, organisation, deadline_s, work)
         await trio.lowlevel.checkpoint()
-        return ForwardedConnection(self, host_id, server, organisation)
+        if self._backlogs is not None and work is not None:
+            self._check_backlog(server.instance, host_id, work, deadline_s)
+        return ForwardedConnection(self, host_id, server, organisation, work)
 
     def get_load(
         self, server: directory.BackendServer, organisation: str
@@ -149,6 +165,9 @@
         if not isinstance(answer, messages.ForwardAnswer):
             raise sessions.ConnectionLostError(f"malformed answer of {host_id}")
         self._record_answer(request.instance, answer)
+        if self._backlogs is not None and answer.load is not None:
+            now_s = trio.current_time()
+            self._backlogs.record(request.instance, host_id, answer.load, now_s)
         return answer
 
     def discard(self, host_id: str, request: messages.ForwardRequest) -> None:
@@ -180,6 +199,20 @@
                 return host_id
         return own_id
 
+    def _check_backlog(
+        self, instance: str, host_id: str, work: works.Work, deadline_s: float
+    ) -> None:
+        retry_after_ms = self._backlogs.find_retry_after_ms(
+            instance, host_id, work, deadline_s, trio.current_time()
+        )
+        if retry_after_ms is not None:
+            exposition.FORWARDS.labels("refused_by_backlog").inc()
+            raise steps.FailedError(
+                sessions.Failure.OVERLOADED,
+                f"{instance}: overloaded, the backlog of {host_id} passes the deadline;"
+                f" retry after {retry_after_ms} ms",
+            )
+
     def _build_location(self, server: directory.BackendServer) -> placement.Location:
         shared = server.max_connections - self._options.reserved_connections
         return placement.Location(
@@ -209,6 +242,7 @@
         host_id: str,
         server: directory.BackendServer,
         organisation: str,
+        work: works.Work | None = None,
     ):
         self.server = server
         self.connection = self
@@ -216,6 +250,7 @@
         self._forwarder = forwarder
         self._host_id = host_id
         self._organisation = organisation
+        self._work = work
         self._values: dict[bytes, bytes] = {}
         self._sent_values: dict[bytes, bytes] = {}
         # Id of the transaction that the holder keeps a connection for, if any.
@@ -300,6 +335,8 @@
         margin_s = min(margin_s, MAX_MARGIN_SHARE * left_s)
         request = self._build_request(operation, left_s - margin_s)
         request.transaction = self._transaction
+        if self._work is not None and not self._is_in_transaction:
+            _describe_work(request, self._work, trio.current_time())
         if not self._is_in_transaction or self._values != self._sent_values:
             request.session_values = self._values or None
             self._sent_values = self._values
@@ -341,6 +378,18 @@
         return reply
 
 
+def _describe_work(
+    request: messages.ForwardRequest, work: works.Work, now_s: float
+) -> None:
+    """Set the fields of a request from which the holder schedules it."""
+    request.priority = work.priority
+    request.organisation_priority = work.organisation_priority
+    # Clipped to a day, which an i32 holds.
+    left_s = min(max(work.target_s - now_s, -_MAX_TARGET_S), _MAX_TARGET_S)
+    request.target_ms = round(left_s * _MS_PER_S)
+    request.is_write = work.kind is works.Kind.WRITE or None
+
+
 def _build_call_failure(
     host_id: str, error: failures.CallError
 ) -> steps.FailedError | sessions.ConnectionLostError:
--- a/sedgeswitch/forwarding/holder.py
+++ b/sedgeswitch/forwarding/holder.py
@@ -13,6 +13,7 @@
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import context
 from sedgeswitch.relay import steps
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.utils import clocks
 
 # Added to the idle timeout of a transaction, in seconds. The caller's host normally
@@ -111,6 +112,8 @@
         finally:
             self._running -= 1
         answer.service_ms = round((trio.current_time() - started_s) * _MS_PER_S)
+        if self._components.is_scheduling:
+            answer.load = self._build_load(request.instance)
         exposition.HELD.labels(_OUTCOME_LABELS[answer.outcome]).inc()
         if answer.outcome != messages.Outcome.ANSWERED:
             self._log_failure(request, answer)
@@ -191,8 +194,10 @@
                 answer = await self._run_bound(
                     request.transaction, transaction, request, deadline_s
                 )
+        except steps.FailedError as error:
+            answer = _build_refusal(error)
         finally:
-            if answer is None:
+            if answer is None or answer.outcome == messages.Outcome.NOT_RUN:
                 await self._discard(request.transaction)
         return answer or _build_no_answer("the caller's host discarded the transaction")
 
@@ -241,8 +246,28 @@
             raise _HolderUnavailableError(
                 f"{request.instance} is not announced to the holder"
             )
+        work = _build_work(request, deadline_s) if components.is_scheduling else None
         return await components.connector.acquire(
-            server, request.organisation, deadline_s
+            server, request.organisation, deadline_s, work
+        )
+
+    def _build_load(self, instance: str) -> messages.InstanceLoad | None:
+        """Return the load of an instance at this host, None if it is not announced."""
+        backends = self._components.backends
+        server = backends.get_server(instance)
+        if server is None:
+            return None
+        scheduler = backends.get_pool(server, server.group).scheduler
+        if scheduler is None:
+            return None
+        limit = scheduler.limit
+        return messages.InstanceLoad(
+            slots=limit.slots,
+            running=scheduler.running_statements,
+            waiting=scheduler.waiting,
+            holders=limit.holders,
+            service_ms=max(round(scheduler.service_s * _MS_PER_S), 1),
+            waiting_by_priority=scheduler.get_waiting_by_priority() or None,
         )
 
     async def _send(
@@ -307,6 +332,23 @@
         super().__init__(sessions.Failure.OVERLOADED, detail, is_retryable=True)
 
 
+def _build_work(request: messages.ForwardRequest, deadline_s: float) -> works.Work:
+    """Return the description of forwarded work.
+
+    A host of an earlier release sends no priority and no target: its work is of the
+    highest class, as priorities are by default, and due by its deadline.
+    """
+    kind = works.Kind.WRITE if request.is_write else works.Kind.READ
+    if request.operation == messages.Operation.BEGIN:
+        kind = works.Kind.TRANSACTION
+    target_s = deadline_s
+    if request.target_ms is not None:
+        target_s = trio.current_time() + request.target_ms / _MS_PER_S
+    return works.build_work(
+        kind, request.priority or 0, request.organisation_priority or 0, target_s
+    )
+
+
 async def _send_operation(
     connection: sessions.SessionConnection, request: messages.ForwardRequest
 ) -> sessions.Reply:
--- a/sedgeswitch/forwarding/messages.py
+++ b/sedgeswitch/forwarding/messages.py
@@ -9,3 +9,4 @@
 AdmitAnswer = catalog.register_message(113, ttypes.AdmitAnswer)
 Operation = ttypes.Operation
 Outcome = ttypes.Outcome
+InstanceLoad = ttypes.InstanceLoad
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -21,6 +21,8 @@
 from sedgeswitch.relay import session
 from sedgeswitch.relay.tests import builders as relay_builders
 from sedgeswitch.routing import policies
+from sedgeswitch.scheduling import host as host_scheduling
+from sedgeswitch.scheduling import orders
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.transport import catalog
@@ -55,6 +57,7 @@
         handler = host.home.answer
         if isinstance(request, messages.ForwardRequest):
             fleet.calls.append((self._own_id, host_id, request.operation))
+            fleet.requests.append(request)
             handler = host.holder.answer
         answer = None
         with trio.move_on_after(timeout_s):
@@ -66,6 +69,7 @@
                 raise failures.CallError(
                     "connection_lost", host_id, verdicts.Verdict.MAY_HAVE_RUN
                 )
+            fleet.answers.append(answer)
             await trio.sleep(LINK_DELAY_S)
         if answer is None:
             raise failures.CallError("timeout", host_id, verdicts.Verdict.MAY_HAVE_RUN)
@@ -75,13 +79,21 @@
 class Host:
     """One entry host; its sessions use the instances of the world."""
 
-    def __init__(self, fleet, member):
+    def __init__(self, fleet, member, is_scheduling=False):
         world = fleet.world
         self.member = member
+        self.decisions = decisions.DecisionLog()
+        self.scheduling = host_scheduling.HostScheduling(
+            orders.DEFAULT_ORDER, 100, self.decisions.note
+        )
         self.backends = backends.Backends(
             world.servers,
             relay_builders.FakeDriver(world),
-            lambda capacity: fair_queue.FairQueue(capacity, 100),
+            (
+                self.scheduling.build
+                if is_scheduling
+                else lambda capacity: fair_queue.FairQueue(capacity, 100)
+            ),
             lambda server: False,
             backends.BackendOptions(
                 member.availability_zone,
@@ -98,7 +110,9 @@
         self.placement = placement.Placement(REGIONS)
         self.hosts = host_calls.HostCalls(FakePeers(fleet, member.host_id))
         self.forwarder = forwarder.Forwarder(
-            forwarder.Options(member.host_id, RESERVED_CONNECTIONS, lambda: 3.0),
+            forwarder.Options(
+                member.host_id, RESERVED_CONNECTIONS, lambda: 3.0, is_scheduling
+            ),
             self.placement,
             self.hosts,
             connections.PoolConnector(self.backends),
@@ -122,10 +136,11 @@
             self.forwarder,
             interruption.Interrupter(world.groups),
             context.LocalObservations(world.groups),
-            decisions.DecisionLog(),
+            self.decisions,
             startup.StartupTimes(0.0),
             self.admission.admit,
             random.Random(2),
+            is_scheduling=is_scheduling,
         )
         local = connections.PoolConnector(self.backends)
         self.holder = holder.Holder(self.components._replace(connector=local))
@@ -160,21 +175,27 @@
     ----------
     calls : list of (str, str, int)
         Caller's host, holder and operation of each forwarded request.
+    requests, answers : list
+        Messages of the forwarded requests and of all answers.
     dead, frozen, loses_answers : set of str
         Hosts that refuse connections, that do not answer, and whose connection is lost
         after they have run a request.
     """
 
-    def __init__(self, zones=("bagmati",) * 4, max_connections=20):
+    def __init__(self, zones=("bagmati",) * 4, max_connections=20, is_scheduling=False):
         self.world = relay_builders.World(max_connections)
         self.calls = []
+        self.requests = []
+        self.answers = []
         self.dead = set()
         self.frozen = set()
         self.loses_answers = set()
         members = [
             build_member(f"host-{number}", zone) for number, zone in enumerate(zones)
         ]
-        self.hosts = {member.host_id: Host(self, member) for member in members}
+        self.hosts = {
+            member.host_id: Host(self, member, is_scheduling) for member in members
+        }
         self.set_members(members)
 
     def set_members(self, members):
