Switch scheduling on by the platform's contract

The adapter sets the product setting 'scheduling' if its settings name the contract 'pressure'; without it, pools keep the fair queue. Gauges of each class are shown only with scheduling.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -35,6 +35,8 @@
 from sedgeswitch.relay import probes
 from sedgeswitch.relay import session
 from sedgeswitch.routing import policies
+from sedgeswitch.scheduling import host as host_scheduling
+from sedgeswitch.scheduling import scheduler
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.transport import peer
@@ -72,6 +74,9 @@
         How far organisations may exceed their limits.
     region_by_zone : mapping of str to str
         Region of each availability zone.
+    scheduling : str, optional
+        Registered order in which statements are started where slots are scarce; see
+        `scheduling.orders`. None for a queue that is fair between organisations.
     """
 
     host_id: str
@@ -82,6 +87,7 @@
     groups: groups_settings.GroupSettings
     tolerance: relay_groups.Tolerance
     region_by_zone: collections.abc.Mapping[str, str]
+    scheduling: str | None = None
 
 
 class RelayEntry(entry_core.EntryCore):
@@ -126,6 +132,12 @@
         self._entry_peers = entry_peers.EntryPeers()
         self._hosts = host_calls.HostCalls(self._entry_peers)
         self._placement = placement.Placement(options.region_by_zone)
+        self._decisions = decisions.DecisionLog()
+        self._scheduling: host_scheduling.HostScheduling | None = None
+        if options.scheduling is not None:
+            self._scheduling = host_scheduling.HostScheduling(
+                options.scheduling, MAX_QUEUE_LENGTH, self._decisions.note
+            )
         self.backends = self._build_backends(driver, rng)
         self.forwarder = self._build_forwarder()
         admit_locally = fleet.FleetAdmission(self.host_limiter).admit
@@ -150,7 +162,7 @@
             self.forwarder,
             interruption.Interrupter(self.groups),
             local_observations,
-            decisions.DecisionLog(),
+            self._decisions,
             self._startup_times,
             home_admission.HomeAdmission(
                 options.host_id,
@@ -160,6 +172,7 @@
                 admit_locally,
             ).admit,
             rng,
+            is_scheduling=options.scheduling is not None,
         )
         self.holder = holder.Holder(
             self._components._replace(
@@ -208,7 +221,7 @@
         """Return the current values of the gauges, by name."""
         now_s = clocks.get_now_s()
         loads = self.backends.get_loads().values()
-        return {
+        gauges = {
             "lease_left_s": max(self.heartbeat_client.lease_until_s - now_s, 0.0),
             "configuration_version": self.databases.document.version,
             "configuration_age_s": self.databases.get_age_s(now_s),
@@ -220,6 +233,9 @@
             "transactions_held": self.holder.open_transactions,
             "hosts_unavailable": self._hosts.count_unavailable(),
         }
+        if self._scheduling is not None:
+            gauges |= self._scheduling.get_gauges(trio.current_time())
+        return gauges
 
     def _build_backends(
         self, driver: typing.Any, rng: random.Random
@@ -236,19 +252,25 @@
         return backends.Backends(
             self.directory,
             typing.cast(base.Driver, driver),
-            lambda capacity: fair_queue.FairQueue(capacity, MAX_QUEUE_LENGTH),
+            self._build_slots,
             lambda server: False,  # noqa: ARG005
             options,
             rng,
             self._get_holding,
         )
 
+    def _build_slots(self, capacity: int) -> fair_queue.FairQueue | scheduler.Scheduler:
+        if self._scheduling is None:
+            return fair_queue.FairQueue(capacity, MAX_QUEUE_LENGTH)
+        return self._scheduling.build(capacity)
+
     def _build_forwarder(self) -> forwarder.Forwarder:
         return forwarder.Forwarder(
             forwarder.Options(
                 self._options.host_id,
                 RESERVED_CONNECTIONS,
                 lambda: self.databases.document.transaction_idle_s,
+                self._options.scheduling is not None,
             ),
             self._placement,
             self._hosts,
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -231,6 +231,7 @@
             GROUP_SETTINGS,
             settings.tolerance,
             settings.region_by_zone,
+            settings.scheduling,
         )
         serving = server.Server()
         self._entry = relay_entry.RelayEntry(
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -8,11 +8,14 @@
 import msgspec
 
 from sedgeswitch.daemon import relay_groups
+from sedgeswitch.scheduling import orders
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import checks
 
 PATH_VARIABLE = "SEDGESWITCH_NODE_FILE"
 MAX_PORT = 65535
+# Value in the platform's field ``contracts`` that asks for scheduling by priority.
+CONTRACT_PRESSURE = "pressure"
 # Values of the platform's field ``serves``.
 SERVES_CLIENTS = "front"
 SERVES_CONTROL = "control"
@@ -70,6 +73,8 @@
     bounds: typing.NotRequired[_Bounds]
     faultTolerance: typing.NotRequired[_Tolerance]
     cloudApi: typing.NotRequired[_CloudApi | None]
+    # Names of the features that the platform relies on.
+    contracts: typing.NotRequired[list[str] | None]
 
 
 class PlatformSettings(typing.NamedTuple):
@@ -108,6 +113,9 @@
     catch_up_s : float
         Time after its start at which the successor of a lost control host must be able
         to stand in for it.
+    scheduling : str or None
+        Order in which statements are started where slots are scarce; see
+        `scheduling.orders`. None if the platform does not ask for scheduling.
     """
 
     host_name: str
@@ -128,6 +136,7 @@
     tolerance: relay_groups.Tolerance
     tolerated_losses: int
     catch_up_s: float
+    scheduling: str | None = None
 
     @property
     def voter_count(self) -> int:
@@ -235,6 +244,11 @@
         ),
         tolerated_losses=document.get("faultTolerance", {}).get("machines", 1),
         catch_up_s=bounds.get("catchUpS", _DEFAULT_CATCH_UP_S),
+        scheduling=(
+            orders.DEFAULT_ORDER
+            if CONTRACT_PRESSURE in (document.get("contracts") or ())
+            else None
+        ),
     )
 
 
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -12,6 +12,7 @@
 from sedgeswitch.platform import documents
 from sedgeswitch.platform import settings
 from sedgeswitch.platform.tests import builders
+from sedgeswitch.scheduling import orders
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import checks
@@ -172,6 +173,15 @@
                 loaded = self.load(bounds={"catchUpS": catch_up_s})
                 self.assertAlmostEqual(limit_s, loaded.unresponsive_limit_s)
 
+    def test_contract_switches_scheduling_on(self):
+        """An old settings file, or other contracts, must leave the queue as it is."""
+        for contracts in (None, [], ["evacuation"]):
+            with self.subTest(contracts):
+                self.assertIsNone(self.load(contracts=contracts).scheduling)
+        self.assertIsNone(self.load().scheduling)
+        loaded = self.load(contracts=["evacuation", "pressure"])
+        self.assertEqual(orders.DEFAULT_ORDER, loaded.scheduling)
+
     def test_invalid_settings_raise(self):
         for changes in ({"ip": 3}, {"seeds": ["x"]}, {"internalPorts": "7560"}):
             with self.subTest(changes), self.assertRaises(checks.CheckError):
