Refuse late statements first when the queue is full

Late statements that nobody has time to serve kept out newer ones that could still be on time. The last statement of the longest flow is now a late one, if it has any.

62 tests of scheduling, pools.tests.test_pool (25 random runs also with a scheduler) and forwarding.tests.test_scheduling pass.

--- a/sedgeswitch/pools/tests/builders.py
+++ b/sedgeswitch/pools/tests/builders.py
@@ -10,6 +10,7 @@
 from sedgeswitch.drivers import base
 from sedgeswitch.pools import pool
 from sedgeswitch.pools import transactions
+from sedgeswitch.scheduling import scheduler
 
 TARGET = base.Target("10.0.0.1", 5432, "lots")
 
@@ -118,8 +119,9 @@
         await trio.sleep(self.server.close_s)
 
 
-def build_pool(server, capacity=3, queue=100):
-    slots = fair_queue.FairQueue(max(capacity, 1), queue)
+def build_pool(server, capacity=3, queue=100, is_scheduling=False):
+    build_queue = scheduler.Scheduler if is_scheduling else fair_queue.FairQueue
+    slots = build_queue(max(capacity, 1), queue)
     return pool.InstancePool(server, TARGET, slots, capacity, pool.PoolSettings())
 
 
--- a/sedgeswitch/pools/tests/test_pool.py
+++ b/sedgeswitch/pools/tests/test_pool.py
@@ -8,12 +8,15 @@
 from sedgeswitch import verdicts
 from sedgeswitch.drivers import base
 from sedgeswitch.pools.tests import builders
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.utils.tests import virtual_time
 
 ORGANISATIONS = ("ward-4", "ward-7", "")
 
 
 class RandomCancellationTest(unittest.TestCase):
+    is_scheduling = False
+
     def test_counts_of_slots_and_connections_stay_right_after_cancellation(self):
         for seed in range(25):
             with self.subTest(seed=seed):
@@ -22,7 +25,7 @@
     async def _run_faults(self, seed):
         rng = random.Random(seed)
         server = builders.FakeServer(rng, failure_share=0.05)
-        instance_pool = builders.build_pool(server)
+        instance_pool = builders.build_pool(server, is_scheduling=self.is_scheduling)
         table = builders.build_table(rng)
 
         async def use(organisation, timeout_s):
@@ -59,7 +62,11 @@
         self.assertEqual(server.concurrent_statements, [])
 
     async def _use_once(self, instance_pool, organisation):
-        pooled = await instance_pool.acquire(organisation, trio.current_time() + 0.5)
+        now_s = trio.current_time()
+        work = None
+        if self.is_scheduling:
+            work = works.build_work(works.Kind.READ, 1, 0, now_s + 0.2)
+        pooled = await instance_pool.acquire(organisation, now_s + 0.5, work)
         try:
             inner = pooled.connection
             self.assertIn(inner.user, (None, organisation))
@@ -79,6 +86,12 @@
             await table.close(transaction)
 
 
+class RandomCancellationWithSchedulerTest(RandomCancellationTest):
+    """The same runs with a scheduler, which also limits running statements."""
+
+    is_scheduling = True
+
+
 class ReuseTest(unittest.TestCase):
     def _run(self, sqls, organisations):
         """Return the connections that the organisations got in turn, and all SQL."""
--- a/sedgeswitch/scheduling/scheduler.py
+++ b/sedgeswitch/scheduling/scheduler.py
@@ -155,12 +155,15 @@
             late.popleft()
         return late[0] if late else None
 
-    def get_newest(self) -> Ticket:
-        """Return the ticket that arrived last."""
-        tickets = [ticket for _, _, ticket in self._pending]
-        tickets += self._late
-        waiting = [ticket for ticket in tickets if ticket.state is State.WAITING]
-        return max(waiting, key=lambda ticket: ticket.number)
+    def get_last(self, now_s: float) -> Ticket:
+        """Return the ticket that would start last: the newest late one, if any."""
+        self.get_head(now_s)
+        pending = [ticket for _, _, ticket in self._pending]
+        for tickets in (self._late, pending):
+            waiting = [ticket for ticket in tickets if ticket.state is State.WAITING]
+            if waiting:
+                return max(waiting, key=lambda ticket: ticket.number)
+        raise LookupError(f"no statement of {self.organisation} waits")
 
 
 class _Class:
@@ -599,7 +602,7 @@
         """Refuse another statement, so that a new one can wait.
 
         The lowest class that has more than its guaranteed part of the queue loses the
-        newest statement of its longest flow.
+        last statement of its longest flow.
 
         Raises
         ------
@@ -621,13 +624,21 @@
             own.flows[key].size for key in own.flows if key[0] == ticket.organisation
         )
         longest = max((flow.size for flow in own.flows.values()), default=0)
-        if length + 1 >= longest:
+        own_flow = own.flows.get(
+            (ticket.organisation, ticket.work.kind is works.Kind.TRANSACTION)
+        )
+        last = None if own_flow is None else own_flow.get_last(now_s)
+        if length + 1 < longest:
+            self._evict(own, now_s)
+        elif last is not None and last.latest_start_s < now_s <= ticket.latest_start_s:
+            # The organisation's own late statement makes room for one in time.
+            self._refuse(last, "the queue is full", now_s)
+        else:
             raise self._build_refusal(ticket, "the queue is full", now_s)
-        self._evict(own, now_s)
 
     def _evict(self, item: _Class, now_s: float) -> None:
         longest = max(item.flows.values(), key=lambda flow: flow.size)
-        self._refuse(longest.get_newest(), "the queue is full", now_s)
+        self._refuse(longest.get_last(now_s), "the queue is full", now_s)
 
     def _dispatch(self, now_s: float) -> None:
         """Start waiting statements while there are slots and connections."""
--- a/sedgeswitch/scheduling/tests/test_scheduler.py
+++ b/sedgeswitch/scheduling/tests/test_scheduler.py
@@ -332,6 +332,21 @@
 
         run(body, slots=1, capacity=10)
 
+    def test_full_queue_refuses_late_statement_before_one_in_time(self):
+        """Late statements must not keep those out that can still be on time."""
+
+        async def body(caller):
+            await caller.request("running")
+            for name, target_s in (("late", 0.05), ("in time", 5.0), ("newer", 5.0)):
+                await caller.request(name, target_s=target_s, timeout_s=60.0)
+            await trio.sleep(0.1)
+            await caller.request("newest", target_s=5.0, timeout_s=60.0)
+            self.assertEqual(["late"], list(caller.refusals))
+            await caller.request("one more", target_s=5.0, timeout_s=60.0)
+            self.assertEqual(["late", "one more"], list(caller.refusals))
+
+        run(body, slots=1, capacity=3)
+
     def test_retry_after_is_spread_and_shortest_for_longest_waiting(self):
         """Retries of one moment that arrive together meet the same backlog again."""
         times = retries.RetryTimes()
