Log refusals of the scheduler without a clash of names

A field named 'kind' is the first argument of DecisionLog.note too, so that each logged refusal raised TypeError. The field is named 'work'. New tests: what is counted and logged, a burst through a fleet with its decision log, and fleets in which only some hosts schedule.

--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -194,10 +194,17 @@
             build_member(f"host-{number}", zone) for number, zone in enumerate(zones)
         ]
         self.hosts = {
-            member.host_id: Host(self, member, is_scheduling) for member in members
+            member.host_id: Host(
+                self, member, self._is_scheduling(member, is_scheduling)
+            )
+            for member in members
         }
         self.set_members(members)
 
+    def _is_scheduling(self, member, setting):
+        """Return whether a host schedules; a setting may name those that do."""
+        return setting if isinstance(setting, bool) else member.host_id in setting
+
     def set_members(self, members):
         for host in self.hosts.values():
             host.set_members(members)
--- a/sedgeswitch/forwarding/tests/test_scheduling.py
+++ b/sedgeswitch/forwarding/tests/test_scheduling.py
@@ -173,6 +173,33 @@
         run_in_fleet(body)
 
 
+class MixedFleetTest(unittest.TestCase):
+    """During an upgrade some hosts schedule and others do not."""
+
+    def test_all_hosts_serve_statements_and_transactions_of_all_others(self):
+        async def body(fleet):
+            for host in fleet.hosts.values():
+                for database in ("primary", "bounded"):
+                    session = host.build_session(database)
+                    outcomes = await run_texts(
+                        session,
+                        b"READ x",
+                        b"WRITE x 1",
+                        b"BEGIN",
+                        b"WRITE x 2",
+                        b"READ x",
+                        b"COMMIT",
+                        b"BEGIN READ",
+                        b"READ x",
+                        b"ROLLBACK",
+                    )
+                    self.assertEqual([None] * 9, list_failures(outcomes))
+
+        for scheduling in (("host-0", "host-1"), ("host-2", "host-3"), ("host-1",)):
+            with self.subTest(scheduling):
+                run_in_fleet(body, is_scheduling=scheduling)
+
+
 class BacklogTest(unittest.TestCase):
     def build_load(self, **changes):
         values = {
@@ -249,6 +276,34 @@
         run_in_fleet(body)
 
 
+class BurstTest(unittest.TestCase):
+    """A burst from all hosts that is far beyond the slots."""
+
+    def test_each_statement_is_served_or_refused_with_spread_retry_times(self):
+        async def body(fleet):
+            outcomes = []
+
+            async def call(host):
+                outcomes.extend(await run_texts(host.build_session(), b"WRITE x 1"))
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(100):
+                    for host in fleet.hosts.values():
+                        nursery.start_soon(call, host)
+            refused = [item for item in outcomes if item.failure is not None]
+            served = len(outcomes) - len(refused)
+            self.assertEqual(served, len(fleet.world.log))
+            self.assertGreater(served, 50)
+            self.assertGreater(len(refused), 50)
+            for outcome in refused:
+                self.assertEqual(sessions.Failure.OVERLOADED, outcome.failure)
+                self.assertIn("retry after", outcome.detail)
+            times = {item.detail.rpartition("retry after ")[2] for item in refused}
+            self.assertGreater(len(times), len(refused) / 2)
+
+        run_in_fleet(body)
+
+
 class TransactionTest(unittest.TestCase):
     def test_idle_transactions_take_no_slot(self):
         """Load pattern: idle transactions hold connections, here all from far."""
--- a/sedgeswitch/scheduling/scheduler.py
+++ b/sedgeswitch/scheduling/scheduler.py
@@ -763,7 +763,7 @@
                 now_s,
                 organisation=ticket.organisation,
                 priority=work.priority,
-                kind=work.kind.value,
+                work=work.kind.value,
                 waited_ms=round(waited_s * 1000),
                 waiting=self._waiting,
                 running=self._running,
--- a/sedgeswitch/scheduling/tests/test_scheduler.py
+++ b/sedgeswitch/scheduling/tests/test_scheduler.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from sedgeswitch import verdicts
+from sedgeswitch.scheduling import counts as class_counts
 from sedgeswitch.scheduling import orders
 from sedgeswitch.scheduling import retries
 from sedgeswitch.scheduling import scheduler
@@ -364,6 +365,49 @@
         self.assertLessEqual(after_ms, 1000 * retries.MAX_RETRY_AFTER_S)
 
 
+class RecordTest(unittest.TestCase):
+    """Counts and log lines from which operators see what was decided."""
+
+    def test_each_outcome_is_counted_in_its_class(self):
+        counts = class_counts.build_counts()
+
+        async def body(caller):
+            await caller.request("running", priority=1)
+            await caller.request("deferred", priority=2, target_s=3.0)
+            await caller.request("late", priority=2, target_s=0.001)
+            await caller.request("refused", priority=2, timeout_s=0.02)
+            loads = caller.queue.get_class_loads(trio.current_time() + 0.5)
+            self.assertEqual((0, 1, 0.0), loads[1])
+            self.assertEqual((2, 0, 0.5), loads[2])
+            await trio.sleep(0.05)
+            await caller.drain()
+
+        run(body, slots=1, counts=counts)
+        self.assertEqual((1, 0), (counts[1].on_time, counts[1].late))
+        low = counts[2]
+        self.assertEqual(
+            (1, 1, 1, 1), (low.deferred, low.refused, low.on_time, low.late)
+        )
+
+    def test_refusal_is_logged_with_its_inputs(self):
+        lines = []
+
+        async def body(caller):
+            await caller.request("running")
+            await caller.request("refused", priority=1, timeout_s=0.02)
+            await trio.sleep(0.05)
+
+        def note(kind, now_s, **fields):
+            lines.append((kind, fields))
+
+        run(body, slots=1, note=note)
+        [(kind, fields)] = lines
+        self.assertEqual("statement refused for lack of slots", kind)
+        expected = {"priority": 1, "organisation": "a", "running": 1, "slots": 1}
+        self.assertEqual(fields, fields | expected)
+        self.assertGreater(fields["retry_after_ms"], 0)
+
+
 class RandomTest(unittest.TestCase):
     def test_random_loads_leak_no_slot_and_answer_everything(self):
         """Cancellation, timeouts, pauses and changes of slots at any point."""
