--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -40,6 +40,8 @@
 from sedgeswitch.relay import session
 from sedgeswitch.routing import eligibility
 from sedgeswitch.routing import policies
+from sedgeswitch.scheduling import host as host_scheduling
+from sedgeswitch.scheduling import scheduler
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.transport import peer
@@ -85,6 +87,9 @@
         evacuated zone, in seconds.
     reads_near_primary : bool
         See `relay.context.Components`.
+    scheduling : str, optional
+        Registered order in which statements are started where slots are scarce; see
+        `scheduling.orders`. None for a queue that is fair between organisations.
     """
 
     host_id: str
@@ -97,6 +102,7 @@
     region_by_zone: collections.abc.Mapping[str, str]
     evacuation_bound_s: float = evacuations_sections.DEFAULT_BOUND_S
     reads_near_primary: bool = False
+    scheduling: str | None = None
 
 
 class RelayEntry(entry_core.EntryCore):
@@ -142,6 +148,12 @@
         self._entry_peers = entry_peers.EntryPeers()
         self._hosts = host_calls.HostCalls(self._entry_peers)
         self._placement = placement.Placement(options.region_by_zone)
+        self._decisions = decisions.DecisionLog()
+        self._scheduling: host_scheduling.HostScheduling | None = None
+        if options.scheduling is not None:
+            self._scheduling = host_scheduling.HostScheduling(
+                options.scheduling, MAX_QUEUE_LENGTH, self._decisions.note
+            )
         self.backends = self._build_backends(driver, rng)
         self._cold = cold_instances.ColdInstances(
             self.directory,
@@ -183,7 +195,7 @@
             self.forwarder,
             interruption.Interrupter(self.groups),
             local_observations,
-            decisions.DecisionLog(),
+            self._decisions,
             self._startup_times,
             home_admission.HomeAdmission(
                 options.host_id,
@@ -196,6 +208,7 @@
             self._get_restrictions,
             self._open_transactions,
             reads_near_primary=options.reads_near_primary,
+            is_scheduling=options.scheduling is not None,
         )
         self.holder = holder.Holder(
             self._components._replace(connector=self._connector)
@@ -243,7 +256,7 @@
         """Return the current values of the gauges, by name."""
         now_s = clocks.get_now_s()
         loads = self.backends.get_loads().values()
-        return {
+        gauges = {
             "lease_left_s": max(self.heartbeat_client.lease_until_s - now_s, 0.0),
             "configuration_version": self.databases.document.version,
             "configuration_age_s": self.databases.get_age_s(now_s),
@@ -257,6 +270,9 @@
             "hosts_unavailable": self._hosts.count_unavailable(),
             "evacuated_zones": len(self.evacuations.zones),
         }
+        if self._scheduling is not None:
+            gauges |= self._scheduling.get_gauges(trio.current_time())
+        return gauges
 
     def _get_restrictions(self) -> eligibility.Restrictions:
         """Return what limits the choice of an instance for all statements."""
@@ -298,19 +314,25 @@
         return backends.Backends(
             self.directory,
             typing.cast(base.Driver, driver),
-            lambda capacity: fair_queue.FairQueue(capacity, MAX_QUEUE_LENGTH),
+            self._build_slots,
             lambda server: False,  # noqa: ARG005
             options,
             rng,
             self._get_holding,
         )
 
+    def _build_slots(self, capacity: int) -> fair_queue.FairQueue | scheduler.Scheduler:
+        if self._scheduling is None:
+            return fair_queue.FairQueue(capacity, MAX_QUEUE_LENGTH)
+        return self._scheduling.build(capacity)
+
     def _build_forwarder(self) -> forwarder.Forwarder:
         return forwarder.Forwarder(
             forwarder.Options(
                 self._options.host_id,
                 RESERVED_CONNECTIONS,
                 lambda: self.databases.document.transaction_idle_s,
+                self._options.scheduling is not None,
             ),
             self._placement,
             self._hosts,
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -234,6 +234,7 @@
             settings.region_by_zone,
             settings.evacuation_bound_s,
             reads_near_primary=settings.has_several_zones_per_region,
+            scheduling=settings.scheduling,
         )
         serving = server.Server()
         self._entry = relay_entry.RelayEntry(
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sedgeswitch.daemon import relay_groups
+from sedgeswitch.scheduling import orders
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import checks
 
@@ -16,6 +17,8 @@
 # Duration of the lease that a heartbeat renews, in seconds. It is long enough for
 # entry hosts to keep serving while the control hosts elect a new leader.
 LEASE_S = 4.0
+# Value in the platform's field ``contracts`` that asks for scheduling by priority.
+CONTRACT_PRESSURE = "pressure"
 # Values of the platform's field ``serves``.
 SERVES_CLIENTS = "front"
 SERVES_CONTROL = "control"
@@ -75,6 +78,8 @@
     bounds: typing.NotRequired[_Bounds]
     faultTolerance: typing.NotRequired[_Tolerance]
     cloudApi: typing.NotRequired[_CloudApi | None]
+    # Names of the features that the platform relies on.
+    contracts: typing.NotRequired[list[str] | None]
 
 
 class PlatformSettings(typing.NamedTuple):
@@ -116,6 +121,9 @@
     evacuation_bound_s : float
         Time after its acknowledgement within which an evacuation is in force on every
         host.
+    scheduling : str or None
+        Order in which statements are started where slots are scarce; see
+        `scheduling.orders`. None if the platform does not ask for scheduling.
     """
 
     host_name: str
@@ -137,6 +145,7 @@
     tolerated_losses: int
     catch_up_s: float
     evacuation_bound_s: float
+    scheduling: str | None = None
 
     @property
     def voter_count(self) -> int:
@@ -257,6 +266,11 @@
         tolerated_losses=document.get("faultTolerance", {}).get("machines", 1),
         catch_up_s=bounds.get("catchUpS", _DEFAULT_CATCH_UP_S),
         evacuation_bound_s=_get_evacuation_bound_s(bounds),
+        scheduling=(
+            orders.DEFAULT_ORDER
+            if CONTRACT_PRESSURE in (document.get("contracts") or ())
+            else None
+        ),
     )
 
 
--- a/sedgeswitch/relay/cold_instances.py
+++ b/sedgeswitch/relay/cold_instances.py
@@ -20,6 +20,7 @@
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import steps
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.statements import backends
 
 # Time for which a token stays valid while its statement waits for a connection, in
@@ -313,6 +314,7 @@
         organisation: str,
         deadline_s: float,
         allowed_regions: frozenset[str] | None = None,  # noqa: ARG002
+        work: works.Work | None = None,
     ) -> connections.AcquiredConnection:
         """Acquire a pooled connection; see `Connector.acquire`.
 
@@ -322,7 +324,9 @@
             As there, and `ColdInstanceError` if there is no token.
         """
         if not self._cold.has_limit(server.group):
-            return await self._local.acquire(server, organisation, deadline_s)
+            return await self._local.acquire(
+                server, organisation, deadline_s, work=work
+            )
         started_s = trio.current_time()
         token_s = -math.inf
         if self._cold.is_cold(server.instance, started_s):
@@ -332,7 +336,9 @@
             token_s = trio.current_time()
             # A restart has closed the idle connections; each would waste a token.
             await self._close_lost(server)
-        acquired = await self._local.acquire(server, organisation, deadline_s)
+        acquired = await self._local.acquire(
+            server, organisation, deadline_s, work=work
+        )
         is_done = False
         try:
             # A new connection works after a restart, so that only the idle ones of
--- a/sedgeswitch/relay/connections.py
+++ b/sedgeswitch/relay/connections.py
@@ -10,6 +10,8 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import steps
+from sedgeswitch.scheduling import connections as scheduled_connections
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.statements import backends as statement_backends
 
 PUBLIC_ORGANISATION = "public"
@@ -59,10 +61,12 @@
         organisation: str,
         deadline_s: float,
         allowed_regions: frozenset[str] | None = None,
+        work: works.Work | None = None,
     ) -> AcquiredConnection:
         """Acquire a connection to an instance on behalf of an organisation.
 
         Statements are forwarded only to hosts in `allowed_regions`; None for all.
+        `work` describes what it is for; None if statements are not scheduled.
 
         Raises
         ------
@@ -104,6 +108,10 @@
         self.opened_s = pooled.opened_s
         self.last_used_s = pooled.last_used_s
         self.connection: sessions.SessionConnection = pooled.connection
+        if instance_pool.scheduler is not None:
+            self.connection = scheduled_connections.ScheduledConnection(
+                pooled.connection, instance_pool.scheduler, pooled.ticket
+            )
 
     async def release(self, is_observed: bool = True) -> None:
         """Return the connection to its pool, which closes it if it is not usable."""
@@ -134,11 +142,12 @@
         organisation: str,
         deadline_s: float,
         allowed_regions: frozenset[str] | None = None,  # noqa: ARG002
+        work: works.Work | None = None,
     ) -> PooledAcquiredConnection:
         """Acquire a pooled connection; see `Connector.acquire`."""
         instance_pool = self._backends.get_pool(server, server.group)
         try:
-            pooled = await instance_pool.acquire(organisation, deadline_s)
+            pooled = await instance_pool.acquire(organisation, deadline_s, work)
         except verdicts.RefusedError as error:
             refusal = error.refusal
             raise steps.FailedError(
@@ -177,10 +186,11 @@
     organisation: str,
     deadline_s: float,
     allowed_regions: frozenset[str] | None = None,
+    work: works.Work | None = None,
 ) -> typing.AsyncIterator[AcquiredConnection]:
     """Acquire a connection and release it at the end of an ``async with`` block."""
     acquired = await connector.acquire(
-        server, organisation, deadline_s, allowed_regions
+        server, organisation, deadline_s, allowed_regions, work
     )
     try:
         yield acquired
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -23,6 +23,7 @@
 from sedgeswitch.relay import open_transactions as transaction_registry
 from sedgeswitch.relay import steps
 from sedgeswitch.routing import eligibility
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.utils import backoff
@@ -70,6 +71,8 @@
     reads_near_primary : bool
         Whether reads that a replica may run are sent to a primary in this host's
         region if no replica is expected to answer sooner.
+    is_scheduling : bool
+        Whether statements are scheduled by class and urgency.
     """
 
     databases: database_sections.EntrySection
@@ -90,6 +93,7 @@
         transaction_registry.build_unrestricted()
     )
     reads_near_primary: bool = False
+    is_scheduling: bool = False
 
 
 class LocalObservations:
@@ -311,6 +315,31 @@
     return steps.FailedError(sessions.Failure.OVERLOADED, detail)
 
 
+def build_work(
+    components: Components, access: accesses.Access, kind: works.Kind, deadline_s: float
+) -> works.Work | None:
+    """Return the description of an operation, None if statements are not scheduled.
+
+    Parameters
+    ----------
+    components : Components
+    access : access.Access
+    kind : work.Kind
+    deadline_s : float
+        End of the operation's statement timeout, on trio's clock.
+    """
+    if not components.is_scheduling:
+        return None
+    database = access.database
+    started_s = deadline_s - database.statement_timeout_s
+    return works.build_work(
+        kind,
+        database.priority,
+        access.organisation_priority,
+        started_s + database.target_latency_s,
+    )
+
+
 def get_primary_server(
     components: Components, permit: table.WritePermit, access: accesses.Access
 ) -> directory.BackendServer:
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -15,6 +15,7 @@
 from sedgeswitch.relay import context
 from sedgeswitch.relay import steps
 from sedgeswitch.routing import eligibility
+from sedgeswitch.scheduling import work as works
 from sedgeswitch.utils import clocks
 
 # Share of the remaining time of a read that one attempt may take before the read is
@@ -344,6 +345,7 @@
         deadline_s: float,
     ) -> ReadResult:
         """Run a read on one instance; a `floor` is given for replicas only."""
+        kind = works.Kind.TRANSACTION if read.keeps_connection else works.Kind.READ
         # A cold primary may have no token for long; replicas are tried again meanwhile.
         is_limited = floor is None and server.is_cold
         acquired = await self._components.connector.acquire(
@@ -351,6 +353,7 @@
             read.access.organisation,
             self._get_attempt_deadline_s(deadline_s) if is_limited else deadline_s,
             read.access.allowed_regions,
+            context.build_work(self._components, read.access, kind, read.deadline_s),
         )
         is_handed_over = False
         reply = None
