Do less per maintenance and forwarded statement without evacuations

Cause: the maintenance of entry hosts looked at all instances every 0.1 s, and the check of the lease read the clock also for forwarded statements.

Change: both return early.

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -254,6 +254,8 @@
 
     def _list_evacuated_addresses(self) -> set[tuple[str, int]]:
         """Return host and port of the instances in evacuated zones."""
+        if not self.evacuations.zones:
+            return set()
         return {
             (server.host, server.port)
             for server in self.directory.servers.values()
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -219,8 +219,7 @@
 
     A holder that a statement is forwarded to checks its own lease.
     """
-    has_lease = components.groups.has_lease(clocks.get_now_s())
-    if acquired.is_forwarded or has_lease:
+    if acquired.is_forwarded or components.groups.has_lease(clocks.get_now_s()):
         return None
     return "this host has no lease"
 
