Draw tokens in large relay fleets as often as before

Fewer draws made the delay longer after which hosts refill their tokens themselves (2.5 regular intervals: 1.6 s instead of 0.8 s with 65 hosts).

--- a/sedgeswitch/admission/settings.py
+++ b/sedgeswitch/admission/settings.py
@@ -39,11 +39,7 @@
     draws_max_per_s : float
         Draws per second that the leader answers, of all hosts together. If the fleet
         is too large for all hosts to draw at the urgent interval, the leader makes
-        that interval longer.
-    regular_draw_factor : float
-        Ratio of the regular interval to the urgent one, at least 1. It is higher if
-        the urgent interval is short, and lower, but at least 2, if the regular one
-        would be longer than a third of `prefetch_s`.
+        that interval longer; the regular interval is at least twice as long.
     draw_timeout_s : float
         Time after which an unanswered draw is abandoned and a new one is sent.
     lifetime_s : float
@@ -79,7 +75,6 @@
     draw_interval_s: float = 0.1
     urgent_interval_s: float = 0.02
     draws_max_per_s: float = 4000.0
-    regular_draw_factor: float = 2.0
     draw_timeout_s: float = 0.15
     lifetime_s: float = 2.0
     drift: float = 0.001
@@ -114,13 +109,12 @@
     ------
     CheckError
         If a time is not from 0.001 s to one day, `draws_max_per_s` is not from 0.001
-        to 86400, `regular_draw_factor` is not from 1 to 100, `drift` is not from 0 to
-        0.1, or a share is not in the range that `Settings` gives for it.
+        to 86400, `drift` is not from 0 to 0.1, or a share is not in the range that
+        `Settings` gives for it.
     """
     for field in Settings._fields:
         if field.endswith("_s"):
             checks.check_range(field, getattr(settings, field), 0.001, 86400.0)
-    checks.check_range("regular_draw_factor", settings.regular_draw_factor, 1.0, 100.0)
     checks.check_range("drift", settings.drift, 0.0, 0.1)
     checks.check_range("host_share_max", settings.host_share_max, 0.01, 1.0)
     checks.check_range("reserve_share", settings.reserve_share, 0.0, 0.9)
@@ -147,10 +141,7 @@
     urgent_interval_s : float
         The urgent interval that the leader has set.
     """
-    interval_s = settings.regular_draw_factor * urgent_interval_s
-    # Prefetched tokens must outlast several draws, of which some are lost.
-    interval_s = min(interval_s, settings.prefetch_s / 3)
-    return max(settings.draw_interval_s, interval_s, 2 * urgent_interval_s)
+    return max(settings.draw_interval_s, 2 * urgent_interval_s)
 
 
 def get_allowance_delay_s(settings: Settings, urgent_interval_s: float) -> float:
--- a/sedgeswitch/daemon/relay_groups.py
+++ b/sedgeswitch/daemon/relay_groups.py
@@ -24,9 +24,6 @@
     leader_wait_s=0.8,
     # Answering a draw takes about 1 ms on a leader that runs on a small host.
     draws_max_per_s=400.0,
-    # Each host of a fleet of 100 then draws once a second, a third of the prefetched
-    # time. Most draws cross a region.
-    regular_draw_factor=4.0,
 )
 # Share of the tolerance that is used. The rest is a margin, because a request that
 # is retried counts twice.
