Grant tokens to reported hosts while others are missing

Cause: a new leader counted each host without a report as holding 0.3 of the burst and all of them as refilling themselves with the rest of the rate. Four missing hosts reserved more than the burst, and after a restart of all hosts one missing host took the whole rate, so that no host was granted a token until the old grants expired.

Change: the missing hosts are counted together with at most what the reported hosts left of the burst and the rate under the earlier leader. Reports state the capacity and the allowance of a grant that is still in force; the first report of a run counts. The allowance of one host is at most `host_allowance_share_max` of the rate. Requests wait up to `leader_wait_s` while the leader says that it collects reports.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -365,9 +365,14 @@
         self._schedule_draw(arrival.host)
 
     def _time_out(self, host: int, index: int) -> None:
-        pending = self._pending[host].pop(index, None)
-        if pending is not None:
-            self._host_limiters[host].give_up(pending)
+        pending = self._pending[host].get(index)
+        if pending is None:
+            return
+        if pending.until_s > self.now_s:
+            self._schedule(pending.until_s, self._time_out, host, index)
+            return
+        del self._pending[host][index]
+        self._host_limiters[host].give_up(pending)
 
     def _schedule_draw(self, host: int) -> None:
         next_s = self._host_limiters[host].get_next_draw_s(self.now_s)
@@ -381,6 +386,8 @@
         self._next_draw_s[host] = math.inf
         if self._host_limiters[host].get_next_draw_s(self.now_s) <= self.now_s:
             request = self._host_limiters[host].build_draw(self.now_s)
+            # Admitted by tokens that the host has refilled itself.
+            self._record_admissions(host)
             self.admissions.draws += 1
             self.admissions.control_bytes += len(catalog.encode_struct(request))
             arrives_s = self.now_s + get_delay_s(host)
@@ -398,11 +405,14 @@
 
     def _receive_grants(self, host: int, reply, sent_s: float) -> None:
         self._host_limiters[host].receive_grants(reply, sent_s, self.now_s)
+        self._record_admissions(host)
+        self._schedule_draw(host)
+
+    def _record_admissions(self, host: int) -> None:
         waiting = self._pending[host]
         for index in [i for i, pending in waiting.items() if pending.outcome]:
             if isinstance(waiting.pop(index).outcome, host_limiter.Admitted):
                 self.admissions.admitted_s[index] = self.now_s
-        self._schedule_draw(host)
 
 
 def run_grants(
--- a/sedgeswitch/admission/bucket.py
+++ b/sedgeswitch/admission/bucket.py
@@ -131,7 +131,7 @@
         self._refill_checks: list[tuple[float, HostKey]] = []
         self._total_allowance_per_s = 0.0
         self._host_refill_per_s = 0.0
-        self._unreported_hosts = 0
+        self._unreported_tokens = 0
         self._unreported_per_s = 0.0
 
     def set_limit(self, limit: admission_settings.Limit, now_s: float) -> None:
@@ -141,30 +141,40 @@
         self._clip()
 
     def set_unreported_hosts(
-        self, count: int, now_s: float, reported_per_s: float = 0.0
+        self,
+        count: int,
+        now_s: float,
+        reported_tokens: int = 0,
+        reported_per_s: float = 0.0,
     ) -> None:
         """Set how many hosts have not reported to this leader yet.
 
-        Each of them is counted as holding as much as a host may hold.
+        Each of them is counted as holding, and as refilling itself with, as much as one
+        host may. Together they are counted with at most what the hosts that have
+        reported leave of the burst and of the rate, because the earlier leader kept
+        the sums over all hosts within these.
 
         Parameters
         ----------
         count : int
         now_s : float
+        reported_tokens : int
+            Tokens from an earlier leader that the hosts that have reported held.
         reported_per_s : float
-            Sum of the allowances, from an earlier leader, of the hosts that have
-            reported; the others may refill themselves with the rest of the rate.
+            Sum of their allowances from that leader.
         """
         self.refill(now_s)
-        self._unreported_hosts = count
+        cap = admission_settings.get_host_cap(self.limit, self._settings)
+        rest = max(0, self.limit.burst - reported_tokens)
+        self._unreported_tokens = min(count * cap, rest)
         rest_per_s = max(0.0, self._get_refill_per_s() - reported_per_s)
-        self._unreported_per_s = rest_per_s if count else 0.0
+        most_per_s = count * self._get_max_allowance_per_s()
+        self._unreported_per_s = min(most_per_s, rest_per_s)
         self._clip()
 
     def get_reserved(self) -> int:
         """Return the tokens that hosts may hold, unreported hosts included."""
-        cap = admission_settings.get_host_cap(self.limit, self._settings)
-        return self.held + self._unreported_hosts * cap
+        return self.held + self._unreported_tokens
 
     def refill(self, now_s: float) -> None:
         """Add the tokens due since the last refill and remove expired grants."""
@@ -309,6 +319,9 @@
         # Reduced by the drift bound, so that a fast clock does not exceed the rate.
         return self.limit.rate_per_s / (1 + self._settings.drift)
 
+    def _get_max_allowance_per_s(self) -> float:
+        return self._get_refill_per_s() * self._settings.host_allowance_share_max
+
     def _refill_to(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._last_refill_s)
         taken_per_s = self._host_refill_per_s + self._unreported_per_s
@@ -333,8 +346,11 @@
         """Set the allowance of a new grant; the sum of all stays within the rate."""
         fair_per_s = self.get_share_per_s(key) if hold.count else 0.0
         others_per_s = self._total_allowance_per_s - hold.allowance_per_s
+        # Hosts without a report may still refill themselves under an earlier leader.
+        others_per_s += self._unreported_per_s
         remaining_per_s = max(0.0, self._get_refill_per_s() - others_per_s)
-        hold.granted_allowance_per_s = min(fair_per_s, remaining_per_s)
+        most_per_s = self._get_max_allowance_per_s()
+        hold.granted_allowance_per_s = min(fair_per_s, remaining_per_s, most_per_s)
         hold.granted_capacity = hold.count
         hold.granted_sequence = sequence
         hold.granted_s = now_s
@@ -343,8 +359,8 @@
             hold.confirmed_delay_s = hold.granted_delay_s
             self._schedule_refill_check(key, hold)
         hold.capacity = max(hold.capacity, hold.granted_capacity)
-        most_per_s = max(hold.allowance_per_s, hold.granted_allowance_per_s)
-        self._change_allowance(hold, most_per_s, hold.may_refill)
+        bound_per_s = max(hold.allowance_per_s, hold.granted_allowance_per_s)
+        self._change_allowance(hold, bound_per_s, hold.may_refill)
         self._reserve(hold)
 
     def _confirm(self, key: HostKey, hold: Hold) -> None:
--- a/sedgeswitch/admission/grantor.py
+++ b/sedgeswitch/admission/grantor.py
@@ -58,6 +58,8 @@
         self._buckets: dict[str, bucket.FleetBucket] = {}
         self._sessions: dict[bucket.HostKey, _Session] = {}
         self._recovery: recovery.Recovery | None = None
+        # Hosts without a report at the last update of the buckets.
+        self._unreported = 0
         self._recovery_ends_s = 0.0
         self._last_sweep_s = 0.0
         self._term = 0
@@ -196,6 +198,7 @@
             lifetime_s=self._settings.lifetime_s,
             urgent_interval_s=self._get_urgent_interval_s(),
             grants=[],
+            is_collecting=self._recovery is not None,
         )
 
     def _get_urgent_interval_s(self) -> float:
@@ -204,12 +207,23 @@
         return max(self._settings.urgent_interval_s, shared_s)
 
     def _add_buckets(self, now_s: float) -> None:
-        unreported = len(self._get_host_ids()) if self._recovery is not None else 0
+        if self._recovery is not None:
+            self._unreported = self._recovery.count_unreported(self._get_host_ids())
         for organisation, limit in self._limits.items():
             if organisation not in self._buckets:
                 fleet_bucket = bucket.FleetBucket(limit, self._settings, now_s)
-                fleet_bucket.set_unreported_hosts(unreported, now_s)
                 self._buckets[organisation] = fleet_bucket
+        if self._recovery is not None:
+            self._update_unreported(now_s)
+
+    def _update_unreported(self, now_s: float) -> None:
+        for organisation, fleet_bucket in self._buckets.items():
+            fleet_bucket.set_unreported_hosts(
+                self._unreported,
+                now_s,
+                self._recovery.get_total_tokens(organisation),
+                self._recovery.get_total_allowance_per_s(organisation),
+            )
 
     def _recover(self, request: messages.Draw, now_s: float) -> None:
         """Record a report, and restore the buckets once all hosts have reported.
@@ -224,9 +238,9 @@
         host_ids = self._get_host_ids()
         unreported = self._recovery.count_unreported(host_ids)
         if unreported and now_s < self._recovery_ends_s:
-            for organisation, fleet_bucket in self._buckets.items():
-                reported_per_s = self._recovery.get_total_allowance_per_s(organisation)
-                fleet_bucket.set_unreported_hosts(unreported, now_s, reported_per_s)
+            if request.is_report or unreported != self._unreported:
+                self._unreported = unreported
+                self._update_unreported(now_s)
             return
         for organisation, fleet_bucket in self._buckets.items():
             fleet_bucket.set_unreported_hosts(0, min(now_s, self._recovery_ends_s))
--- a/sedgeswitch/admission/host_limiter.py
+++ b/sedgeswitch/admission/host_limiter.py
@@ -65,15 +65,18 @@
     organisation : str
     until_s : float
         Time at which the request stops waiting and is denied.
+    latest_s : float
+        Latest time to which `until_s` may be moved.
     outcome : Admitted, Denied or None
         None while the request waits.
     """
 
-    __slots__ = ("_done", "organisation", "outcome", "until_s")
+    __slots__ = ("_done", "latest_s", "organisation", "outcome", "until_s")
 
-    def __init__(self, organisation: str, until_s: float):
+    def __init__(self, organisation: str, until_s: float, latest_s: float):
         self.organisation = organisation
         self.until_s = until_s
+        self.latest_s = max(until_s, latest_s)
         self.outcome: Admitted | Denied | None = None
         self._done: trio.Event | None = None
 
@@ -274,6 +277,8 @@
         self._outstanding_draw: _OutstandingDraw | None = None
         self._last_sent_s = -math.inf
         self._unanswered_since_s: float | None = None
+        # Whether the leader said with its last reply that it still collects reports.
+        self._is_collecting = False
         self._urgent_interval_s = self._settings.urgent_interval_s
         self._draw_requested = trio.Event()
 
@@ -330,7 +335,8 @@
             account, now_s
         ):
             return self._build_denied(account)
-        pending = Pending(organisation, now_s + wait_s)
+        latest_s = min(now_s + self._settings.leader_wait_s, deadline_s)
+        pending = Pending(organisation, now_s + wait_s, latest_s)
         account.waiters.append(pending)
         self._draw_requested.set()
         return pending
@@ -346,8 +352,13 @@
             # The host may have been suspended since the request was queued, so that
             # `until_s` has already passed.
             remaining_s = max(pending.until_s - clocks.get_now_s(), 0.0)
-            with trio.move_on_after(remaining_s):
-                await pending.wait()
+            while pending.outcome is None:
+                with trio.move_on_after(remaining_s):
+                    await pending.wait()
+                # `until_s` may have been moved during the wait.
+                remaining_s = pending.until_s - clocks.get_now_s()
+                if remaining_s <= 0:
+                    break
         finally:
             self.give_up(pending)
         return pending.outcome
@@ -449,6 +460,7 @@
             return
         self._outstanding_draw = None
         self._unanswered_since_s = None
+        self._set_collecting(bool(reply.is_collecting))
         if reply.status == messages.DrawStatus.REPORT_WANTED:
             self._term = reply.term
             self._is_report_due = True
@@ -507,6 +519,15 @@
         surplus = len(account.waiters) - self._get_queue_capacity(account, now_s)
         self._deny_newest(account, surplus)
 
+    def _set_collecting(self, is_collecting: bool) -> None:
+        """Record whether the leader collects reports; if so, extend all waits."""
+        self._is_collecting = is_collecting
+        if not is_collecting:
+            return
+        for account in self._accounts.values():
+            for pending in account.waiters:
+                pending.until_s = pending.latest_s
+
     def _admit_waiting(self, account: _Account, now_s: float) -> None:
         while account.waiters and account.available_tokens > 0:
             account.spend(now_s)
@@ -526,6 +547,7 @@
         elif account.limit != limit:
             account.limit = limit
             account.available_tokens = min(account.available_tokens, limit.burst)
+            account.capacity = min(account.capacity, limit.burst)
             account.shortage_ends_s = -math.inf
             account.share_per_s = limit.rate_per_s
 
@@ -546,6 +568,8 @@
             return max(0.0, min(self._settings.leader_wait_s, remaining_s))
         # Hosts of a large fleet draw less often, see `Settings.draws_max_per_s`.
         draw_s = self._urgent_interval_s + self._settings.draw_timeout_s
+        if self._is_collecting:
+            return max(self._settings.leader_wait_s, draw_s)
         return max(self._settings.wait_s, draw_s)
 
     def _get_draw_interval_s(self) -> float:
@@ -615,6 +639,9 @@
         self, organisation: str, account: _Account, now_s: float
     ) -> messages.Holding:
         account.is_recorded_empty = False
+        # After its grant has expired here, the leader may already have given the tokens
+        # and the allowance to other hosts.
+        is_in_force = now_s < account.expires_s
         return messages.Holding(
             organisation=organisation,
             in_hand=account.available_tokens,
@@ -622,8 +649,9 @@
             pending=len(account.waiters),
             demand_per_s=account.demand.get_rate_per_s(now_s),
             answered_sequence=account.answered_sequence,
-            allowance_per_s=account.allowance_per_s,
+            allowance_per_s=account.allowance_per_s if is_in_force else 0.0,
             refilled=account.refilled,
+            capacity=account.capacity if is_in_force else 0,
         )
 
     def _get_spent_age_s(self, organisation: str, now_s: float) -> float:
--- a/sedgeswitch/admission/messages.thrift
+++ b/sedgeswitch/admission/messages.thrift
@@ -17,6 +17,9 @@
   7: required double allowance_per_s
   // Tokens that the host has refilled itself since that grant.
   8: required i64 refilled
+  // Most tokens that the host held under the last applied grant; 0 once the grant has
+  // expired. Hosts of earlier releases leave it out.
+  9: optional i64 capacity
 }
 
 // The state of an organisation's bucket in the last grant that the host received. A
@@ -90,4 +93,6 @@
   // Shortest time between two draws of a host while requests wait.
   6: required double urgent_interval_s
   7: required list<Grant> grants
+  // Whether the leader still waits for reports of other hosts.
+  8: optional bool is_collecting
 }
--- a/sedgeswitch/admission/recovery.py
+++ b/sedgeswitch/admission/recovery.py
@@ -1,5 +1,6 @@
 """Restores an earlier leader's buckets from the reports of the entry hosts."""
 
+import collections
 import typing
 
 from sedgeswitch.admission import bucket
@@ -48,9 +49,24 @@
         self._settings = settings
         self._started_s = started_s
         self._reports: dict[str, HostReport] = {}
+        self._reported_runs: set[bucket.HostKey] = set()
+        self._tokens: collections.Counter[str] = collections.Counter()
+        self._allowances_per_s: collections.Counter[str] = collections.Counter()
 
     def add(self, draw: messages.Draw, now_s: float) -> None:
-        """Store a host's report, in place of one from an earlier run of the host."""
+        """Store a host's report, in place of one from an earlier run of the host.
+
+        Only the first report of a run states grants of an earlier leader; the holdings
+        of later ones may be grants of this one.
+        """
+        key = bucket.HostKey(draw.host_id, draw.incarnation)
+        if key not in self._reported_runs:
+            self._reported_runs.add(key)
+            for holding in draw.holdings:
+                tokens = max(holding.in_hand, holding.capacity or 0)
+                self._tokens[holding.organisation] += max(0, tokens)
+                allowance_per_s = max(0.0, holding.allowance_per_s)
+                self._allowances_per_s[holding.organisation] += allowance_per_s
         memories = {memory.organisation: memory for memory in draw.memories}
         holdings = {holding.organisation: holding for holding in draw.holdings}
         self._reports[draw.host_id] = HostReport(
@@ -60,10 +76,13 @@
             holdings,
         )
 
+    def get_total_tokens(self, organisation: str) -> int:
+        """Return how many tokens of an earlier leader the reported hosts held."""
+        return self._tokens[organisation]
+
     def get_total_allowance_per_s(self, organisation: str) -> float:
-        """Return the sum of the allowances of all hosts that have reported."""
-        holdings = _list_holdings(self._reports.values(), organisation)
-        return sum(holding.allowance_per_s for holding in holdings)
+        """Return the sum of the reported hosts' allowances from an earlier leader."""
+        return self._allowances_per_s[organisation]
 
     def count_unreported(self, host_ids: typing.Collection[str]) -> int:
         """Return how many of the hosts have not reported."""
--- a/sedgeswitch/admission/settings.py
+++ b/sedgeswitch/admission/settings.py
@@ -50,6 +50,9 @@
         Time of its recent demand for which a host prefetches tokens.
     host_share_max : float
         Largest share of a burst that one host may hold, from 0.01 to 1.
+    host_allowance_share_max : float
+        Largest share of a rate at which one host may refill its tokens itself, from
+        0.01 to 1.
     reserve_share : float
         Share of the tokens that is not granted ahead of requests, so that hosts
         without tokens can still be granted some; from 0 to 0.9.
@@ -57,7 +60,8 @@
         Longest time that a request waits for a token while draws are answered; more
         if the urgent interval and the draw timeout together are longer.
     leader_wait_s : float
-        Longest time that a request waits for a token while draws are unanswered.
+        Longest time that a request waits for a token while draws are unanswered, or
+        while the leader is still collecting reports.
     outage_timeout_s : float
         Time without an answered draw after which a request is denied at once
         if its host has no token.
@@ -80,6 +84,9 @@
     drift: float = 0.001
     prefetch_s: float = 0.25
     host_share_max: float = 0.5
+    # Lower values leave more of the rate to others while a host is missing; higher ones
+    # serve more of an organisation whose demand arrives at one host without a leader.
+    host_allowance_share_max: float = 0.5
     reserve_share: float = 0.25
     wait_s: float = 0.2
     leader_wait_s: float = 1.0
@@ -117,6 +124,8 @@
             checks.check_range(field, getattr(settings, field), 0.001, 86400.0)
     checks.check_range("drift", settings.drift, 0.0, 0.1)
     checks.check_range("host_share_max", settings.host_share_max, 0.01, 1.0)
+    share = settings.host_allowance_share_max
+    checks.check_range("host_allowance_share_max", share, 0.01, 1.0)
     checks.check_range("reserve_share", settings.reserve_share, 0.0, 0.9)
     return settings
 
--- a/sedgeswitch/admission/tests/builders.py
+++ b/sedgeswitch/admission/tests/builders.py
@@ -68,6 +68,13 @@
             self._spend()
         return outcome
 
+    def end_waits(self):
+        """Let the requests give up whose wait has ended, as their tasks would."""
+        for host, limiter in enumerate(self.host_limiters):
+            for pending in list(limiter._accounts[ORGANISATION].waiters):
+                if pending.until_s <= self.read(host):
+                    limiter.give_up(pending)
+
     def read(self, host):
         return self.clocks[host].read(self.true_s)
 
