Add the decisions of the routing policy local_first

A caller's host knows little of the instances that it might use, discards it within a second, and finds a bad instance alone. The policy local_first draws an instance by the shares. Nothing uses it yet.

--- a/sedgeswitch/routing/candidates.py
+++ b/sedgeswitch/routing/candidates.py
@@ -17,12 +17,16 @@
         Load of this host's connection pool to the instance.
     round_trip_s : float
         Assumed network round-trip time to the instance, in seconds.
+    share : float or None
+        Share of the reads that should go to the instance, from 0 to 1; None if no
+        holder has reported about it. Only the policy ``local_first`` uses it.
     """
 
     server: directory.BackendServer
     is_primary: bool
     load: pool.PoolLoad
     round_trip_s: float
+    share: float | None = None
 
 
 def estimate_delay(candidate: Candidate) -> float:
--- a/sedgeswitch/routing/policies.py
+++ b/sedgeswitch/routing/policies.py
@@ -10,6 +10,8 @@
 ]
 
 DEFAULT_POLICY = "least_expected_delay"
+# Uses the reports of holders; see `routing.router`.
+LOCAL_FIRST = "local_first"
 
 _POLICIES: dict[str, Policy] = {}
 
@@ -76,3 +78,19 @@
 ) -> list[candidates.Candidate]:
     """Return the primary alone, or nothing if it is not eligible."""
     return [candidate for candidate in eligible if candidate.is_primary]
+
+
+@register_policy(LOCAL_FIRST)
+def order_local_first(
+    eligible: list[candidates.Candidate], rng: random.Random
+) -> list[candidates.Candidate]:
+    """Draw the first instance by the shares; order the others by expected delay.
+
+    Without shares, all are ordered by expected delay.
+    """
+    ordered = order_by_expected_delay(eligible, rng)
+    weights = [candidate.share for candidate in ordered]
+    if None in weights or not sum(weights):
+        return ordered
+    [first] = rng.choices(ordered, weights)
+    return [first, *(candidate for candidate in ordered if candidate is not first)]
