Report the load of instances with answers and choose by it

With EntryOptions.routing_policy set to local_first (off by default), holders measure the demand, the service time and the failures of their instances and send them with each answer. Callers' hosts keep them for the routing policy, bound the load on holders and get verdicts of holders with heartbeats. New metrics count the reads that left the zone or the region, and the time that this gained or lost.

--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -17,6 +17,7 @@
 from sedgeswitch.agreement import settings as agreement_settings
 from sedgeswitch.daemon import control_core
 from sedgeswitch.daemon import relay_groups
+from sedgeswitch.daemon import section_names
 from sedgeswitch.databases import documents
 from sedgeswitch.databases import machine as database_machine
 from sedgeswitch.databases import rollout
@@ -32,6 +33,7 @@
 from sedgeswitch.membership import server_machine
 from sedgeswitch.observability import metrics
 from sedgeswitch.pools import shares
+from sedgeswitch.routing import sections as routing_sections
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
 from sedgeswitch.utils import clocks
@@ -107,6 +109,7 @@
         rng: random.Random,
     ):
         self._options = options
+        self._rng = rng
         self._instance_control = instance_control
         self.databases = database_machine.DocumentMachine()
         self.servers = server_machine.ServerMachine()
@@ -245,6 +248,9 @@
         self.heartbeat_server.register_section(
             database_machine.NAME, self._document_section
         )
+        self.heartbeat_server.register_section(
+            section_names.HEALTH, routing_sections.ControlSection(self._rng)
+        )
 
     async def _watch_rollout(self) -> None:
         while True:
--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -20,6 +20,7 @@
 from sedgeswitch.forwarding import forwarder
 from sedgeswitch.forwarding import holder
 from sedgeswitch.forwarding import host_calls
+from sedgeswitch.forwarding import loads
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
 from sedgeswitch.groups import entry_section
@@ -35,6 +36,9 @@
 from sedgeswitch.relay import probes
 from sedgeswitch.relay import session
 from sedgeswitch.routing import policies
+from sedgeswitch.routing import reports
+from sedgeswitch.routing import router
+from sedgeswitch.routing import sections as routing_sections
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.transport import peer
@@ -72,6 +76,10 @@
         How far organisations may exceed their limits.
     region_by_zone : mapping of str to str
         Region of each availability zone.
+    routing_policy : str
+        Registered name of the policy that orders replicas. With ``local_first``,
+        holders report the load and the health of their instances, and the load on
+        holders is bounded.
     """
 
     host_id: str
@@ -82,6 +90,7 @@
     groups: groups_settings.GroupSettings
     tolerance: relay_groups.Tolerance
     region_by_zone: collections.abc.Mapping[str, str]
+    routing_policy: str = policies.DEFAULT_POLICY
 
 
 class RelayEntry(entry_core.EntryCore):
@@ -126,8 +135,16 @@
         self._entry_peers = entry_peers.EntryPeers()
         self._hosts = host_calls.HostCalls(self._entry_peers)
         self._placement = placement.Placement(options.region_by_zone)
+        self._router: router.Router | None = None
+        self._loads: loads.HolderLoads | None = None
+        if options.routing_policy == policies.LOCAL_FIRST:
+            self._router = router.Router(options.host_id, self._build_own_report)
         self.backends = self._build_backends(driver, rng)
-        self.forwarder = self._build_forwarder()
+        if self._router is not None:
+            self._loads = loads.HolderLoads(
+                self.backends, self._get_holding, self._router.reports
+            )
+        self.forwarder = self._build_forwarder(rng)
         admit_locally = fleet.FleetAdmission(self.host_limiter).admit
         self._home = home_admission.Home(admit_locally)
         servers = relay_groups.RelayDirectory(
@@ -164,7 +181,8 @@
         self.holder = holder.Holder(
             self._components._replace(
                 connector=connections.PoolConnector(self.backends)
-            )
+            ),
+            self._loads,
         )
         peer_server.register_handler(messages.ForwardRequest, self.holder.answer)
         peer_server.register_handler(messages.AdmitRequest, self._home.answer)
@@ -219,6 +237,15 @@
             "links_waited_for": sum(load.waiting for load in loads),
             "transactions_held": self.holder.open_transactions,
             "hosts_unavailable": self._hosts.count_unavailable(),
+            **self._get_routing_gauges(now_s),
+        }
+
+    def _get_routing_gauges(self, now_s: float) -> dict[str, float]:
+        if self._router is None:
+            return {}
+        return {
+            "instances_unhealthy": len(self._loads.list_unhealthy(now_s)),
+            "instances_ejected": self._router.count_ejected(now_s),
         }
 
     def _build_backends(
@@ -227,7 +254,7 @@
         options = backends.BackendOptions(
             self._options.availability_zone,
             UNLIMITED_CONNECTIONS,
-            policies.DEFAULT_POLICY,
+            self._options.routing_policy,
             pool.PoolSettings(),
             RESERVED_CONNECTIONS,
             MIN_CONNECTIONS,
@@ -241,9 +268,13 @@
             options,
             rng,
             self._get_holding,
+            self._router,
         )
 
-    def _build_forwarder(self) -> forwarder.Forwarder:
+    def _build_own_report(self, instance: str, now_s: float) -> reports.Report | None:
+        return self._loads.build_report(instance, now_s)
+
+    def _build_forwarder(self, rng: random.Random) -> forwarder.Forwarder:
         return forwarder.Forwarder(
             forwarder.Options(
                 self._options.host_id,
@@ -252,7 +283,11 @@
             ),
             self._placement,
             self._hosts,
-            connections.PoolConnector(self.backends),
+            loads.build_own_connector(
+                connections.PoolConnector(self.backends), self._loads
+            ),
+            self._router,
+            rng,
         )
 
     def _get_holding(self, instance: str) -> backends.Holding:
@@ -274,6 +309,13 @@
         members.register_listener(self._set_members)
         self.heartbeat_client.register_section(section_names.MEMBERS, members)
         self.directory.register_listener(self.backends.update_capacities)
+        if self._router is not None:
+            self.heartbeat_client.register_section(
+                section_names.HEALTH,
+                routing_sections.EntrySection(
+                    self._loads.list_unhealthy, self._router.set_holders_unhealthy
+                ),
+            )
 
     def _set_members(
         self,
--- a/sedgeswitch/forwarding/forwarder.py
+++ b/sedgeswitch/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import math
+import random
 import secrets
 import typing
 
@@ -13,6 +14,7 @@
 from sedgeswitch.forwarding import delays
 from sedgeswitch.forwarding import encoding
 from sedgeswitch.forwarding import host_calls
+from sedgeswitch.forwarding import loads
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
 from sedgeswitch.groups import positions
@@ -21,6 +23,7 @@
 from sedgeswitch.pools import pool
 from sedgeswitch.relay import connections
 from sedgeswitch.relay import steps
+from sedgeswitch.routing import router
 from sedgeswitch.statements import backends
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import failures
@@ -75,6 +78,11 @@
     hosts : host_calls.HostCalls
     local : connections.Connector
         Acquires connections of this host's own pools.
+    load_router : router.Router or None
+        Keeps the reports of holders and bounds the load on them; with None, the first
+        available holder takes every statement.
+    rng : random.Random, optional
+        Draws the statements that a holder above its bound does not get.
     """
 
     def __init__(
@@ -83,7 +91,11 @@
         places: placement.Placement,
         hosts: host_calls.HostCalls,
         local: connections.Connector,
+        load_router: router.Router | None = None,
+        rng: random.Random | None = None,
     ):
+        self._router = load_router
+        self._rng = rng or random.Random(options.host_id)
         self._options = options
         self._placement = places
         self._hosts = hosts
@@ -113,7 +125,7 @@
 
         A forwarded connection is acquired by the holder, with the first statement.
         """
-        host_id = self._choose_host(server, organisation, clocks.get_now_s())
+        host_id = self._choose_bounded(server, organisation, clocks.get_now_s())
         if host_id == self._options.host_id:
             return await self._local.acquire(server, organisation, deadline_s)
         await trio.lowlevel.checkpoint()
@@ -148,7 +160,7 @@
             raise _build_call_failure(host_id, error) from error
         if not isinstance(answer, messages.ForwardAnswer):
             raise sessions.ConnectionLostError(f"malformed answer of {host_id}")
-        self._record_answer(request.instance, answer)
+        self._record_answer(request.instance, host_id, answer)
         return answer
 
     def discard(self, host_id: str, request: messages.ForwardRequest) -> None:
@@ -180,14 +192,44 @@
                 return host_id
         return own_id
 
+    def _choose_bounded(
+        self, server: directory.BackendServer, organisation: str, now_s: float
+    ) -> str:
+        """Return the host that takes a statement; beyond a bound, not the first."""
+        first = self._choose_host(server, organisation, now_s)
+        if self._router is None:
+            return first
+        location = self._build_location(server)
+        holders = self._placement.select(location).holders
+        if first not in holders:
+            return first
+        own_id = self._options.host_id
+        available = [
+            host_id
+            for host_id in self._placement.order_hosts(location, organisation)
+            if host_id in holders
+            and (host_id == own_id or self._hosts.is_available(host_id, now_s))
+        ]
+        return self._router.choose_holder(
+            server.instance, server.slots, available, self._rng.random, now_s
+        )
+
     def _build_location(self, server: directory.BackendServer) -> placement.Location:
         shared = server.max_connections - self._options.reserved_connections
         return placement.Location(
             server.instance, server.availability_zone, max(shared, 0)
         )
 
-    def _record_answer(self, instance: str, answer: messages.ForwardAnswer) -> None:
+    def _record_answer(
+        self, instance: str, host_id: str, answer: messages.ForwardAnswer
+    ) -> None:
         exposition.FORWARDS.labels(_OUTCOME_LABELS[answer.outcome]).inc()
+        if self._router is not None and answer.load is not None:
+            report = loads.decode_load(answer.load)
+            if report is not None:
+                self._router.reports.record(
+                    instance, host_id, report, clocks.get_now_s()
+                )
         if answer.is_host_unavailable:
             return
         service_s = (answer.service_ms or 0) / _MS_PER_S
--- a/sedgeswitch/forwarding/holder.py
+++ b/sedgeswitch/forwarding/holder.py
@@ -7,6 +7,7 @@
 
 from sedgeswitch.drivers import sessions
 from sedgeswitch.forwarding import encoding
+from sedgeswitch.forwarding import loads
 from sedgeswitch.forwarding import messages
 from sedgeswitch.groups import positions
 from sedgeswitch.observability import exposition
@@ -70,10 +71,17 @@
     ----------
     components : context.Components
         Its connector acquires connections of this host's own pools.
+    instance_loads : loads.HolderLoads or None
+        Measures the instances; with None, answers carry no load.
     """
 
-    def __init__(self, components: context.Components):
+    def __init__(
+        self,
+        components: context.Components,
+        instance_loads: loads.HolderLoads | None = None,
+    ):
         self._components = components
+        self._loads = instance_loads
         self._transactions: dict[int, _Transaction] = {}
         self._running = 0
         self._is_leaving = False
@@ -111,6 +119,8 @@
         finally:
             self._running -= 1
         answer.service_ms = round((trio.current_time() - started_s) * _MS_PER_S)
+        if self._loads is not None:
+            answer.load = self._loads.build_load(request.instance, clocks.get_now_s())
         exposition.HELD.labels(_OUTCOME_LABELS[answer.outcome]).inc()
         if answer.outcome != messages.Outcome.ANSWERED:
             self._log_failure(request, answer)
@@ -241,15 +251,65 @@
             raise _HolderUnavailableError(
                 f"{request.instance} is not announced to the holder"
             )
-        return await components.connector.acquire(
-            server, request.organisation, deadline_s
-        )
+        if self._loads is None:
+            return await components.connector.acquire(
+                server, request.organisation, deadline_s
+            )
+        meter = self._loads.get_meter(server.instance)
+        meter.arrive(clocks.get_now_s())
+        try:
+            return await components.connector.acquire(
+                server, request.organisation, deadline_s
+            )
+        except BaseException:
+            meter.give_up(clocks.get_now_s())
+            raise
 
     async def _send(
         self,
         acquired: connections.AcquiredConnection,
         request: messages.ForwardRequest,
         deadline_s: float,
+    ) -> messages.ForwardAnswer:
+        """Send a request, measured if `instance_loads` was given."""
+        if self._loads is None:
+            return await self._send_unmeasured(acquired, request, deadline_s)
+        instance, sent_s = acquired.server.instance, clocks.get_now_s()
+        meter, judge = self._loads.get_meter(instance), self._loads.judge
+        is_begin = request.operation == messages.Operation.BEGIN
+        if request.transaction is not None and not is_begin:
+            # Its connection was acquired with the first statement.
+            meter.arrive(sent_s)
+        meter.send(sent_s)
+        number = judge.start(instance, sent_s)
+        answer = None
+        try:
+            answer = await self._send_unmeasured(acquired, request, deadline_s)
+        finally:
+            now_s = clocks.get_now_s()
+            meter.end(now_s)
+            judge.end(instance, number)
+            if answer is not None:
+                self._judge(instance, answer, sent_s, now_s)
+        return answer
+
+    def _judge(
+        self,
+        instance: str,
+        answer: messages.ForwardAnswer,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        if answer.outcome == messages.Outcome.NO_ANSWER:
+            self._loads.judge.record_no_answer(instance, sent_s, now_s)
+        elif answer.failure is None or answer.failure in _INSTANCE_FAILURES:
+            self._loads.judge.record(instance, answer.failure is not None, now_s)
+
+    async def _send_unmeasured(
+        self,
+        acquired: connections.AcquiredConnection,
+        request: messages.ForwardRequest,
+        deadline_s: float,
     ) -> messages.ForwardAnswer:
         """Send a request to the instance and return the answer of either."""
         server = acquired.server
@@ -342,6 +402,11 @@
     return messages.ForwardAnswer(messages.Outcome.NO_ANSWER, detail=detail)
 
 
+# Failures that count against an instance. The others say that it is busy or has another
+# role than was assumed.
+_INSTANCE_FAILURES = frozenset(
+    [sessions.Failure.FAILED.name, sessions.Failure.TIMED_OUT.name]
+)
 # Labels of the metric of forwarded statements, and the ends of their log lines.
 _OUTCOME_LABELS = {
     messages.Outcome.ANSWERED: "answered",
--- /dev/null
+++ b/sedgeswitch/forwarding/loads.py
@@ -0,0 +1,204 @@
+"""The load of instances as their holders measure it, and its messages."""
+
+import math
+
+from sedgeswitch.forwarding import messages
+from sedgeswitch.membership import directory
+from sedgeswitch.pools import pool
+from sedgeswitch.relay import connections
+from sedgeswitch.routing import health
+from sedgeswitch.routing import meters
+from sedgeswitch.routing import reports
+from sedgeswitch.statements import backends as statement_backends
+from sedgeswitch.utils import clocks
+
+_MS_PER_S = 1000
+_PERCENT = 100
+# Largest percentage that is sent; reports above `reports.MAX_DEMAND` count as that.
+_MAX_PERCENT = 10_000
+
+
+class HolderLoads:
+    """Measures the instances that this host holds and builds the reports about them.
+
+    Parameters
+    ----------
+    backends : backends.Backends
+        Announced instances.
+    get_holding : callable
+        ``get_holding(instance)`` returns this host's part of the connections.
+    known : reports.ReportTable
+        Reports of all holders, for a comparison with the other instances of a group.
+    """
+
+    def __init__(
+        self,
+        backends: statement_backends.Backends,
+        get_holding: statement_backends.GetHolding,
+        known: reports.ReportTable,
+    ):
+        self._backends = backends
+        self._get_holding = get_holding
+        self._known = known
+        self._meters: dict[str, meters.LoadMeter] = {}
+        self.judge = health.Judge()
+
+    def get_meter(self, instance: str) -> meters.LoadMeter:
+        """Return the meter of an instance."""
+        meter = self._meters.get(instance)
+        if meter is None:
+            meter = self._meters[instance] = meters.LoadMeter()
+        return meter
+
+    def build_report(self, instance: str, now_s: float) -> reports.Report | None:
+        """Return the report about an instance, None if this host does not hold it."""
+        server = self._backends.get_server(instance)
+        if server is None or instance not in self._meters:
+            return None
+        holders = self._get_holding(instance).divisor
+        if not holders:
+            return None
+        slots = min(max(server.slots, 1), reports.MAX_SLOTS)
+        meter = self._meters[instance]
+        meter.set_part(slots, holders)
+        service_s = meter.get_service_s(now_s)
+        return reports.Report(
+            slots,
+            meter.running,
+            meter.waiting,
+            holders,
+            service_s,
+            self.judge.get_failed_share(instance, now_s),
+            self._is_unhealthy(server, service_s, now_s),
+            meter.get_demand(now_s),
+        )
+
+    def build_load(self, instance: str, now_s: float) -> messages.InstanceLoad | None:
+        """Return the message about an instance, None if this host does not hold it."""
+        report = self.build_report(instance, now_s)
+        if report is None:
+            return None
+        return messages.InstanceLoad(
+            slots=report.slots,
+            running=round(report.running),
+            waiting=round(report.waiting),
+            holders=report.holders,
+            service_ms=max(round(report.service_s * _MS_PER_S), 1),
+            failed_percent=round(report.failed_share * _PERCENT) or None,
+            is_unhealthy=report.is_unhealthy or None,
+            demand_percent=min(round((report.demand or 0) * _PERCENT), _MAX_PERCENT),
+        )
+
+    def list_unhealthy(self, now_s: float) -> list[str]:
+        """Return the instances that this host holds and calls unhealthy."""
+        announced = self._backends.get_announced()
+        for instance in self._meters.keys() - announced.keys():
+            del self._meters[instance]
+        self.judge.drop(announced)
+        found = []
+        for instance in self._meters:
+            report = self.build_report(instance, now_s)
+            if report is not None and report.is_unhealthy:
+                found.append(instance)
+        return found
+
+    def _is_unhealthy(
+        self, server: directory.BackendServer, service_s: float, now_s: float
+    ) -> bool:
+        if self.judge.is_unhealthy(server.instance, service_s, now_s):
+            return True
+        views = [
+            self._known.get_view(other.instance, other.slots, 0.0, now_s)
+            for other in self._backends.get_servers(server.group)
+            if other.instance != server.instance
+        ]
+        others_s = [view.service_s for view in views if math.isfinite(view.age_s)]
+        return health.is_slow(service_s, others_s)
+
+
+class MeteredConnector:
+    """Measures the statements of this host's own callers; implements `Connector`.
+
+    Parameters
+    ----------
+    local : connections.Connector
+        Acquires connections of this host's own pools.
+    loads : HolderLoads
+    """
+
+    def __init__(self, local: connections.Connector, loads: HolderLoads):
+        self._local = local
+        self._loads = loads
+
+    async def acquire(
+        self, server: directory.BackendServer, organisation: str, deadline_s: float
+    ) -> connections.AcquiredConnection:
+        """Acquire a connection; see `connections.Connector.acquire`."""
+        meter = self._loads.get_meter(server.instance)
+        meter.arrive(clocks.get_now_s())
+        try:
+            acquired = await self._local.acquire(server, organisation, deadline_s)
+        except BaseException:
+            meter.give_up(clocks.get_now_s())
+            raise
+        meter.send(clocks.get_now_s())
+        return _MeteredConnection(acquired, meter)
+
+    def get_load(
+        self, server: directory.BackendServer, organisation: str
+    ) -> pool.PoolLoad:
+        """Return the load of this host's pool."""
+        return self._local.get_load(server, organisation)
+
+
+class _MeteredConnection:
+    """An acquired connection whose release is measured."""
+
+    def __init__(
+        self, acquired: connections.AcquiredConnection, meter: meters.LoadMeter
+    ):
+        self._acquired = acquired
+        self._meter = meter
+        self._is_ended = False
+        self.server = acquired.server
+        self.connection = acquired.connection
+
+    async def release(self, is_observed: bool = True) -> None:
+        """Return the connection to its pool."""
+        self._end()
+        await self._acquired.release(is_observed)
+
+    async def discard(self, is_observed: bool = True) -> None:
+        """Close the connection."""
+        self._end()
+        await self._acquired.discard(is_observed)
+
+    def _end(self) -> None:
+        if not self._is_ended:
+            self._is_ended = True
+            self._meter.end(clocks.get_now_s())
+
+
+def decode_load(load: messages.InstanceLoad) -> reports.Report | None:
+    """Return the report that a message contains, None if a needed field is absent."""
+    needed = (load.slots, load.running, load.waiting, load.holders, load.service_ms)
+    if None in needed:
+        return None
+    percent = load.demand_percent
+    return reports.Report(
+        load.slots,
+        load.running,
+        load.waiting,
+        load.holders,
+        load.service_ms / _MS_PER_S,
+        (load.failed_percent or 0) / _PERCENT,
+        bool(load.is_unhealthy),
+        None if percent is None else percent / _PERCENT,
+    )
+
+
+def build_own_connector(
+    local: connections.Connector, loads: HolderLoads | None
+) -> connections.Connector:
+    """Return the connector of this host's own callers, measured if `loads` is given."""
+    return local if loads is None else MeteredConnector(local, loads)
--- a/sedgeswitch/forwarding/messages.thrift
+++ b/sedgeswitch/forwarding/messages.thrift
@@ -66,6 +66,10 @@
   6: optional i32 failed_percent,
   // Waiting statements by the priority of their database.
   7: optional map<i32, i32> waiting_by_priority,
+  // Whether the holder's traffic shows that the instance is unhealthy.
+  8: optional bool is_unhealthy,
+  // Statements that arrive at this holder, in percent of what its slots can run.
+  9: optional i32 demand_percent,
 }
 
 enum Outcome {
--- a/sedgeswitch/observability/exposition.py
+++ b/sedgeswitch/observability/exposition.py
@@ -47,6 +47,24 @@
     ("reason",),
     registry=REGISTRY,
 )
+READS_BY_PLACE = prometheus_client.Counter(
+    "sedgeswitch_reads_by_place",
+    "Reads that replicas answered, by the place of the instance.",
+    ("place",),
+    registry=REGISTRY,
+)
+LEFT_READS = prometheus_client.Counter(
+    "sedgeswitch_reads_left",
+    "Reads that went past the nearest instance, by where to and outcome.",
+    ("place", "outcome"),
+    registry=REGISTRY,
+)
+LEFT_SECONDS = prometheus_client.Counter(
+    "sedgeswitch_reads_left_seconds",
+    "Time gained or lost by these reads, against the expected time at the nearest.",
+    ("place", "outcome"),
+    registry=REGISTRY,
+)
 ADMISSION_SECONDS = prometheus_client.Histogram(
     "sedgeswitch_admission_seconds",
     "Time that operations waited for a token of their organisation.",
--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -208,10 +208,14 @@
     ) -> ReadResult | None:
         """Run a read on a replica; return None if it should run elsewhere instead."""
         reply = None
+        started_s = trio.current_time()
         deadline_s = self._get_attempt_deadline_s(read.deadline_s)
         with trio.move_on_at(deadline_s):
             try:
-                return await self._run_once(read, server, floor, deadline_s)
+                result = await self._run_once(read, server, floor, deadline_s)
+                elapsed_s = trio.current_time() - started_s
+                self._components.backends.record_read(server, elapsed_s)
+                return result
             except _RetryElsewhereError as rejected:
                 reply = rejected.reply
             except steps.FailedError:
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -7,16 +7,26 @@
 from sedgeswitch.admission import fair_queue
 from sedgeswitch.drivers import base
 from sedgeswitch.membership import directory
+from sedgeswitch.observability import exposition
 from sedgeswitch.pools import pool
 from sedgeswitch.pools import shares
 from sedgeswitch.routing import candidates
 from sedgeswitch.routing import policies
+from sedgeswitch.routing import router
+from sedgeswitch.utils import clocks
 from sedgeswitch.utils import records
 
 # Assumed network round trips to backend servers, in seconds.
 SAME_ZONE_ROUND_TRIP_S = 0.0005
 SAME_REGION_ROUND_TRIP_S = 0.003
 OTHER_REGION_ROUND_TRIP_S = 0.02
+_ROUND_TRIPS_S = (
+    SAME_ZONE_ROUND_TRIP_S,
+    SAME_REGION_ROUND_TRIP_S,
+    OTHER_REGION_ROUND_TRIP_S,
+)
+# Labels of the metric of reads by the distance of the instance.
+_PLACES = ("zone", "region", "other_region")
 # Idle timeout in seconds where an instance has too few connections for every host
 # to open its minimum, so that other hosts get a turn soon. Several times the time
 # that opening a connection takes.
@@ -101,6 +111,8 @@
     get_holding : callable, optional
         ``get_holding(instance)`` returns this host's part of the connections to an
         instance. By default, they are divided as `share` says.
+    load_router : router.Router or None
+        Decides the shares for the policy ``local_first``.
 
     Attributes
     ----------
@@ -117,7 +129,11 @@
         options: BackendOptions,
         rng: random.Random,
         get_holding: GetHolding | None = None,
+        load_router: router.Router | None = None,
     ):
+        self._router = load_router
+        # The last decision about each group, for the metrics.
+        self._choices: dict[str, router.Choice] = {}
         self._get_holding = get_holding
         self._servers = servers
         self._driver = driver
@@ -133,6 +149,10 @@
         """Return the announced instances of a group."""
         return self._servers.get_group(group)
 
+    def get_announced(self) -> dict[str, directory.BackendServer]:
+        """Return every announced instance by its id."""
+        return self._servers.servers
+
     def get_server(self, instance: str) -> directory.BackendServer | None:
         """Return an announced instance by its id, None if it is not announced."""
         return self._servers.servers.get(instance)
@@ -216,9 +236,58 @@
             for server in servers
             if server.instance != primary
         ]
+        if self._router is not None and eligible:
+            eligible = self._add_shares(eligible)
         order = policies.get_policy(self._options.policy)
         return [candidate.server for candidate in order(eligible, self._rng)]
 
+    def record_read(self, server: directory.BackendServer, elapsed_s: float) -> None:
+        """Record where a read ran, and the time gained or lost if it left the zone.
+
+        Parameters
+        ----------
+        server : directory.BackendServer
+        elapsed_s : float
+            Time from its sending to its answer, in seconds.
+        """
+        choice = self._choices.get(server.group)
+        if choice is None:
+            return
+        distance = self._get_distance(server)
+        exposition.READS_BY_PLACE.labels(_PLACES[distance]).inc()
+        if distance > choice.nearest.distance:
+            gained_s = choice.nearest_time_s - elapsed_s
+            outcome = "gained" if gained_s > 0 else "lost"
+            exposition.LEFT_READS.labels(_PLACES[distance], outcome).inc()
+            exposition.LEFT_SECONDS.labels(_PLACES[distance], outcome).inc(
+                abs(gained_s)
+            )
+
+    def _add_shares(
+        self, eligible: list[candidates.Candidate]
+    ) -> list[candidates.Candidate]:
+        """Return the candidates with their shares, unchanged without any report."""
+        group = eligible[0].server.group
+        places = [
+            router.Place(
+                candidate.server.instance,
+                candidate.round_trip_s,
+                self._get_distance(candidate.server),
+                candidate.server.slots,
+                candidate.load.service_s,
+            )
+            for candidate in eligible
+        ]
+        announced = [server.instance for server in self.get_servers(group)]
+        choice = self._router.choose(places, announced, clocks.get_now_s())
+        if choice is None:
+            return eligible
+        self._choices[group] = choice
+        return [
+            candidate._replace(share=choice.shares[candidate.server.instance])
+            for candidate in eligible
+        ]
+
     def get_loads(self) -> dict[str, pool.PoolLoad]:
         """Return the load of the pool of each announced instance, by instance id."""
         loads = {
@@ -323,10 +392,13 @@
         )
 
     def _get_round_trip_s(self, server: directory.BackendServer) -> float:
+        return _ROUND_TRIPS_S[self._get_distance(server)]
+
+    def _get_distance(self, server: directory.BackendServer) -> int:
+        """Return 0 in the zone of this host, 1 in its region, 2 elsewhere."""
         own_zone, zone = self._options.availability_zone, server.availability_zone
         if zone == own_zone:
-            return SAME_ZONE_ROUND_TRIP_S
+            return 0
         regions = self._options.region_by_zone
-        if own_zone in regions and regions[own_zone] == regions.get(zone):
-            return SAME_REGION_ROUND_TRIP_S
-        return OTHER_REGION_ROUND_TRIP_S
+        is_own_region = own_zone in regions and regions[own_zone] == regions.get(zone)
+        return 1 if is_own_region else 2
