--- a/sedgeswitch/forwarding/holder.py
+++ b/sedgeswitch/forwarding/holder.py
@@ -303,7 +303,8 @@
         if answer.outcome == messages.Outcome.NO_ANSWER:
             self._loads.judge.record_no_answer(instance, sent_s, now_s)
         elif answer.failure is None or answer.failure in _INSTANCE_FAILURES:
-            self._loads.judge.record(instance, answer.failure is not None, now_s)
+            is_failure = answer.failure is not None
+            self._loads.judge.record(instance, is_failure, now_s, now_s - sent_s)
 
     async def _send_unmeasured(
         self,
--- a/sedgeswitch/forwarding/loads.py
+++ b/sedgeswitch/forwarding/loads.py
@@ -105,7 +105,7 @@
     def _is_unhealthy(
         self, server: directory.BackendServer, service_s: float, now_s: float
     ) -> bool:
-        if self.judge.is_unhealthy(server.instance, service_s, now_s):
+        if self.judge.is_unhealthy(server.instance, now_s):
             return True
         views = [
             self._known.get_view(other.instance, other.slots, 0.0, now_s)
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -10,6 +10,7 @@
 from sedgeswitch.forwarding import forwarder
 from sedgeswitch.forwarding import holder
 from sedgeswitch.forwarding import host_calls
+from sedgeswitch.forwarding import loads
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
 from sedgeswitch.membership import machine
@@ -21,6 +22,7 @@
 from sedgeswitch.relay import session
 from sedgeswitch.relay.tests import builders as relay_builders
 from sedgeswitch.routing import policies
+from sedgeswitch.routing import router
 from sedgeswitch.statements import backends
 from sedgeswitch.statements import interruption
 from sedgeswitch.transport import catalog
@@ -62,6 +64,8 @@
             while host_id in fleet.frozen:
                 await trio.sleep(0.01)
             answer = await handler(request)
+            if isinstance(request, messages.ForwardRequest):
+                fleet.answers.append(catalog.encode_struct(answer))
             if host_id in fleet.loses_answers:
                 raise failures.CallError(
                     "connection_lost", host_id, verdicts.Verdict.MAY_HAVE_RUN
@@ -78,6 +82,13 @@
     def __init__(self, fleet, member):
         world = fleet.world
         self.member = member
+        self.world = world
+        self.router = self.loads = None
+        if fleet.policy == policies.LOCAL_FIRST:
+            self.router = router.Router(
+                member.host_id,
+                lambda instance, now_s: self.loads.build_report(instance, now_s),
+            )
         self.backends = backends.Backends(
             world.servers,
             relay_builders.FakeDriver(world),
@@ -86,22 +97,30 @@
             backends.BackendOptions(
                 member.availability_zone,
                 1000,
-                policies.DEFAULT_POLICY,
+                fleet.policy,
                 pool.PoolSettings(),
                 RESERVED_CONNECTIONS,
                 2,
                 REGIONS,
             ),
             random.Random(1),
-            lambda name: self.forwarder.get_holding(world.servers.servers[name]),
+            self.get_holding,
+            self.router,
         )
+        if self.router is not None:
+            self.loads = loads.HolderLoads(
+                self.backends, self.get_holding, self.router.reports
+            )
         self.placement = placement.Placement(REGIONS)
         self.hosts = host_calls.HostCalls(FakePeers(fleet, member.host_id))
         self.forwarder = forwarder.Forwarder(
             forwarder.Options(member.host_id, RESERVED_CONNECTIONS, lambda: 3.0),
             self.placement,
             self.hosts,
-            connections.PoolConnector(self.backends),
+            loads.build_own_connector(
+                connections.PoolConnector(self.backends), self.loads
+            ),
+            self.router,
         )
         self.admission = admission.HomeAdmission(
             member.host_id,
@@ -128,9 +147,14 @@
             random.Random(2),
         )
         local = connections.PoolConnector(self.backends)
-        self.holder = holder.Holder(self.components._replace(connector=local))
+        self.holder = holder.Holder(
+            self.components._replace(connector=local), self.loads
+        )
         self.set_share(1)
 
+    def get_holding(self, instance):
+        return self.forwarder.get_holding(self.world.servers.servers[instance])
+
     def set_members(self, members):
         self.placement.set_members(members)
         self.hosts.set_members(members)
@@ -165,7 +189,15 @@
         after they have run a request.
     """
 
-    def __init__(self, zones=("bagmati",) * 4, max_connections=20):
+    def __init__(
+        self,
+        zones=("bagmati",) * 4,
+        max_connections=20,
+        policy=policies.DEFAULT_POLICY,
+    ):
+        self.policy = policy
+        # Every answer of a holder, as encoded.
+        self.answers = []
         self.world = relay_builders.World(max_connections)
         self.calls = []
         self.dead = set()
--- a/sedgeswitch/routing/health.py
+++ b/sedgeswitch/routing/health.py
@@ -19,10 +19,12 @@
 # five failures among so many are rarer than one in a hundred thousand.
 MIN_WEIGHT = 8.0
 # Time without any answer after which statements in progress are taken to hang, in
-# seconds, and as a multiple of the usual service time. The slowest class takes 55 ms of
-# work, at a fifth of the speed 0.3 s.
+# seconds, and as a multiple of the usual time of an answer. The slowest class takes
+# 55 ms of work, at a fifth of the speed 0.3 s.
 HANG_S = 0.5
-HANG_SERVICE_TIMES = 10.0
+HANG_USUAL_TIMES = 10.0
+# Weight of the newest answer in the usual time.
+USUAL_WEIGHT = 0.1
 # Multiple of the service time of the other instances of the group at which an instance
 # is unhealthy. Below it, the shares of `routing.shares` still use what it can do.
 SLOW_FACTOR = 10.0
@@ -44,12 +46,13 @@
 
 
 class _Observed(typing.NamedTuple):
-    """Decayed counts of the answers of one instance."""
+    """Decayed counts of the answers of one instance, and their usual time."""
 
     answered: float = 0.0
     failed: float = 0.0
     updated_s: float = float("-inf")
     answered_s: float = float("-inf")
+    usual_s: float = 0.0
     is_unhealthy: bool = False
 
 
@@ -84,8 +87,19 @@
         if self._observed.get(instance, _Observed()).answered_s < sent_s:
             self.record(instance, True, now_s)
 
-    def record(self, instance: str, is_failure: bool, now_s: float) -> None:
-        """Add an answer, or the lack of one (`is_failure`), of an instance."""
+    def record(
+        self, instance: str, is_failure: bool, now_s: float, elapsed_s: float = 0.0
+    ) -> None:
+        """Add an answer, or the lack of one (`is_failure`), of an instance.
+
+        Parameters
+        ----------
+        instance : str
+        is_failure : bool
+        now_s : float
+        elapsed_s : float, optional
+            Time that an answer took, in seconds.
+        """
         observed = self._observed.get(instance, _Observed())
         remaining = 0.5 ** (max(now_s - observed.updated_s, 0.0) / HALF_LIFE_S)
         observed = observed._replace(
@@ -93,6 +107,7 @@
             failed=observed.failed * remaining + is_failure,
             updated_s=now_s,
             answered_s=observed.answered_s if is_failure else now_s,
+            usual_s=observed.usual_s + USUAL_WEIGHT * (elapsed_s - observed.usual_s),
         )
         total = observed.answered + observed.failed
         share = observed.failed / total
@@ -111,17 +126,9 @@
         total = observed.answered + observed.failed
         return observed.failed / max(total, MIN_WEIGHT)
 
-    def is_unhealthy(self, instance: str, service_s: float, now_s: float) -> bool:
-        """Return the verdict about an instance.
-
-        Parameters
-        ----------
-        instance : str
-        service_s : float
-            Usual time of a statement at the instance, in seconds.
-        now_s : float
-        """
-        if self._is_hanging(instance, service_s, now_s):
+    def is_unhealthy(self, instance: str, now_s: float) -> bool:
+        """Return the verdict about an instance."""
+        if self._is_hanging(instance, now_s):
             return True
         observed = self._observed.get(instance)
         if observed is None or now_s - observed.updated_s > FORGET_S:
@@ -133,13 +140,13 @@
         for instance in self._observed.keys() - set(instances):
             del self._observed[instance]
 
-    def _is_hanging(self, instance: str, service_s: float, now_s: float) -> bool:
+    def _is_hanging(self, instance: str, now_s: float) -> bool:
         in_progress = self._in_progress.get(instance)
         if not in_progress:
             return False
         oldest_s = next(iter(in_progress.values()))
         observed = self._observed.get(instance, _Observed())
-        limit_s = max(HANG_S, HANG_SERVICE_TIMES * service_s)
+        limit_s = max(HANG_S, HANG_USUAL_TIMES * observed.usual_s)
         return now_s - max(oldest_s, observed.answered_s) > limit_s
 
 
--- a/sedgeswitch/routing/tests/fleet.py
+++ b/sedgeswitch/routing/tests/fleet.py
@@ -255,7 +255,8 @@
         judge = instance.judges[holder]
         judge.end(instance.name, call["judged"])
         if was_answered:
-            judge.record(instance.name, is_failure, now_s)
+            held_s = now_s - call["reached_s"]
+            judge.record(instance.name, is_failure, now_s, held_s)
         else:
             judge.record_no_answer(instance.name, call["reached_s"], now_s)
         instance.outstanding[holder] -= 1
@@ -288,7 +289,7 @@
             if x is not instance
         ]
         judge = instance.judges[holder]
-        is_unhealthy = judge.is_unhealthy(instance.name, service_s, now_s)
+        is_unhealthy = judge.is_unhealthy(instance.name, now_s)
         return is_unhealthy or health.is_slow(service_s, others_s)
 
     def answer(self, now_s, instance, call, report, held_s, is_retried):
--- a/sedgeswitch/routing/tests/test_health.py
+++ b/sedgeswitch/routing/tests/test_health.py
@@ -4,8 +4,6 @@
 
 from sedgeswitch.routing import health
 
-SERVICE_S = 0.03
-
 
 def observe(judge, outcomes, from_s=0.0, step_s=0.05):
     for number, is_failure in enumerate(outcomes):
@@ -18,7 +16,7 @@
         self.judge = health.Judge()
 
     def is_unhealthy(self, now_s):
-        return self.judge.is_unhealthy("i", SERVICE_S, now_s)
+        return self.judge.is_unhealthy("i", now_s)
 
     def test_instance_that_fails_a_third_is_unhealthy(self):
         now_s = observe(self.judge, [False, False, True] * 10)
