--- a/sedgeswitch/routing/health.py
+++ b/sedgeswitch/routing/health.py
@@ -28,6 +28,9 @@
 # Multiple of the service time of the other instances of the group at which an instance
 # is unhealthy. Below it, the shares of `routing.shares` still use what it can do.
 SLOW_FACTOR = 10.0
+# Part of the weight of unanswered statements that remains after an answer. A hang has
+# ended when answers arrive; two of them, from probes, are enough.
+KEPT_UNANSWERED = 0.1
 # Time without observations after which a verdict ends, in seconds: ten half-lives.
 FORGET_S = 30.0
 # Part of the instances of a group that may be ejected.
@@ -50,6 +53,7 @@
 
     answered: float = 0.0
     failed: float = 0.0
+    unanswered: float = 0.0
     updated_s: float = float("-inf")
     answered_s: float = float("-inf")
     usual_s: float = 0.0
@@ -84,8 +88,14 @@
         sent. An overloaded instance, which answers others, is not ill: ejecting it
         would overload the next one.
         """
-        if self._observed.get(instance, _Observed()).answered_s < sent_s:
+        observed = self._observed.get(instance, _Observed())
+        if observed.answered_s < sent_s:
+            # Counted by `record` as a failure, but forgotten sooner.
             self.record(instance, True, now_s)
+            observed = self._observed[instance]
+            self._observed[instance] = observed._replace(
+                failed=observed.failed - 1, unanswered=observed.unanswered + 1
+            )
 
     def record(
         self, instance: str, is_failure: bool, now_s: float, elapsed_s: float = 0.0
@@ -102,15 +112,18 @@
         """
         observed = self._observed.get(instance, _Observed())
         remaining = 0.5 ** (max(now_s - observed.updated_s, 0.0) / HALF_LIFE_S)
+        kept = remaining if is_failure else remaining * KEPT_UNANSWERED
         observed = observed._replace(
             answered=observed.answered * remaining + (not is_failure),
             failed=observed.failed * remaining + is_failure,
+            unanswered=observed.unanswered * kept,
             updated_s=now_s,
             answered_s=observed.answered_s if is_failure else now_s,
             usual_s=observed.usual_s + USUAL_WEIGHT * (elapsed_s - observed.usual_s),
         )
-        total = observed.answered + observed.failed
-        share = observed.failed / total
+        failed = observed.failed + observed.unanswered
+        total = observed.answered + failed
+        share = failed / total
         is_unhealthy = observed.is_unhealthy
         if total >= MIN_WEIGHT and share >= UNHEALTHY_SHARE:
             is_unhealthy = True
@@ -123,8 +136,8 @@
         observed = self._observed.get(instance)
         if observed is None or now_s - observed.updated_s > FORGET_S:
             return 0.0
-        total = observed.answered + observed.failed
-        return observed.failed / max(total, MIN_WEIGHT)
+        failed = observed.failed + observed.unanswered
+        return failed / max(observed.answered + failed, MIN_WEIGHT)
 
     def is_unhealthy(self, instance: str, now_s: float) -> bool:
         """Return the verdict about an instance."""
@@ -207,6 +220,26 @@
     return frozenset(worst[: get_ejected_max(total)])
 
 
+def limit_parts(
+    parts: collections.abc.Mapping[str, float], withheld_max: int
+) -> dict[str, float]:
+    """Return the parts of the usual shares after all but a few are made whole.
+
+    Ejected and returning instances together are no more than may be ejected. Otherwise
+    two that flap in turn would leave all load to the third.
+
+    Parameters
+    ----------
+    parts : mapping of str to float
+        See `ReturnTable.get_part`.
+    withheld_max : int
+        Number of instances that may get less than their usual share.
+    """
+    lowest = sorted(parts, key=lambda name: (parts[name], name))
+    withheld = lowest[: max(withheld_max, 0)]
+    return {name: parts[name] if name in withheld else 1.0 for name in parts}
+
+
 class _Return(typing.NamedTuple):
     """When an instance was ejected and began to return, and how slowly it does."""
 
--- a/sedgeswitch/routing/meters.py
+++ b/sedgeswitch/routing/meters.py
@@ -9,9 +9,9 @@
 # Time constant of the averages, in seconds. A holder of a busy instance sees several
 # dozen statements in it, and demand changes over tens of seconds.
 AVERAGING_S = 1.0
-# Time in which waiting statements are to be worked off, in seconds. It is several times
+# Time in which waiting statements are to be worked off, in seconds. It is about twice
 # the delay of the figures, so that the queue does not make the shares oscillate.
-DRAIN_S = 5.0
+DRAIN_S = 2.5
 # Service time that is assumed before the first answer, in seconds, and the weight of
 # the assumption in answers.
 ASSUMED_SERVICE_S = 0.03
--- a/sedgeswitch/routing/router.py
+++ b/sedgeswitch/routing/router.py
@@ -186,10 +186,10 @@
         ejected = self._update_ejected(options, group, now_s)
         usable = [x for x in options if x.instance not in ejected]
         decided = self._shares.decide(usable, now_s)
-        parts = {
-            option.instance: self._returns.get_part(option.instance, now_s)
-            for option in usable
-        }
+        parts = health.limit_parts(
+            {x.instance: self._returns.get_part(x.instance, now_s) for x in usable},
+            health.get_ejected_max(len(group)) - len(ejected),
+        )
         settled = [x for x in usable if parts[x.instance] >= 1.0]
         if settled and len(settled) < len(usable):
             without = self._shares.decide(settled, now_s)
--- a/sedgeswitch/routing/shares.py
+++ b/sedgeswitch/routing/shares.py
@@ -14,10 +14,10 @@
 # Advantage in seconds that an instance needs to get statements from a nearer one, by
 # its distance (same zone, same region, other region). Bytes between regions cost four
 # times as much as those between zones.
-LEAVING_MARGINS_S = (0.0, 0.002, 0.008)
+LEAVING_MARGINS_S = (0.0, 0.001, 0.004)
 # Further margin for each second of age of the reports, in seconds: demand that varies
 # by 0.55 over a minute changes the wait at a nearly full instance by about as much.
-AGE_MARGIN = 0.002
+AGE_MARGIN = 0.001
 # Part of the margin for the distance that must be lost before statements return;
 # between the two, the shares do not change.
 RETURN_SHARE = 0.5
--- a/sedgeswitch/routing/tests/test_health.py
+++ b/sedgeswitch/routing/tests/test_health.py
@@ -79,6 +79,11 @@
         self.assertTrue(health.is_agreed(2, 3))
         self.assertFalse(health.is_agreed(1, 0))
 
+    def test_two_that_flap_in_turn_do_not_leave_all_load_to_the_third(self):
+        parts = {"a": 0.1, "b": 0.4, "c": 1.0}
+        self.assertEqual({"a": 0.1, "b": 1.0, "c": 1.0}, health.limit_parts(parts, 1))
+        self.assertEqual({1.0}, set(health.limit_parts(parts, 0).values()))
+
     def test_slowness_is_relative_to_the_group(self):
         self.assertTrue(health.is_slow(0.5, [0.03, 0.04]))
         self.assertFalse(health.is_slow(0.15, [0.03, 0.03]))
