--- a/sedgeswitch/routing/tests/measure_policies.py
+++ b/sedgeswitch/routing/tests/measure_policies.py
@@ -12,8 +12,8 @@
 import trio
 
 from sedgeswitch.routing import policies
-from sedgeswitch.sessions.tests import builders as session_builders
 from sedgeswitch.routing.tests import fleet
+from sedgeswitch.sessions.tests import builders as session_builders
 from sedgeswitch.statements.tests import builders
 
 ZONES = ("koshi", "gandaki", "bagmati")
