--- a/sedgeswitch/forwarding/loads.py
+++ b/sedgeswitch/forwarding/loads.py
@@ -12,6 +12,9 @@
 from sedgeswitch.statements import backends as statement_backends
 from sedgeswitch.utils import clocks
 
+# Shortest time between two comparisons of an instance with its group, in seconds. Each
+# takes about 30 us, several times what the rest of a report does.
+COMPARISON_INTERVAL_S = 0.5
 _MS_PER_S = 1000
 _PERCENT = 100
 # Largest percentage that is sent; reports above `reports.MAX_DEMAND` count as that.
@@ -41,6 +44,8 @@
         self._get_holding = get_holding
         self._known = known
         self._meters: dict[str, meters.LoadMeter] = {}
+        # Whether an instance is slow, and until when that is not compared again.
+        self._slow: dict[str, tuple[bool, float]] = {}
         self.judge = health.Judge()
 
     def get_meter(self, instance: str) -> meters.LoadMeter:
@@ -94,6 +99,7 @@
         announced = self._backends.get_announced()
         for instance in self._meters.keys() - announced.keys():
             del self._meters[instance]
+            self._slow.pop(instance, None)
         self.judge.drop(announced)
         found = []
         for instance in self._meters:
@@ -107,6 +113,16 @@
     ) -> bool:
         if self.judge.is_unhealthy(server.instance, now_s):
             return True
+        is_slow, until_s = self._slow.get(server.instance, (False, float("-inf")))
+        if now_s >= until_s:
+            is_slow = self._compare_service(server, service_s, now_s)
+            self._slow[server.instance] = is_slow, now_s + COMPARISON_INTERVAL_S
+        return is_slow
+
+    def _compare_service(
+        self, server: directory.BackendServer, service_s: float, now_s: float
+    ) -> bool:
+        """Return whether an instance is far slower than its group, as reported."""
         views = [
             self._known.get_view(other.instance, other.slots, 0.0, now_s)
             for other in self._backends.get_servers(server.group)
--- a/sedgeswitch/routing/router.py
+++ b/sedgeswitch/routing/router.py
@@ -10,7 +10,7 @@
 
 # Shortest time between two decisions about the same instances, in seconds. It bounds
 # the processor time that decisions take.
-DECISION_INTERVAL_S = 0.25
+DECISION_INTERVAL_S = 0.5
 # Interval at which old reports are dropped, in seconds.
 DROP_INTERVAL_S = 5.0
 
@@ -110,6 +110,13 @@
         """Return how many instances are ejected or have not fully returned."""
         return self._returns.count_partial(now_s)
 
+    def get_kept(self, instances: tuple[str, ...], now_s: float) -> Choice | None:
+        """Return the decision about a set of instances, None if a new one is due."""
+        kept = self._kept.get(instances)
+        if kept is None or not 0 <= now_s - kept.decided_s < DECISION_INTERVAL_S:
+            return None
+        return kept.choice
+
     def choose(
         self, places: list[Place], group: list[str], now_s: float
     ) -> Choice | None:
@@ -124,9 +131,9 @@
         now_s : float
         """
         key = tuple(place.instance for place in places)
-        kept = self._kept.get(key)
-        if kept is not None and 0 <= now_s - kept.decided_s < DECISION_INTERVAL_S:
-            return kept.choice
+        kept = self.get_kept(key, now_s)
+        if kept is not None:
+            return kept
         self._drop_old(now_s)
         choice = self._decide(places, group, now_s)
         if choice is not None:
--- a/sedgeswitch/routing/shares.py
+++ b/sedgeswitch/routing/shares.py
@@ -33,7 +33,8 @@
 MIN_LEAVING_SHARE = 0.005
 # Least staying share from which the whole demand is inferred.
 _MIN_REFERENCE_SHARE = 0.05
-_SEARCH_STEPS = 12
+# Halvings of the search for the equalising move; exact to less than a hundredth of it.
+_SEARCH_STEPS = 7
 # Sets of instances whose shares are kept: several for each group.
 MAX_SETS = 2000
 
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -229,15 +229,18 @@
         get_load : callable
             Returns the load that a statement for a backend server meets.
         """
+        replicas = [server for server in servers if server.instance != primary]
+        shares_by_instance = self._get_shares(replicas, get_load)
         eligible = [
             candidates.Candidate(
-                server, False, get_load(server), self._get_round_trip_s(server)
+                server,
+                False,
+                get_load(server),
+                self._get_round_trip_s(server),
+                shares_by_instance.get(server.instance),
             )
-            for server in servers
-            if server.instance != primary
+            for server in replicas
         ]
-        if self._router is not None and eligible:
-            eligible = self._add_shares(eligible)
         order = policies.get_policy(self._options.policy)
         return [candidate.server for candidate in order(eligible, self._rng)]
 
@@ -263,30 +266,33 @@
                 abs(gained_s)
             )
 
-    def _add_shares(
-        self, eligible: list[candidates.Candidate]
-    ) -> list[candidates.Candidate]:
-        """Return the candidates with their shares, unchanged without any report."""
-        group = eligible[0].server.group
-        places = [
-            router.Place(
-                candidate.server.instance,
-                candidate.round_trip_s,
-                self._get_distance(candidate.server),
-                candidate.server.slots,
-                candidate.load.service_s,
-            )
-            for candidate in eligible
-        ]
-        announced = [server.instance for server in self.get_servers(group)]
-        choice = self._router.choose(places, announced, clocks.get_now_s())
+    def _get_shares(
+        self, replicas: list[directory.BackendServer], get_load: GetLoad
+    ) -> collections.abc.Mapping[str, float]:
+        """Return the share of each replica, none without any report."""
+        if self._router is None or not replicas:
+            return records.EMPTY_MAPPING
+        now_s = clocks.get_now_s()
+        key = tuple(server.instance for server in replicas)
+        choice = self._router.get_kept(key, now_s)
         if choice is None:
-            return eligible
-        self._choices[group] = choice
-        return [
-            candidate._replace(share=choice.shares[candidate.server.instance])
-            for candidate in eligible
-        ]
+            places = [
+                router.Place(
+                    server.instance,
+                    self._get_round_trip_s(server),
+                    self._get_distance(server),
+                    server.slots,
+                    get_load(server).service_s,
+                )
+                for server in replicas
+            ]
+            group = replicas[0].group
+            announced = [server.instance for server in self.get_servers(group)]
+            choice = self._router.choose(places, announced, now_s)
+            if choice is None:
+                return records.EMPTY_MAPPING
+            self._choices[group] = choice
+        return choice.shares
 
     def get_loads(self) -> dict[str, pool.PoolLoad]:
         """Return the load of the pool of each announced instance, by instance id."""
