--- a/sedgeswitch/routing/health.py
+++ b/sedgeswitch/routing/health.py
@@ -253,10 +253,12 @@
 
     def __init__(self):
         self._returns: dict[str, _Return] = {}
+        self._updated_s: dict[str, float] = {}
 
     def update(self, instance: str, is_ejected: bool, now_s: float) -> None:
         """Record whether an instance is ejected now."""
         present = self._returns.get(instance)
+        self._updated_s[instance] = now_s
         if is_ejected and (present is None or present.returned_s is not None):
             ramp_s = RAMP_S
             if present is not None and now_s - present.ejected_s < FLAPPING_S:
@@ -268,6 +270,13 @@
             elif now_s - present.returned_s > max(present.ramp_s, FLAPPING_S):
                 del self._returns[instance]
 
+    def drop_old(self, now_s: float) -> None:
+        """Drop instances that no read could go to for a while, such as removed ones."""
+        for instance, updated_s in list(self._updated_s.items()):
+            if now_s - updated_s > FLAPPING_S:
+                del self._updated_s[instance]
+                self._returns.pop(instance, None)
+
     def get_part(self, instance: str, now_s: float) -> float:
         """Return the part of its usual share that an instance gets, 0 if ejected."""
         present = self._returns.get(instance)
--- a/sedgeswitch/routing/router.py
+++ b/sedgeswitch/routing/router.py
@@ -253,6 +253,7 @@
             return
         self._drop_due_s = now_s + DROP_INTERVAL_S
         self.reports.drop_old(now_s)
+        self._returns.drop_old(now_s)
         self._kept = {
             key: kept
             for key, kept in self._kept.items()
--- a/sedgeswitch/routing/tests/test_health.py
+++ b/sedgeswitch/routing/tests/test_health.py
@@ -100,6 +100,15 @@
         parts = [table.get_part("i", 10.0 + n) for n in (0, 5, 10)]
         self.assertEqual([health.FIRST_RAMP_PART, 0.5, 1.0], parts)
 
+    def test_instance_that_was_removed_is_forgotten(self):
+        """Guards against a gauge that counts an ejected instance for ever."""
+        table = health.ReturnTable()
+        table.update("i", True, 0.0)
+        table.drop_old(30.0)
+        self.assertEqual(1, table.count_partial(30.0))
+        table.drop_old(70.0)
+        self.assertEqual(0, table.count_partial(70.0))
+
     def test_instance_that_flaps_returns_ever_more_slowly(self):
         table = health.ReturnTable()
         parts = []
