Eject an instance for all reads alike

Ejection was decided for the instances that one read may go to, so that a read without another choice began the return of an ejected instance, which then counted as flapping. It is now decided for the replicas of the group; a read without another choice ignores it. The primary takes no part.

--- a/sedgeswitch/routing/router.py
+++ b/sedgeswitch/routing/router.py
@@ -118,7 +118,7 @@
         return kept.choice
 
     def choose(
-        self, places: list[Place], group: list[str], now_s: float
+        self, places: list[Place], replicas: list[str], now_s: float
     ) -> Choice | None:
         """Return the shares of the given instances, None without any report.
 
@@ -126,8 +126,9 @@
         ----------
         places : list of Place
             At least one; those that a read may go to.
-        group : list of str
-            All announced instances of the group.
+        replicas : list of str
+            All announced replicas of the group, also those that this read may not go
+            to. The primary is not ejected; its change is up to the groups.
         now_s : float
         """
         key = tuple(place.instance for place in places)
@@ -135,7 +136,7 @@
         if kept is not None:
             return kept
         self._drop_old(now_s)
-        choice = self._decide(places, group, now_s)
+        choice = self._decide(places, replicas, now_s)
         if choice is not None:
             self._kept[key] = _Kept(choice, now_s)
         return choice
@@ -185,17 +186,19 @@
         return loads
 
     def _decide(
-        self, places: list[Place], group: list[str], now_s: float
+        self, places: list[Place], replicas: list[str], now_s: float
     ) -> Choice | None:
         options = [self._build_option(place, now_s) for place in places]
         if all(option.view.age_s > reports.MAX_AGE_S for option in options):
             return None
-        ejected = self._update_ejected(options, group, now_s)
+        ejected = self._update_ejected(replicas, now_s)
         usable = [x for x in options if x.instance not in ejected]
+        if not usable:
+            usable, ejected = options, frozenset()
         decided = self._shares.decide(usable, now_s)
         parts = health.limit_parts(
             {x.instance: self._returns.get_part(x.instance, now_s) for x in usable},
-            health.get_ejected_max(len(group)) - len(ejected),
+            health.get_ejected_max(len(replicas) + 1) - len(ejected),
         )
         settled = [x for x in usable if parts[x.instance] >= 1.0]
         if settled and len(settled) < len(usable):
@@ -205,7 +208,7 @@
                 name: part * share + (1 - part) * without.get(name, 0.0)
                 for name, share in decided.items()
             }
-        usual = 1 - health.PROBE_SHARE * len(ejected)
+        usual = 1 - health.PROBE_SHARE * (len(options) - len(usable))
         chosen = {
             option.instance: health.PROBE_SHARE
             if option.instance in ejected
@@ -229,18 +232,16 @@
         )
         return shares.Option(place.instance, place.round_trip_s, place.distance, view)
 
-    def _update_ejected(
-        self, options: list[shares.Option], group: list[str], now_s: float
-    ) -> frozenset[str]:
+    def _update_ejected(self, replicas: list[str], now_s: float) -> frozenset[str]:
+        """Return the ejected replicas of a group, for all reads alike."""
         unhealthy = {
-            option.instance: option.view.failed_share
-            for option in options
-            if self._is_unhealthy(option.instance, now_s)
+            name: self.reports.get_view(name, 1, 0.0, now_s).failed_share
+            for name in replicas
+            if self._is_unhealthy(name, now_s)
         }
-        eligible = [option.instance for option in options]
-        ejected = health.select_ejected(unhealthy, eligible, len(group))
-        for instance in eligible:
-            self._returns.update(instance, instance in ejected, now_s)
+        ejected = health.select_ejected(unhealthy, replicas, len(replicas) + 1)
+        for name in replicas:
+            self._returns.update(name, name in ejected, now_s)
         return ejected
 
     def _is_unhealthy(self, instance: str, now_s: float) -> bool:
--- a/sedgeswitch/routing/tests/test_router.py
+++ b/sedgeswitch/routing/tests/test_router.py
@@ -7,6 +7,7 @@
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
 from sedgeswitch.routing import candidates
+from sedgeswitch.routing import health
 from sedgeswitch.routing import overflow
 from sedgeswitch.routing import policies
 from sedgeswitch.routing import reports
@@ -14,7 +15,7 @@
 from sedgeswitch.routing.tests import builders
 
 PLACES = [builders.build_place("near", 0), builders.build_place("far", 2)]
-GROUP = ["near", "far", "primary"]
+REPLICAS = ["near", "far"]
 
 
 def build_router(**reported):
@@ -28,46 +29,60 @@
 
 class RouterTest(unittest.TestCase):
     def test_no_decision_without_any_report(self):
-        self.assertIsNone(router.Router("host-1").choose(PLACES, GROUP, 0.0))
+        self.assertIsNone(router.Router("host-1").choose(PLACES, REPLICAS, 0.0))
 
     def test_no_decision_after_reports_stopped(self):
         """The pattern: reports that stop."""
         host = build_router(near=1.2, far=0.2)
-        self.assertIsNotNone(host.choose(PLACES, GROUP, 0.0))
-        self.assertIsNone(host.choose(PLACES, GROUP, reports.MAX_AGE_S + 1))
+        self.assertIsNotNone(host.choose(PLACES, REPLICAS, 0.0))
+        self.assertIsNone(host.choose(PLACES, REPLICAS, reports.MAX_AGE_S + 1))
 
     def test_decision_is_kept_for_an_interval(self):
         host = build_router(near=1.2, far=0.2)
-        first = host.choose(PLACES, GROUP, 0.0)
-        self.assertIs(first, host.choose(PLACES, GROUP, 0.2))
-        self.assertIsNot(first, host.choose(PLACES, GROUP, 0.6))
+        first = host.choose(PLACES, REPLICAS, 0.0)
+        self.assertIs(first, host.choose(PLACES, REPLICAS, 0.2))
+        self.assertIsNot(first, host.choose(PLACES, REPLICAS, 0.6))
 
     def test_false_verdict_of_one_holder_ejects_nothing(self):
         """The pattern: a false health answer."""
         host = build_router(near=0.3, far=0.3)
         false = builders.build_report(0.3, is_unhealthy=True)
         host.reports.record("near", "h-1", false, 0.0)
-        self.assertEqual(1.0, host.choose(PLACES, GROUP, 0.1).shares["near"])
+        self.assertEqual(1.0, host.choose(PLACES, REPLICAS, 0.1).shares["near"])
 
     def test_verdict_of_most_holders_leaves_only_probes(self):
         host = build_router(near=0.3, far=0.3)
         host.set_holders_unhealthy({"near": 2})
-        shares = host.choose(PLACES, GROUP, 0.1).shares
+        shares = host.choose(PLACES, REPLICAS, 0.1).shares
         self.assertEqual({"near": 0.01, "far": 0.99}, shares)
 
     def test_only_usable_instance_is_not_ejected(self):
         host = build_router(near=0.3)
         host.set_holders_unhealthy({"near": 2})
-        shares = host.choose(PLACES[:1], GROUP, 0.1).shares
+        shares = host.choose(PLACES[:1], REPLICAS, 0.1).shares
         self.assertEqual({"near": 1.0}, shares)
 
+    def test_read_without_another_choice_is_no_return_of_an_ejected_instance(self):
+        """Guards against a return that is slowed down as if the instance flapped."""
+        host = build_router(near=0.3, far=0.3)
+        host.set_holders_unhealthy({"near": 2})
+        for step in range(4):
+            host.choose(PLACES, REPLICAS, 0.1 + step)
+            host.choose(PLACES[:1], REPLICAS, 0.2 + step)
+        host.set_holders_unhealthy({})
+        host.choose(PLACES, REPLICAS, 5.0)
+        end_s = 5.0 + health.RAMP_S
+        host.reports.record("near", "h-1", builders.build_report(0.3), end_s)
+        returned = host.choose(PLACES, REPLICAS, end_s)
+        self.assertGreater(returned.shares["near"], 0.9)
+
     def test_instance_returns_slowly_after_its_verdict(self):
         host = build_router(near=0.3, far=0.3)
         host.set_holders_unhealthy({"near": 2})
-        host.choose(PLACES, GROUP, 0.1)
+        host.choose(PLACES, REPLICAS, 0.1)
         host.set_holders_unhealthy({})
-        early = host.choose(PLACES, GROUP, 1.0).shares["near"]
-        later = host.choose(PLACES, GROUP, 6.0).shares["near"]
+        early = host.choose(PLACES, REPLICAS, 1.0).shares["near"]
+        later = host.choose(PLACES, REPLICAS, 6.0).shares["near"]
         self.assertLess(early, 0.2)
         self.assertGreater(later, 0.4)
 
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -230,7 +230,7 @@
             Returns the load that a statement for a backend server meets.
         """
         replicas = [server for server in servers if server.instance != primary]
-        shares_by_instance = self._get_shares(replicas, get_load)
+        shares_by_instance = self._get_shares(replicas, primary, get_load)
         eligible = [
             candidates.Candidate(
                 server,
@@ -267,7 +267,10 @@
             )
 
     def _get_shares(
-        self, replicas: list[directory.BackendServer], get_load: GetLoad
+        self,
+        replicas: list[directory.BackendServer],
+        primary: str,
+        get_load: GetLoad,
     ) -> collections.abc.Mapping[str, float]:
         """Return the share of each replica, none without any report."""
         if self._router is None or not replicas:
@@ -287,7 +290,11 @@
                 for server in replicas
             ]
             group = replicas[0].group
-            announced = [server.instance for server in self.get_servers(group)]
+            announced = [
+                server.instance
+                for server in self.get_servers(group)
+                if server.instance != primary
+            ]
             choice = self._router.choose(places, announced, now_s)
             if choice is None:
                 return records.EMPTY_MAPPING
