--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -21,6 +21,7 @@
 from sedgeswitch.forwarding import forwarder
 from sedgeswitch.forwarding import holder
 from sedgeswitch.forwarding import host_calls
+from sedgeswitch.forwarding import loads
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
 from sedgeswitch.groups import entry_section
@@ -40,6 +41,9 @@
 from sedgeswitch.relay import session
 from sedgeswitch.routing import eligibility
 from sedgeswitch.routing import policies
+from sedgeswitch.routing import reports
+from sedgeswitch.routing import router
+from sedgeswitch.routing import sections as routing_sections
 from sedgeswitch.scheduling import host as host_scheduling
 from sedgeswitch.scheduling import scheduler
 from sedgeswitch.statements import backends
@@ -90,6 +94,10 @@
     scheduling : str, optional
         Registered order in which statements are started where slots are scarce; see
         `scheduling.orders`. None for a queue that is fair between organisations.
+    routing_policy : str
+        Registered name of the policy that orders replicas. With ``local_first``,
+        holders report the load and the health of their instances, and the load on
+        holders is bounded.
     """
 
     host_id: str
@@ -103,6 +111,7 @@
     evacuation_bound_s: float = evacuations_sections.DEFAULT_BOUND_S
     reads_near_primary: bool = False
     scheduling: str | None = None
+    routing_policy: str = policies.DEFAULT_POLICY
 
 
 class RelayEntry(entry_core.EntryCore):
@@ -154,7 +163,15 @@
             self._scheduling = host_scheduling.HostScheduling(
                 options.scheduling, MAX_QUEUE_LENGTH, self._decisions.note
             )
+        self._router: router.Router | None = None
+        self._loads: loads.HolderLoads | None = None
+        if options.routing_policy == policies.LOCAL_FIRST:
+            self._router = router.Router(options.host_id, self._build_own_report)
         self.backends = self._build_backends(driver, rng)
+        if self._router is not None:
+            self._loads = loads.HolderLoads(
+                self.backends, self._get_holding, self._router.reports
+            )
         self._cold = cold_instances.ColdInstances(
             self.directory,
             self.groups,
@@ -165,7 +182,7 @@
         self._connector = cold_instances.LimitedConnector(
             connections.PoolConnector(self.backends), self._cold
         )
-        self.forwarder = self._build_forwarder()
+        self.forwarder = self._build_forwarder(rng)
         admit_locally = fleet.FleetAdmission(self.host_limiter).admit
         self._home = home_admission.Home(admit_locally)
         servers = relay_groups.RelayDirectory(
@@ -211,7 +228,8 @@
             is_scheduling=options.scheduling is not None,
         )
         self.holder = holder.Holder(
-            self._components._replace(connector=self._connector)
+            self._components._replace(connector=self._connector),
+            self._loads,
         )
         peer_server.register_handler(messages.ForwardRequest, self.holder.answer)
         peer_server.register_handler(messages.AdmitRequest, self._home.answer)
@@ -269,6 +287,7 @@
             "cold_instances": self._cold.count(trio.current_time()),
             "hosts_unavailable": self._hosts.count_unavailable(),
             "evacuated_zones": len(self.evacuations.zones),
+            **self._get_routing_gauges(now_s),
         }
         if self._scheduling is not None:
             gauges |= self._scheduling.get_gauges(trio.current_time())
@@ -300,13 +319,21 @@
             if server.availability_zone in self.evacuations.zones
         }
 
+    def _get_routing_gauges(self, now_s: float) -> dict[str, float]:
+        if self._router is None:
+            return {}
+        return {
+            "instances_unhealthy": len(self._loads.list_unhealthy(now_s)),
+            "instances_ejected": self._router.count_ejected(now_s),
+        }
+
     def _build_backends(
         self, driver: typing.Any, rng: random.Random
     ) -> backends.Backends:
         options = backends.BackendOptions(
             self._options.availability_zone,
             UNLIMITED_CONNECTIONS,
-            policies.DEFAULT_POLICY,
+            self._options.routing_policy,
             pool.PoolSettings(),
             RESERVED_CONNECTIONS,
             MIN_CONNECTIONS,
@@ -321,6 +348,7 @@
             options,
             rng,
             self._get_holding,
+            self._router,
         )
 
     def _build_slots(self, capacity: int) -> fair_queue.FairQueue | scheduler.Scheduler:
@@ -328,7 +356,10 @@
             return fair_queue.FairQueue(capacity, MAX_QUEUE_LENGTH)
         return self._scheduling.build(capacity)
 
-    def _build_forwarder(self) -> forwarder.Forwarder:
+    def _build_own_report(self, instance: str, now_s: float) -> reports.Report | None:
+        return self._loads.build_report(instance, now_s)
+
+    def _build_forwarder(self, rng: random.Random) -> forwarder.Forwarder:
         return forwarder.Forwarder(
             forwarder.Options(
                 self._options.host_id,
@@ -338,7 +369,9 @@
             ),
             self._placement,
             self._hosts,
-            self._connector,
+            loads.build_own_connector(self._connector, self._loads),
+            self._router,
+            rng,
         )
 
     def _get_holding(self, instance: str) -> backends.Holding:
@@ -360,6 +393,13 @@
         members.register_listener(self._set_members)
         self.heartbeat_client.register_section(section_names.MEMBERS, members)
         self.directory.register_listener(self.backends.update_capacities)
+        if self._router is not None:
+            self.heartbeat_client.register_section(
+                section_names.HEALTH,
+                routing_sections.EntrySection(
+                    self._loads.list_unhealthy, self._router.set_holders_unhealthy
+                ),
+            )
 
     def _set_members(
         self,
--- a/sedgeswitch/forwarding/holder.py
+++ b/sedgeswitch/forwarding/holder.py
@@ -7,6 +7,7 @@
 
 from sedgeswitch.drivers import sessions
 from sedgeswitch.forwarding import encoding
+from sedgeswitch.forwarding import loads
 from sedgeswitch.forwarding import messages
 from sedgeswitch.groups import positions
 from sedgeswitch.membership import directory
@@ -74,10 +75,17 @@
     ----------
     components : context.Components
         Its connector acquires connections of this host's own pools.
+    instance_loads : loads.HolderLoads or None
+        Measures the instances; with None, answers carry no load.
     """
 
-    def __init__(self, components: context.Components):
+    def __init__(
+        self,
+        components: context.Components,
+        instance_loads: loads.HolderLoads | None = None,
+    ):
         self._components = components
+        self._loads = instance_loads
         self._transactions: dict[int, _Transaction] = {}
         self._running = 0
         self._is_leaving = False
@@ -115,8 +123,7 @@
         finally:
             self._running -= 1
         answer.service_ms = round((trio.current_time() - started_s) * _MS_PER_S)
-        if self._components.is_scheduling:
-            answer.load = self._build_load(request.instance)
+        answer.load = self._build_load(request.instance)
         exposition.HELD.labels(_OUTCOME_LABELS[answer.outcome]).inc()
         if answer.outcome != messages.Outcome.ANSWERED:
             self._log_failure(request, answer)
@@ -257,37 +264,57 @@
             )
         self._check_not_excluded(server)
         work = _build_work(request, deadline_s) if components.is_scheduling else None
-        acquired = await components.connector.acquire(
-            server, request.organisation, deadline_s, work=work
-        )
-        # An evacuation may have come into force, or the lease may have expired, during
-        # the wait for a connection.
+        meter = self._loads and self._loads.get_meter(server.instance)
+        if meter is not None:
+            meter.arrive(clocks.get_now_s())
+        acquired = None
         try:
+            acquired = await components.connector.acquire(
+                server, request.organisation, deadline_s, work=work
+            )
+            # An evacuation may have come into force, or the lease may have expired,
+            # during the wait for a connection.
             self._check_not_excluded(server)
             self._check_lease(acquired)
-        except steps.FailedError:
-            await acquired.release(is_observed=False)
+        except BaseException:
+            if meter is not None:
+                meter.give_up(clocks.get_now_s())
+            if acquired is not None:
+                await acquired.release(is_observed=False)
             raise
         return acquired
 
     def _build_load(self, instance: str) -> messages.InstanceLoad | None:
-        """Return the load of an instance at this host, None if it is not announced."""
+        """Return the load of an instance at this host, None if it is not measured."""
+        load = None
+        if self._loads is not None:
+            load = self._loads.build_load(instance, clocks.get_now_s())
+        if self._components.is_scheduling:
+            load = self._add_backlog(instance, load)
+        return load
+
+    def _add_backlog(
+        self, instance: str, load: messages.InstanceLoad | None
+    ) -> messages.InstanceLoad | None:
+        """Return the load with the waiting statements by class of the scheduler."""
         backends = self._components.backends
         server = backends.get_server(instance)
         if server is None:
-            return None
+            return load
         scheduler = backends.get_pool(server, server.group).scheduler
         if scheduler is None:
-            return None
+            return load
         limit = scheduler.limit
-        return messages.InstanceLoad(
-            slots=limit.slots,
-            running=scheduler.running_statements,
-            waiting=scheduler.waiting,
-            holders=limit.holders,
-            service_ms=max(round(scheduler.service_s * _MS_PER_S), 1),
-            waiting_by_priority=scheduler.get_waiting_by_priority() or None,
-        )
+        if load is None:
+            load = messages.InstanceLoad(
+                running=scheduler.running_statements,
+                service_ms=max(round(scheduler.service_s * _MS_PER_S), 1),
+            )
+        load.slots = limit.slots
+        load.waiting = scheduler.waiting
+        load.holders = limit.holders
+        load.waiting_by_priority = scheduler.get_waiting_by_priority() or None
+        return load
 
     def _check_not_excluded(self, server: directory.BackendServer) -> None:
         """Raise a retryable refusal if nothing may be sent to an instance."""
@@ -319,6 +346,47 @@
         acquired: connections.AcquiredConnection,
         request: messages.ForwardRequest,
         deadline_s: float,
+    ) -> messages.ForwardAnswer:
+        """Send a request, measured if `instance_loads` was given."""
+        if self._loads is None:
+            return await self._send_unmeasured(acquired, request, deadline_s)
+        instance, sent_s = acquired.server.instance, clocks.get_now_s()
+        meter, judge = self._loads.get_meter(instance), self._loads.judge
+        is_begin = request.operation == messages.Operation.BEGIN
+        if request.transaction is not None and not is_begin:
+            # Its connection was acquired with the first statement.
+            meter.arrive(sent_s)
+        meter.send(sent_s)
+        number = judge.start(instance, sent_s)
+        answer = None
+        try:
+            answer = await self._send_unmeasured(acquired, request, deadline_s)
+        finally:
+            now_s = clocks.get_now_s()
+            meter.end(now_s)
+            judge.end(instance, number)
+            if answer is not None:
+                self._judge(instance, answer, sent_s, now_s)
+        return answer
+
+    def _judge(
+        self,
+        instance: str,
+        answer: messages.ForwardAnswer,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        if answer.outcome == messages.Outcome.NO_ANSWER:
+            self._loads.judge.record_no_answer(instance, sent_s, now_s)
+        elif answer.failure is None or answer.failure in _INSTANCE_FAILURES:
+            is_failure = answer.failure is not None
+            self._loads.judge.record(instance, is_failure, now_s, now_s - sent_s)
+
+    async def _send_unmeasured(
+        self,
+        acquired: connections.AcquiredConnection,
+        request: messages.ForwardRequest,
+        deadline_s: float,
     ) -> messages.ForwardAnswer:
         """Send a request to the instance and return the answer of either."""
         server = acquired.server
@@ -433,6 +501,11 @@
     return messages.ForwardAnswer(messages.Outcome.NO_ANSWER, detail=detail)
 
 
+# Failures that count against an instance. The others say that it is busy or has another
+# role than was assumed.
+_INSTANCE_FAILURES = frozenset(
+    [sessions.Failure.FAILED.name, sessions.Failure.TIMED_OUT.name]
+)
 # Labels of the metric of forwarded statements, and the ends of their log lines.
 _OUTCOME_LABELS = {
     messages.Outcome.ANSWERED: "answered",
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -10,6 +10,7 @@
 from sedgeswitch.forwarding import forwarder
 from sedgeswitch.forwarding import holder
 from sedgeswitch.forwarding import host_calls
+from sedgeswitch.forwarding import loads
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding import placement
 from sedgeswitch.membership import machine
@@ -22,6 +23,7 @@
 from sedgeswitch.relay import session
 from sedgeswitch.relay.tests import builders as relay_builders
 from sedgeswitch.routing import policies
+from sedgeswitch.routing import router
 from sedgeswitch.scheduling import host as host_scheduling
 from sedgeswitch.scheduling import orders
 from sedgeswitch.statements import backends
@@ -66,6 +68,8 @@
             while host_id in fleet.frozen:
                 await trio.sleep(0.01)
             answer = await handler(request)
+            if isinstance(request, messages.ForwardRequest):
+                fleet.encoded_answers.append(catalog.encode_struct(answer))
             if host_id in fleet.loses_answers:
                 raise failures.CallError(
                     "connection_lost", host_id, verdicts.Verdict.MAY_HAVE_RUN
@@ -87,6 +91,13 @@
         self.scheduling = host_scheduling.HostScheduling(
             orders.DEFAULT_ORDER, 100, self.decisions.note
         )
+        self.world = world
+        self.router = self.loads = None
+        if fleet.policy == policies.LOCAL_FIRST:
+            self.router = router.Router(
+                member.host_id,
+                lambda instance, now_s: self.loads.build_report(instance, now_s),
+            )
         self.backends = backends.Backends(
             world.servers,
             relay_builders.FakeDriver(world),
@@ -99,24 +110,29 @@
             backends.BackendOptions(
                 member.availability_zone,
                 1000,
-                policies.DEFAULT_POLICY,
+                fleet.policy,
                 pool.PoolSettings(),
                 RESERVED_CONNECTIONS,
                 2,
                 REGIONS,
             ),
             random.Random(1),
-            lambda name: self.forwarder.get_holding(world.servers.servers[name]),
+            self.get_holding,
+            self.router,
         )
         self.cold = cold_instances.ColdInstances(
             world.servers,
             world.groups,
             lambda: world.databases.document.groups,
-            lambda name: self.forwarder.get_holding(world.servers.servers[name]),
+            self.get_holding,
         )
         local = cold_instances.LimitedConnector(
             connections.PoolConnector(self.backends), self.cold
         )
+        if self.router is not None:
+            self.loads = loads.HolderLoads(
+                self.backends, self.get_holding, self.router.reports
+            )
         self.placement = placement.Placement(REGIONS)
         self.hosts = host_calls.HostCalls(FakePeers(fleet, member.host_id))
         self.forwarder = forwarder.Forwarder(
@@ -125,7 +141,8 @@
             ),
             self.placement,
             self.hosts,
-            local,
+            loads.build_own_connector(local, self.loads),
+            self.router,
         )
         self.admission = admission.HomeAdmission(
             member.host_id,
@@ -153,9 +170,14 @@
             lambda: world.restrictions,
             is_scheduling=is_scheduling,
         )
-        self.holder = holder.Holder(self.components._replace(connector=local))
+        self.holder = holder.Holder(
+            self.components._replace(connector=local), self.loads
+        )
         self.set_share(1)
 
+    def get_holding(self, instance):
+        return self.forwarder.get_holding(self.world.servers.servers[instance])
+
     def set_members(self, members):
         self.placement.set_members(members)
         self.hosts.set_members(members)
@@ -192,11 +214,20 @@
         after they have run a request.
     """
 
-    def __init__(self, zones=("bagmati",) * 4, max_connections=20, is_scheduling=False):
+    def __init__(
+        self,
+        zones=("bagmati",) * 4,
+        max_connections=20,
+        policy=policies.DEFAULT_POLICY,
+        is_scheduling=False,
+    ):
+        self.policy = policy
         self.world = relay_builders.World(max_connections)
         self.calls = []
         self.requests = []
         self.answers = []
+        # Answers of holders to forwarded requests, as encoded.
+        self.encoded_answers = []
         self.dead = set()
         self.frozen = set()
         self.loses_answers = set()
