--- a/sedgeswitch/forwarding/tests/test_loads.py
+++ b/sedgeswitch/forwarding/tests/test_loads.py
@@ -2,10 +2,13 @@
 
 import inspect
 import random
+import tempfile
 import unittest
 
 import trio
 
+from sedgeswitch.agreement import settings as agreement_settings
+from sedgeswitch.daemon import relay_control
 from sedgeswitch.daemon import relay_entry
 from sedgeswitch.daemon import relay_groups
 from sedgeswitch.drivers import sessions
@@ -13,11 +16,15 @@
 from sedgeswitch.forwarding import messages
 from sedgeswitch.forwarding.tests import builders
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.observability import exposition
+from sedgeswitch.observability import metrics
 from sedgeswitch.pools import pool
 from sedgeswitch.relay.tests import builders as relay_builders
 from sedgeswitch.routing import candidates
+from sedgeswitch.routing import eligibility
 from sedgeswitch.routing import meters
 from sedgeswitch.routing import policies
+from sedgeswitch.routing.tests import builders as routing_builders
 from sedgeswitch.transport import catalog
 from sedgeswitch.transport import peer
 from sedgeswitch.transport import server
@@ -131,6 +138,90 @@
         self.assertIsNotNone(loads.decode_load(messages.InstanceLoad(3, 1, 0, 2, 20)))
 
 
+class ChoiceTest(unittest.TestCase):
+    """Instance a is the primary; b is reported idle and c is reported full."""
+
+    def record_reports(self, host, **demands):
+        for instance, demand in demands.items():
+            for holder in ("h-1", "h-2"):
+                report = routing_builders.build_report(demand)
+                now_s = clocks.get_now_s()
+                host.router.reports.record(instance, holder, report, now_s)
+
+    async def read(self, fleet, host, count=40):
+        session = host.build_session("bounded")
+        await relay_builders.run_texts(session, b"READ x")
+        for name in "abc":
+            fleet.world.instances[name].ran.clear()
+        for _ in range(count):
+            await relay_builders.run_texts(session, b"READ x")
+        return [len(fleet.world.instances[name].ran) for name in "abc"]
+
+    def test_unhealthy_replica_gets_only_probes(self):
+        async def body(fleet):
+            host = fleet.get_other()
+            self.record_reports(host, b=0.1, c=0.1)
+            host.router.set_holders_unhealthy({"c": 2})
+            await run_texts(host, b"WRITE x 1")
+            fleet.world.replicate()
+            primary, usable, ejected = await self.read(fleet, host)
+            self.assertEqual(0, primary)
+            self.assertLess(ejected, 5)
+            self.assertGreater(usable, 30)
+
+        run_in_fleet(body)
+
+    def test_restrictions_bind_before_the_policy(self):
+        """An evacuated replica gets nothing, also if all others are unhealthy."""
+
+        async def body(fleet):
+            host = fleet.get_other()
+            evacuated = fleet.world.servers.servers["c"]._replace(
+                availability_zone="koshi"
+            )
+            fleet.world.servers.servers["c"] = evacuated
+            fleet.world.servers._by_group = {}
+            host.components = host.components._replace(
+                get_restrictions=lambda: eligibility.Restrictions(frozenset(["koshi"]))
+            )
+            self.record_reports(host, b=4.0, c=0.1)
+            host.router.set_holders_unhealthy({"b": 2})
+            await run_texts(host, b"WRITE x 1")
+            fleet.world.replicate()
+            counts = await self.read(fleet, host)
+            self.assertEqual(0, counts[2])
+            self.assertEqual(40, sum(counts))
+
+        run_in_fleet(body)
+
+    def test_reads_that_left_are_counted_with_the_time_gained(self):
+        async def body(fleet):
+            host = fleet.get_other()
+            far = fleet.world.servers.servers["c"]._replace(availability_zone="koshi")
+            fleet.world.servers.servers["c"] = far
+            fleet.world.servers._by_group = {}
+            self.record_reports(host, b=4.0, c=0.1)
+            replicas = [fleet.world.servers.servers[name] for name in "bc"]
+            load = pool.PoolLoad(9, 0, 0, 1, 0.02, 0.0)
+            host.backends.order_replicas(replicas, "a", lambda item: load)
+
+            def get_value(name):
+                labels = {"place": "other_region", "outcome": "gained"}
+                return exposition.REGISTRY.get_sample_value(name, labels) or 0.0
+
+            names = (
+                "sedgeswitch_reads_left_total",
+                "sedgeswitch_reads_left_seconds_total",
+            )
+            before = [get_value(name) for name in names]
+            host.backends.record_read(far, 0.05)
+            gained = [get_value(names[n]) - before[n] for n in range(2)]
+            self.assertEqual(1, gained[0])
+            self.assertGreater(gained[1], 0.05)
+
+        run_in_fleet(body)
+
+
 class BoundTest(unittest.TestCase):
     def test_next_holder_takes_some_of_a_flood_of_one_organisation(self):
         """The pattern: one organisation at many times its usual load."""
@@ -220,6 +311,22 @@
         self.assertIn("health", sections)
         self.assertEqual(0, gauges["instances_ejected"])
 
+    def test_control_host_answers_the_section(self):
+        async def build(folder):
+            control = relay_control.RelayControl(
+                relay_control.ControlOptions(
+                    agreement_settings.NodeSettings("control-1", ()), folder, 4.0,
+                    groups_settings.GroupSettings(), relay_groups.Tolerance(),
+                    peer.Address("127.0.0.1", 1), {}, 1, 1.0,
+                ),
+                lambda text: None, None, server.Server(), None, metrics.Metrics(),
+                random.Random(1),
+            )  # fmt: skip
+            return set(control.heartbeat_server._sections)
+
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertIn("health", virtual_time.run(build, folder))
+
     def test_answers_and_choices_are_as_before_without_the_setting(self):
         async def body(fleet):
             for host in fleet.hosts.values():
