Judge an instance also by the statements of the holder's own callers

Only forwarded statements counted, so that a holder whose own callers send most of the traffic saw few of the failures.

--- a/sedgeswitch/forwarding/holder.py
+++ b/sedgeswitch/forwarding/holder.py
@@ -403,11 +403,7 @@
     return messages.ForwardAnswer(messages.Outcome.NO_ANSWER, detail=detail)
 
 
-# Failures that count against an instance. The others say that it is busy or has another
-# role than was assumed.
-_INSTANCE_FAILURES = frozenset(
-    [sessions.Failure.FAILED.name, sessions.Failure.TIMED_OUT.name]
-)
+_INSTANCE_FAILURES = frozenset(item.name for item in loads.INSTANCE_FAILURES)
 # Labels of the metric of forwarded statements, and the ends of their log lines.
 _OUTCOME_LABELS = {
     messages.Outcome.ANSWERED: "answered",
--- a/sedgeswitch/forwarding/loads.py
+++ b/sedgeswitch/forwarding/loads.py
@@ -1,7 +1,10 @@
 """The load of instances as their holders measure it, and its messages."""
 
+import collections.abc
 import math
+import typing
 
+from sedgeswitch.drivers import sessions
 from sedgeswitch.forwarding import messages
 from sedgeswitch.membership import directory
 from sedgeswitch.pools import pool
@@ -15,6 +18,9 @@
 # Shortest time between two comparisons of an instance with its group, in seconds. Each
 # takes about 30 us, several times what the rest of a report does.
 COMPARISON_INTERVAL_S = 0.5
+# Failures that count against an instance. The others say that it is busy or has another
+# role than was assumed.
+INSTANCE_FAILURES = frozenset([sessions.Failure.FAILED, sessions.Failure.TIMED_OUT])
 _MS_PER_S = 1000
 _PERCENT = 100
 # Largest percentage that is sent; reports above `reports.MAX_DEMAND` count as that.
@@ -158,7 +164,7 @@
             meter.give_up(clocks.get_now_s())
             raise
         meter.send(clocks.get_now_s())
-        return _MeteredConnection(acquired, meter)
+        return _MeteredConnection(acquired, meter, self._loads.judge)
 
     def get_load(
         self, server: directory.BackendServer, organisation: str
@@ -171,13 +177,18 @@
     """An acquired connection whose release is measured."""
 
     def __init__(
-        self, acquired: connections.AcquiredConnection, meter: meters.LoadMeter
+        self,
+        acquired: connections.AcquiredConnection,
+        meter: meters.LoadMeter,
+        judge: health.Judge,
     ):
         self._acquired = acquired
         self._meter = meter
         self._is_ended = False
         self.server = acquired.server
-        self.connection = acquired.connection
+        self.connection: sessions.SessionConnection = _JudgedConnection(
+            acquired.server.instance, acquired.connection, judge
+        )
 
     async def release(self, is_observed: bool = True) -> None:
         """Return the connection to its pool."""
@@ -195,6 +206,60 @@
             self._meter.end(clocks.get_now_s())
 
 
+class _JudgedConnection:
+    """A connection whose statements the judge observes; otherwise as it was."""
+
+    def __init__(
+        self,
+        instance: str,
+        connection: sessions.SessionConnection,
+        judge: health.Judge,
+    ):
+        self._instance = instance
+        self._connection = connection
+        self._judge = judge
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._connection, name)
+
+    async def run(
+        self, *arguments: typing.Any, **options: typing.Any
+    ) -> sessions.Reply:
+        """Run one statement; see `sessions.SessionConnection.run`."""
+        return await self._observe(self._connection.run, *arguments, **options)
+
+    async def begin(
+        self, *arguments: typing.Any, **options: typing.Any
+    ) -> sessions.Reply:
+        """Begin a transaction; see `sessions.SessionConnection.begin`."""
+        return await self._observe(self._connection.begin, *arguments, **options)
+
+    async def _observe(
+        self,
+        call: collections.abc.Callable[..., collections.abc.Awaitable[sessions.Reply]],
+        *arguments: typing.Any,
+        **options: typing.Any,
+    ) -> sessions.Reply:
+        sent_s = clocks.get_now_s()
+        number = self._judge.start(self._instance, sent_s)
+        try:
+            reply = await call(*arguments, **options)
+        except BaseException:
+            now_s = clocks.get_now_s()
+            # A caller that gives up sooner says nothing about the instance.
+            if now_s - sent_s >= health.HANG_S:
+                self._judge.record_no_answer(self._instance, sent_s, now_s)
+            raise
+        finally:
+            self._judge.end(self._instance, number)
+        if reply.failure is None or reply.failure in INSTANCE_FAILURES:
+            now_s = clocks.get_now_s()
+            self._judge.record(
+                self._instance, reply.failure is not None, now_s, now_s - sent_s
+            )
+        return reply
+
+
 def decode_load(load: messages.InstanceLoad) -> reports.Report | None:
     """Return the report that a message contains, None if a needed field is absent."""
     needed = (load.slots, load.running, load.waiting, load.holders, load.service_ms)
--- a/sedgeswitch/forwarding/tests/test_loads.py
+++ b/sedgeswitch/forwarding/tests/test_loads.py
@@ -88,6 +88,19 @@
 
         run_in_fleet(body)
 
+    def test_failures_of_own_callers_statements_are_reported(self):
+        async def body(fleet):
+            fleet.world.instances["a"].failures += [sessions.Failure.FAILED] * 12
+            holder = fleet.hosts[fleet.get_home()]
+            for _ in range(12):
+                await run_texts(holder, b"WRITE x 1")
+            self.assertEqual([], fleet.calls)
+            self.assertEqual(["a"], holder.loads.list_unhealthy(clocks.get_now_s()))
+            await run_texts(holder, b"BEGIN", b"WRITE x 1", b"COMMIT")
+            self.assertEqual([b"WRITE x 1"], fleet.world.log)
+
+        run_in_fleet(body)
+
     def test_refusals_of_a_busy_instance_are_no_failures(self):
         async def body(fleet):
             fleet.world.instances["a"].failures += [sessions.Failure.OVERLOADED] * 12
