Find a reachable leader within 0.5 s

Cause: heartbeats and watches tried control hosts one after the other and waited up to 0.4 s for each that did not answer. A failure of one call rotated the order under the other, a hint that arrived after a rotation was dropped, a hint could name an unreachable host, and hosts without a connection were tried like others.

Change: after a failure, or 0.15 s without an answer, ControlPeers probes the other control hosts every 30 ms (later every 100 ms), connected ones first, by a watch without waiting time, which only a leader answers. The first answer decides; calls that wait for another host then fail and are repeated. Hints are followed whenever they arrive, unless the named host failed within 0.4 s.

Three fake peers gain the attributes that the search reads.

--- a/sedgeswitch/daemon/tests/test_outages.py
+++ b/sedgeswitch/daemon/tests/test_outages.py
@@ -229,6 +229,8 @@
 
 
 class FakePeer:
+    is_connected = True
+
     def __init__(self, answer):
         self.answer = answer
         self.calls = 0
@@ -244,6 +246,9 @@
     async def run(self):
         await trio.sleep_forever()
 
+    async def wait_connected(self):
+        pass
+
 
 class UnresponsiveLeaderTest(unittest.TestCase):
     def test_frozen_leader_is_skipped_before_its_calls_time_out(self):
--- a/sedgeswitch/membership/heartbeat_client.py
+++ b/sedgeswitch/membership/heartbeat_client.py
@@ -35,6 +35,18 @@
 # Longest wait for a connection to a control host that another one named as leader,
 # in seconds; many times the round trip between two regions.
 HINT_CONNECT_TIMEOUT_S = 0.3
+# Time without an answer after which a leader is searched for, in seconds; several times
+# the round trip between two regions.
+SEARCH_AFTER_S = 0.15
+# Pause between the probes of two control hosts in the first round of a search, in
+# seconds: eight hosts are probed within 0.25 s, so that the leader is found within
+# 0.5 s. It doubles with each round up to the longest pause, which leaves control hosts
+# time to answer all entry hosts while there is no leader.
+PROBE_INTERVAL_S = 0.03
+MAX_PROBE_INTERVAL_S = 0.1
+# Longest wait for the answer to a probe, in seconds. A host that did not answer one is
+# not preferred because of a hint for the same time.
+PROBE_TIMEOUT_S = 0.4
 # Code of the failure for an answer that can't be decoded.
 MALFORMED = "malformed_answer"
 
@@ -44,8 +56,14 @@
 
     Control hosts are kept in order of preference. A host that fails or does not
     answer in time moves to the end; one that another host names as leader moves to
-    the front. Besides the hosts in the settings, those that the leader names as voters
-    are kept.
+    the front, unless it failed itself shortly before.
+
+    After a failure, or without an answer for `SEARCH_AFTER_S`, the other hosts are
+    probed one after the other, those with a connection first, without waiting for each
+    answer. The first one that answers leads: it moves to the front, and calls that
+    wait for another host fail, so that they are repeated.
+
+    Besides the hosts in the settings, those that the leader names as voters are kept.
 
     Parameters
     ----------
@@ -64,6 +82,13 @@
         # Since when the first host in order has not answered a pending request.
         self._unanswered_since_s: float | None = None
         self._hinted_id = ""
+        # The hosts of the calls that wait for an answer.
+        self._calls: dict[trio.CancelScope, str] = {}
+        # When hosts failed or did not answer last.
+        self._failed_s: dict[str, float] = {}
+        self._probed: set[str] = set()
+        self._search_requested = trio.Event()
+        self._is_searching = False
         self._leader_listeners: list[collections.abc.Callable[[], None]] = []
         self._nursery: trio.Nursery | None = None
 
@@ -83,8 +108,9 @@
             self._nursery = nursery
             for control_peer in self._peers.values():
                 nursery.start_soon(control_peer.run)
+            nursery.start_soon(self._search_when_requested)
             while True:
-                await trio.sleep(ANSWER_TIMEOUT_S / 4)
+                await trio.sleep(SEARCH_AFTER_S / 3)
                 self._skip_unresponsive(clocks.get_now_s())
 
     async def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
@@ -93,8 +119,8 @@
         Raises
         ------
         failures.CallError
-            If it did not answer or rejected the request; the next call goes to
-            another control host.
+            If it did not answer or rejected the request, or if another control host
+            has been found to lead meanwhile; the next call goes to another one.
         """
         host_id = self._order[0]
         # Kept, because the host may be dropped while its connection is waited for.
@@ -104,16 +130,22 @@
         expects_prompt_reply = not isinstance(message, messages.Watch)
         if expects_prompt_reply and self._unanswered_since_s is None:
             self._unanswered_since_s = clocks.get_now_s()
-        try:
-            answer = await control_peer.call(message, timeout_s, expects_prompt_reply)
-            if host_id == self._order[0]:
-                self._unanswered_since_s = None
-            if host_id != self._last_answered_id:
-                self._record_leader(host_id)
-            return answer
-        except failures.CallError as error:
-            self._handle_failure(host_id, error)
-            raise
+        with trio.CancelScope() as scope:
+            self._calls[scope] = host_id
+            try:
+                answer = await control_peer.call(
+                    message, timeout_s, expects_prompt_reply
+                )
+                self._handle_answer(host_id)
+                return answer
+            except failures.CallError as error:
+                self._handle_failure(host_id, error)
+                raise
+            finally:
+                del self._calls[scope]
+        raise failures.CallError(
+            "timeout", "another control host leads", verdicts.Verdict.MAY_HAVE_RUN
+        )
 
     def get_leader(self) -> leader_hints.Hint | None:
         """Return the control host that answered the last call; None if it failed."""
@@ -158,6 +190,14 @@
                 await self._peers[host_id].wait_connected()
             self._hinted_id = ""
 
+    def _handle_answer(self, host_id: str) -> None:
+        self._failed_s.pop(host_id, None)
+        if host_id == self._order[0]:
+            self._unanswered_since_s = None
+            self._is_searching = False
+        if host_id != self._last_answered_id:
+            self._record_leader(host_id)
+
     def _record_leader(self, host_id: str) -> None:
         self._last_answered_id = host_id
         loguru.logger.info("leader answers", control=host_id)
@@ -165,21 +205,117 @@
             listener()
 
     def _skip_unresponsive(self, now_s: float) -> None:
-        """Move the first control host to the end if it has not answered in time."""
+        """Search for the leader and skip the first host if it does not answer."""
         since_s = self._unanswered_since_s
-        if since_s is not None and now_s - since_s >= ANSWER_TIMEOUT_S:
+        if since_s is None or now_s - since_s < SEARCH_AFTER_S:
+            return
+        self._request_search()
+        if now_s - since_s >= ANSWER_TIMEOUT_S:
             self._unanswered_since_s = None
-            self._order.append(self._order.pop(0))
+            self._rotate(now_s)
 
     def _handle_failure(self, host_id: str, error: failures.CallError) -> None:
-        if self._order[0] != host_id:
-            return
-        self._unanswered_since_s = None
-        self._order.append(self._order.pop(0))
+        now_s = clocks.get_now_s()
+        if error.code != leader_hints.NOT_LEADER:
+            self._failed_s[host_id] = now_s
+        if self._order[0] == host_id:
+            self._unanswered_since_s = None
+            self._rotate(now_s)
+        self._follow_hint(error, now_s)
+        self._request_search()
+
+    def _rotate(self, now_s: float) -> None:
+        """Move the first host to the end, and one with a connection to the front."""
+        host_id = self._order.pop(0)
+        self._order.append(host_id)
+        for index, other_id in enumerate(self._order[:-1]):
+            if self._peers[other_id].is_connected and not self._has_failed(
+                other_id, now_s
+            ):
+                self._order.insert(0, self._order.pop(index))
+                return
+
+    def _has_failed(self, host_id: str, now_s: float) -> bool:
+        return now_s - self._failed_s.get(host_id, float("-inf")) < PROBE_TIMEOUT_S
+
+    def _follow_hint(self, error: failures.CallError, now_s: float) -> None:
+        """Prefer the host that an answer names as leader, unless it failed itself."""
         hint = leader_hints.decode_hint(error.detail)
-        if error.code == leader_hints.NOT_LEADER and hint is not None:
+        if error.code != leader_hints.NOT_LEADER or hint is None:
+            return
+        if not self._has_failed(hint.host_id, now_s) and hint.host_id != self._order[0]:
+            self._unanswered_since_s = None
             self._prefer(hint)
 
+    def _request_search(self) -> None:
+        self._is_searching = True
+        self._search_requested.set()
+
+    async def _search_when_requested(self) -> None:
+        while True:
+            await self._search_requested.wait()
+            self._search_requested = trio.Event()
+            interval_s = PROBE_INTERVAL_S
+            while self._is_searching:
+                await self._probe_all(interval_s)
+                interval_s = min(2 * interval_s, MAX_PROBE_INTERVAL_S)
+
+    async def _probe_all(self, interval_s: float) -> None:
+        """Start a probe of each control host, at an interval, while searching.
+
+        A host that was named as leader meanwhile is probed next.
+        """
+        remaining = [
+            host_id
+            for host_id in sorted(self._order, key=self._get_probe_order)
+            if host_id not in self._probed
+        ]
+        while self._is_searching and remaining:
+            first_id = self._order[0]
+            host_id = first_id if first_id in remaining else remaining[0]
+            remaining.remove(host_id)
+            if host_id in self._peers:
+                self._nursery.start_soon(self._probe, host_id)
+            await trio.sleep(interval_s)
+        if not remaining:
+            await trio.sleep(interval_s)
+
+    def _get_probe_order(self, host_id: str) -> tuple[bool, bool]:
+        has_failed = self._has_failed(host_id, clocks.get_now_s())
+        return not self._peers[host_id].is_connected, has_failed
+
+    async def _probe(self, host_id: str) -> None:
+        """Ask one control host whether it leads; only the leader answers a watch."""
+        control_peer = self._peers[host_id]
+        self._probed.add(host_id)
+        try:
+            with trio.move_on_after(PROBE_TIMEOUT_S):
+                await control_peer.wait_connected()
+                await control_peer.call(messages.Watch({}, 0), PROBE_TIMEOUT_S, False)
+                self._handle_found(host_id)
+                return
+            self._failed_s[host_id] = clocks.get_now_s()
+        except failures.CallError as error:
+            if error.code != leader_hints.NOT_LEADER:
+                self._failed_s[host_id] = clocks.get_now_s()
+            if self._is_searching:
+                self._follow_hint(error, clocks.get_now_s())
+        finally:
+            self._probed.discard(host_id)
+
+    def _handle_found(self, host_id: str) -> None:
+        """Prefer a host that has answered a probe, and end the calls to others."""
+        if not self._is_searching or host_id not in self._order:
+            return
+        self._is_searching = False
+        self._failed_s.pop(host_id, None)
+        self._unanswered_since_s = None
+        self._order.remove(host_id)
+        self._order.insert(0, host_id)
+        for scope, called_id in list(self._calls.items()):
+            if called_id != host_id:
+                scope.cancel()
+
     def _add_peer(self, host_id: str, address: peer.Address) -> None:
         known = self._peers.get(host_id)
         if known is None or known.address != address:
--- a/sedgeswitch/membership/tests/test_control_hosts.py
+++ b/sedgeswitch/membership/tests/test_control_hosts.py
@@ -33,6 +33,8 @@
 
 
 class FakePeer:
+    is_connected = True
+
     def __init__(self, fleet, address):
         self.fleet = fleet
         self.address = address
@@ -41,6 +43,9 @@
     async def run(self):
         await trio.sleep_forever()
 
+    async def wait_connected(self):
+        pass
+
     def close(self):
         self.is_closed = True
 
--- a/sedgeswitch/membership/tests/test_lost_leader.py
+++ b/sedgeswitch/membership/tests/test_lost_leader.py
@@ -25,6 +25,11 @@
 class Follower:
     """A control host that does not lead and names the leader."""
 
+    is_connected = True
+
+    async def wait_connected(self):
+        pass
+
     async def call(self, message, timeout_s, expects_prompt_reply=True):  # noqa: ARG002
         detail = leader_hints.encode_hint("c2", LEADER)
         verdict = verdicts.Verdict.NOT_RUN
