--- a/sedgeswitch/relay/reads.py
+++ b/sedgeswitch/relay/reads.py
@@ -264,12 +264,18 @@
         self, read: _ReadRequest, permit: table.WritePermit
     ) -> ReadResult | None:
         """Run a read on a primary; return None if it should run elsewhere instead."""
+        started_s = trio.current_time()
         deadline_s = self._get_attempt_deadline_s(read.deadline_s)
         with trio.move_on_at(deadline_s):
             try:
-                return await self._run_under_permit(read, permit, deadline_s)
+                result = await self._run_under_permit(read, permit, deadline_s)
             except (_RetryElsewhereError, steps.FailedError):
                 return None
+            if result is not None:
+                elapsed_s = trio.current_time() - started_s
+                backends = self._components.backends
+                backends.record_read(result.acquired.server, elapsed_s)
+            return result
         self._components.local_observations.record_no_answer(permit.primary)
         return None
 
