Yield all reasons to refuse a configuration document

Cause: the decoding and the checks of a document raised the first error only, so that a command that lists all errors would have had to copy them. A document with thousands of nested objects raised RecursionError instead of CheckError.

Change: `find_faults` of `databases.documents` and of `platform.documents` yield each fault with its place; `check_document` and `decode_document` raise the first one, in the same order and with the same messages as before. RecursionError of the decoder becomes a CheckError. The names of three more fields must stay in the adapter.

--- a/sedgeswitch/databases/documents.py
+++ b/sedgeswitch/databases/documents.py
@@ -7,6 +7,9 @@
 from sedgeswitch.utils import checks
 from sedgeswitch.utils import records
 
+# Rate and burst of an organisation that has no limit.
+UNLIMITED_PER_S = 1e9
+
 
 class Freshness(enum.Enum):
     """Guarantees of a database about the freshness of its reads.
@@ -135,30 +138,64 @@
 Decode = collections.abc.Callable[[bytes], Document]
 
 
+class Location(typing.NamedTuple):
+    """Part of a document that a finding or a difference is about.
+
+    Attributes
+    ----------
+    collection : str
+        Field of `Document`.
+    name : str, optional
+        Key of the item in the collection; None for the collection itself.
+    field : str, optional
+        Field of the item; None for the whole item.
+    """
+
+    collection: str
+    name: str | None = None
+    field: str | None = None
+
+
+class Fault(typing.NamedTuple):
+    """A reason to refuse a document."""
+
+    location: Location
+    error: checks.CheckError
+
+
 def check_document(document: Document) -> Document:
     """Return `document` if it is consistent.
 
     Raises
     ------
     CheckError
-        If a database names an unknown group or has a statement timeout that is not
-        above 0, or if two organisations share a key.
+        The first fault of `find_faults`.
+    """
+    for fault in find_faults(document):
+        raise fault.error
+    return document
+
+
+def find_faults(document: Document) -> collections.abc.Iterator[Fault]:
+    """Yield the reasons to refuse a document.
+
+    A database must name a group of the document and have a statement timeout above 0,
+    and no two organisations may share a key.
     """
     for database in document.databases.values():
         if database.group not in document.groups:
-            raise checks.CheckError(
-                f"databases.{database.database}.group",
+            yield _build_fault(
+                Location("databases", database.database, "group"),
                 "a group of the document",
                 database.group,
             )
         if database.statement_timeout_s <= 0:
-            raise checks.CheckError(
-                f"databases.{database.database}.statement_timeout_s",
+            yield _build_fault(
+                Location("databases", database.database, "statement_timeout_s"),
                 "a time in seconds above 0",
                 database.statement_timeout_s,
             )
-    index_keys(document)
-    return document
+    yield from _find_shared_keys(document)
 
 
 def build_group_regions(document: Document) -> dict[str, frozenset[str]]:
@@ -196,14 +233,27 @@
         If two organisations share a key. The error does not include the key,
         because it is a secret.
     """
+    for fault in _find_shared_keys(document):
+        raise fault.error
+    return {
+        key: organisation.name
+        for organisation in document.organisations.values()
+        for key in organisation.keys
+    }
+
+
+def _find_shared_keys(document: Document) -> collections.abc.Iterator[Fault]:
     organisation_by_key: dict[str, str] = {}
     for organisation in document.organisations.values():
         for key in organisation.keys:
             owner = organisation_by_key.setdefault(key, organisation.name)
             if owner != organisation.name:
-                raise checks.CheckError(
-                    f"organisations.{organisation.name}.keys",
+                yield _build_fault(
+                    Location("organisations", organisation.name, "keys"),
                     "keys that belong to no other organisation",
                     f"a key of {owner}",
                 )
-    return organisation_by_key
+
+
+def _build_fault(location: Location, allowed: str, given: object) -> Fault:
+    return Fault(location, checks.CheckError(".".join(location), allowed, given))
--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the platform's configuration into this project's document."""
 
+import collections.abc
 import typing
 
 import msgspec
@@ -7,6 +8,7 @@
 from sedgeswitch.databases import documents
 from sedgeswitch.transport import catalog
 from sedgeswitch.utils import checks
+from sedgeswitch.utils import records
 
 MS_PER_S = 1000.0
 
@@ -16,6 +18,16 @@
     "read_your_writes": documents.Freshness.SESSION,
 }
 
+_KIND_BY_FRESHNESS = {freshness: kind for kind, freshness in _FRESHNESS_BY_KIND.items()}
+# Fields of a document that the file states in milliseconds.
+_MS_FIELDS = frozenset(
+    (
+        "statement_timeout_s",
+        "target_latency_s",
+        "max_staleness_s",
+        "transaction_idle_s",
+    )
+)
 
 _NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
 
@@ -66,7 +78,9 @@
     allowedRegions: typing.NotRequired[list[str]]
 
 
-class _Configuration(typing.TypedDict):
+class Configuration(typing.TypedDict):
+    """The platform's configuration."""
+
     version: int
     routes: list[_Route]
     services: list[_Service]
@@ -78,9 +92,97 @@
 _DEFAULT_MAX_CONNECTIONS = 20
 _DEFAULT_TARGET_LATENCY_MS = 1000.0
 _DEFAULT_TRANSACTION_IDLE_MS = 60_000.0
-_UNLIMITED_PER_S = 1e9
 
-_decoder = msgspec.json.Decoder(_Configuration)
+_decoder = msgspec.json.Decoder(Configuration)
+
+
+class Fault(typing.NamedTuple):
+    """A reason to refuse a configuration.
+
+    Attributes
+    ----------
+    place : str
+        Place in the file, such as ``routes[3].timeoutMs``.
+    error : checks.CheckError
+    """
+
+    place: str
+    error: checks.CheckError
+
+
+# Lists of the file by field of `documents.Document`, and the field that identifies an
+# item.
+_LISTS = {
+    "databases": ("routes", "host"),
+    "groups": ("services", "name"),
+    "organisations": ("tenants", "name"),
+}
+_PLACES = {"version": "version", "transaction_idle_s": "limits.txIdleMs"}
+# Fields of the file by field of the items of a document.
+_FIELDS = {
+    "databases": {
+        "name": "name",
+        "group": "service",
+        "freshness": "kind",
+        "statement_timeout_s": "timeoutMs",
+        "target_latency_s": "targetLatencyMs",
+        "priority": "priority",
+        "max_staleness_s": "maxStalenessMs",
+        "is_public": "public",
+        "allowed_regions": "allowedRegions",
+    },
+    "groups": {
+        "max_connections": "maxConns",
+        "sync_replicas": "syncReplicas",
+        "cold_start_s": "coldStartS",
+        "cold_rate_per_s": "coldPerS",
+    },
+    "organisations": {
+        "keys": "apiKeys",
+        "rate_per_s": "ratePerS",
+        "burst": "burst",
+        "priority": "priority",
+        "allowed_regions": "allowedRegions",
+    },
+}
+
+
+class Places:
+    """Names the places and values of a configuration as its file does.
+
+    Parameters
+    ----------
+    configuration : Configuration
+    """
+
+    def __init__(self, configuration: Configuration):
+        self._places = dict.fromkeys(_LISTS, records.EMPTY_MAPPING)
+        for collection, (field, identifier) in _LISTS.items():
+            places: dict[str, str] = {}
+            for position, item in enumerate(configuration.get(field, ())):
+                places.setdefault(item[identifier], f"{field}[{position}]")
+            self._places[collection] = places
+
+    def name_place(self, location: documents.Location) -> str:
+        """Return a place such as ``routes[3].timeoutMs``."""
+        if location.collection in _PLACES:
+            return _PLACES[location.collection]
+        place = self._places[location.collection][location.name]
+        if location.field is None:
+            return place
+        return f"{place}.{_FIELDS[location.collection][location.field]}"
+
+
+def convert_value(location: documents.Location, value: typing.Any) -> typing.Any:
+    """Return the value of a document as the file states it; None for no limit."""
+    if isinstance(value, documents.Freshness):
+        return _KIND_BY_FRESHNESS[value]
+    field = location.field or location.collection
+    if field in _MS_FIELDS:
+        # Rounded because a value in seconds is a quotient with a rounding error.
+        return round(value * MS_PER_S, 6)
+    is_limit = field in ("rate_per_s", "burst")
+    return None if is_limit and value >= documents.UNLIMITED_PER_S else value
 
 
 def decode_document(text: bytes) -> documents.Document:
@@ -97,68 +199,126 @@
         If the text is not valid JSON, a field is missing or has the wrong type, or
         fields contradict each other.
     """
+    configuration = decode_configuration(text)
+    document = build_document(configuration)
+    for fault in find_faults(configuration, document):
+        raise fault.error
+    return document
+
+
+def decode_configuration(text: bytes) -> Configuration:
+    """Return the configuration with fields of the right types.
+
+    Raises
+    ------
+    CheckError
+        If the text is not valid JSON, or a field is missing or has the wrong type.
+    """
     try:
-        configuration = _decoder.decode(text)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _decoder.decode(text)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise checks.CheckError(
             "configuration",
             "a JSON object with version, routes and services",
             str(error),
         ) from error
-    if not 1 <= configuration["version"] <= catalog.MAX_INT64:
-        raise checks.CheckError(
-            "version", "a 64-bit integer of at least 1", configuration["version"]
-        )
+
+
+def build_document(configuration: Configuration) -> documents.Document:
+    """Return the document of a configuration, which may have faults.
+
+    Of several routes of a host, and of items of the same name, the first one counts.
+    """
+    databases: dict[str, documents.Database] = {}
+    for route in configuration["routes"]:
+        if route["host"] not in databases:
+            databases[route["host"]] = _build_database(route)
     idle_ms = configuration.get("limits", {}).get(
         "txIdleMs", _DEFAULT_TRANSACTION_IDLE_MS
     )
-    return documents.check_document(
-        documents.Document(
-            configuration["version"],
-            _build_databases(configuration["routes"]),
-            _index_by_name("services", map(_build_group, configuration["services"])),
-            _index_by_name(
-                "tenants", map(_build_organisation, configuration.get("tenants", ()))
-            ),
-            idle_ms / MS_PER_S,
-        )
+    return documents.Document(
+        configuration["version"],
+        databases,
+        _index_by_name(map(_build_group, configuration["services"])),
+        _index_by_name(map(_build_organisation, configuration.get("tenants", ()))),
+        idle_ms / MS_PER_S,
     )
 
 
-def _index_by_name(
-    field: str, items: typing.Iterable[typing.Any]
-) -> dict[str, typing.Any]:
-    """Return items by name, after checking that each name is used once."""
-    by_name: dict[str, typing.Any] = {}
-    for item in items:
-        if item.name in by_name:
-            raise checks.CheckError(field, "unique names", item.name)
-        by_name[item.name] = item
-    return by_name
+def find_faults(
+    configuration: Configuration, document: documents.Document
+) -> collections.abc.Iterator[Fault]:
+    """Yield the reasons to refuse a configuration, in the order of the checks.
 
+    Parameters
+    ----------
+    configuration : Configuration
+    document : documents.Document
+        From `build_document`.
+    """
+    version = configuration["version"]
+    if not 1 <= version <= catalog.MAX_INT64:
+        yield Fault(
+            "version",
+            checks.CheckError("version", "a 64-bit integer of at least 1", version),
+        )
+    yield from _find_route_faults(configuration["routes"])
+    yield from _find_repeated_names("services", configuration["services"])
+    yield from _find_repeated_names("tenants", configuration.get("tenants", []))
+    places = Places(configuration)
+    for fault in documents.find_faults(document):
+        yield Fault(places.name_place(fault.location), fault.error)
 
-def _build_databases(
+
+def _find_route_faults(
     routes: list[_Route],
-) -> dict[str, documents.Database]:
-    """Return the databases by name; the first route of a host defines its database."""
+) -> collections.abc.Iterator[Fault]:
+    """Yield repeated locations, and unknown kinds of routes that define a database."""
     locations: set[tuple[str, str]] = set()
-    databases: dict[str, documents.Database] = {}
-    for route in routes:
+    hosts: set[str] = set()
+    for position, route in enumerate(routes):
+        place = f"routes[{position}]"
         location = (route["host"], route.get("pathPrefix", "/"))
         if location in locations:
-            raise checks.CheckError(
-                "routes", "each pair of host and pathPrefix only once", location
+            yield Fault(
+                place,
+                checks.CheckError(
+                    "routes", "each pair of host and pathPrefix only once", location
+                ),
             )
         locations.add(location)
-        databases.setdefault(route["host"], _build_database(route))
-    return databases
+        if route["host"] not in hosts and route["kind"] not in _FRESHNESS_BY_KIND:
+            allowed = f"one of {', '.join(_FRESHNESS_BY_KIND)}"
+            yield Fault(
+                f"{place}.kind",
+                checks.CheckError("routes.kind", allowed, route["kind"]),
+            )
+        hosts.add(route["host"])
+
+
+def _find_repeated_names(
+    field: str, items: typing.Sequence[_Service | _Tenant]
+) -> collections.abc.Iterator[Fault]:
+    names: set[str] = set()
+    for position, item in enumerate(items):
+        if item["name"] in names:
+            yield Fault(
+                f"{field}[{position}].name",
+                checks.CheckError(field, "unique names", item["name"]),
+            )
+        names.add(item["name"])
+
+
+def _index_by_name(items: typing.Iterable[typing.Any]) -> dict[str, typing.Any]:
+    by_name: dict[str, typing.Any] = {}
+    for item in items:
+        by_name.setdefault(item.name, item)
+    return by_name
 
 
 def _build_database(route: _Route) -> documents.Database:
-    freshness = _FRESHNESS_BY_KIND.get(route["kind"])
-    if freshness is None:
-        allowed = f"one of {', '.join(_FRESHNESS_BY_KIND)}"
-        raise checks.CheckError("routes.kind", allowed, route["kind"])
+    # The stand-in for an unknown kind lets the rest of a refused document be checked.
+    freshness = _FRESHNESS_BY_KIND.get(route["kind"], documents.Freshness.PRIMARY)
     target_latency_ms = route.get("targetLatencyMs", _DEFAULT_TARGET_LATENCY_MS)
     return documents.Database(
         route["name"],
@@ -188,8 +348,8 @@
     return documents.Organisation(
         tenant["name"],
         tuple(tenant["apiKeys"]),
-        tenant.get("ratePerS", _UNLIMITED_PER_S),
-        tenant.get("burst", _UNLIMITED_PER_S),
+        tenant.get("ratePerS", documents.UNLIMITED_PER_S),
+        tenant.get("burst", documents.UNLIMITED_PER_S),
         tenant.get("priority", 0),
         tuple(tenant.get("allowedRegions", ())),
     )
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -57,6 +57,8 @@
             "cut short": builders.build_configuration()[:-20],
             "not JSON": b"\xff\xfe",
             "no body": b"",
+            # Guards against a RecursionError of the decoder that is not caught.
+            "nested too deeply": b'{"version":' * 100_000,
             "unknown service": builders.build_configuration(services=[]),
             "same host and prefix": builders.build_configuration(
                 routes=[route, route | {"name": "r-2"}]
@@ -283,6 +285,9 @@
             "allowedRegions",
             "coldStartS",
             "coldPerS",
+            "timeoutMs",
+            "txIdleMs",
+            "ratePerS",
         )
         root = pathlib.Path(settings.__file__).parent.parent
         found = [
