--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -167,12 +167,31 @@
         """Return a place such as ``routes[3].timeoutMs``."""
         if location.collection in _PLACES:
             return _PLACES[location.collection]
+        if location.collection == "instances":
+            return f"instances.{location.name}"
         place = self._places[location.collection][location.name]
         if location.field is None:
             return place
         return f"{place}.{_FIELDS[location.collection][location.field]}"
 
 
+def list_route_values(route: _Route) -> dict[str, typing.Any]:
+    """Return the values that a route gives its database, by field of the file.
+
+    Fields that the route omits have their defaults. The name is left out.
+    """
+    database = _build_database(route)
+    values = {
+        field: convert_value(
+            documents.Location("databases", database.database, name),
+            getattr(database, name),
+        )
+        for name, field in _FIELDS["databases"].items()
+        if name != "name"
+    }
+    return values | {"kind": route["kind"]}
+
+
 def convert_value(location: documents.Location, value: typing.Any) -> typing.Any:
     """Return the value of a document as the file states it; None for no limit."""
     if isinstance(value, documents.Freshness):
