Add the command check-document

Cause: operators had to send a document to a leader to learn whether it is accepted, and got one error at a time.

--- a/sedgeswitch/cli/__main__.py
+++ b/sedgeswitch/cli/__main__.py
@@ -9,6 +9,7 @@
 from cleo.io.outputs import output as outputs
 
 import sedgeswitch
+from sedgeswitch.cli import check_document_command
 from sedgeswitch.cli import configuration_commands
 from sedgeswitch.cli import drain_commands
 from sedgeswitch.cli import environment as environments
@@ -24,6 +25,7 @@
     configuration_commands.ShowCommand,
     configuration_commands.InForceCommand,
     configuration_commands.CheckCommand,
+    check_document_command.CheckDocumentCommand,
     key_commands.KeyGiveCommand,
     key_commands.KeyWithdrawCommand,
     key_commands.KeyListCommand,
