Refuse an unknown kind of a route behind another one again

Cause: since the checks are generators, only the kind of a host's first route was checked, whereas the decoder had refused unknown kinds of all routes.

Change: all kinds are checked, with a test. The warning of a small burst no longer says that all requests are refused, since relay fleets admit at least one. Two tests for mutations of the places that none of the tests had found.

--- a/sedgeswitch/databases/findings.py
+++ b/sedgeswitch/databases/findings.py
@@ -260,8 +260,7 @@
         if organisation.burst < 1:
             yield Finding(
                 documents.Location("organisations", name, "burst"),
-                f"{organisation.burst:g} holds no operation; all requests of {name!r}"
-                " are refused",
+                f"{organisation.burst:g} is less than one operation",
             )
 
 
--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -292,9 +292,8 @@
 def _find_route_faults(
     routes: list[_Route],
 ) -> collections.abc.Iterator[Fault]:
-    """Yield repeated locations, and unknown kinds of routes that define a database."""
+    """Yield repeated locations and unknown kinds."""
     locations: set[tuple[str, str]] = set()
-    hosts: set[str] = set()
     for position, route in enumerate(routes):
         place = f"routes[{position}]"
         location = (route["host"], route.get("pathPrefix", "/"))
@@ -306,13 +305,12 @@
                 ),
             )
         locations.add(location)
-        if route["host"] not in hosts and route["kind"] not in _FRESHNESS_BY_KIND:
+        if route["kind"] not in _FRESHNESS_BY_KIND:
             allowed = f"one of {', '.join(_FRESHNESS_BY_KIND)}"
             yield Fault(
                 f"{place}.kind",
                 checks.CheckError("routes.kind", allowed, route["kind"]),
             )
-        hosts.add(route["host"])
 
 
 def _find_repeated_names(
--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -69,6 +69,12 @@
             "unknown kind": builders.build_configuration(
                 routes=[route | {"kind": "eventual"}]
             ),
+            "unknown kind of a route behind another one": builders.build_configuration(
+                routes=[
+                    route,
+                    route | {"pathPrefix": "/later", "kind": "eventual"},
+                ]
+            ),
             "shared key": builders.build_configuration(
                 tenants=[tenant, tenant | {"name": "other"}]
             ),
--- a/sedgeswitch/platform/tests/test_document_check.py
+++ b/sedgeswitch/platform/tests/test_document_check.py
@@ -93,6 +93,20 @@
         places = [error.place for error in FORMAT.check(text).errors]
         self.assertEqual(["services[0].name"], places)
 
+    def test_fields_of_a_malformed_item_cause_no_further_errors(self):
+        plain = document_builders.build_plain()
+        plain["routes"][1] = "no object"
+        text = msgspec.json.encode(plain)
+        places = [error.place for error in FORMAT.check(text).errors]
+        self.assertEqual(["routes[1]"], places)
+
+    def test_fault_of_a_database_is_at_its_first_route(self):
+        first = builders.ROUTE | {"timeoutMs": 0}
+        later = builders.ROUTE | {"pathPrefix": "/later"}
+        text = builders.build_configuration(routes=[first, later])
+        places = [error.place for error in FORMAT.check(text).errors]
+        self.assertEqual(["routes[0].timeoutMs"], places)
+
     def test_repeated_location_is_an_error_of_the_later_route(self):
         route = builders.ROUTE | {"name": "r-2"}
         text = builders.build_configuration(routes=[builders.ROUTE, route])
@@ -323,8 +337,7 @@
         self.assertEqual((exit_codes.ExitCode.REFUSED, ""), (exit_code, errors))
         self.assertEqual(
             "error: routes[0].timeoutMs: expected a time in seconds above 0, got 0.0\n"
-            "warning: tenants[0].burst: 0.5 holds no operation; all requests of 'ward'"
-            " are refused\n"
+            "warning: tenants[0].burst: 0.5 is less than one operation\n"
             "~ routes[0].timeoutMs ('draw') 2000.0 -> 0.0: statements that take longer"
             " are ended earlier\n"
             "~ tenants[0].burst ('ward') 58.0 -> 0.5: shorter bursts are admitted;"
