--- a/sedgeswitch/platform/tests/test_decoding.py
+++ b/sedgeswitch/platform/tests/test_decoding.py
@@ -57,6 +57,8 @@
             "cut short": builders.build_configuration()[:-20],
             "not JSON": b"\xff\xfe",
             "no body": b"",
+            # Guards against a RecursionError of the decoder that is not caught.
+            "nested too deeply": b'{"version":' * 100_000,
             "unknown service": builders.build_configuration(services=[]),
             "same host and prefix": builders.build_configuration(
                 routes=[route, route | {"name": "r-2"}]
@@ -67,6 +69,12 @@
             "unknown kind": builders.build_configuration(
                 routes=[route | {"kind": "eventual"}]
             ),
+            "unknown kind of a route behind another one": builders.build_configuration(
+                routes=[
+                    route,
+                    route | {"pathPrefix": "/later", "kind": "eventual"},
+                ]
+            ),
             "shared key": builders.build_configuration(
                 tenants=[tenant, tenant | {"name": "other"}]
             ),
@@ -283,6 +291,9 @@
             "allowedRegions",
             "coldStartS",
             "coldPerS",
+            "timeoutMs",
+            "txIdleMs",
+            "ratePerS",
         )
         root = pathlib.Path(settings.__file__).parent.parent
         found = [
