Limit what a document may set as rate and burst

A document without limits for one organisation gave a bucket of 1.42e9 tokens with the tolerance of a deployment, which the limiters reject, together with the limits of all other organisations. The values are now capped at what a limit can represent.

--- a/sedgeswitch/daemon/relay_groups.py
+++ b/sedgeswitch/daemon/relay_groups.py
@@ -28,8 +28,10 @@
 # Share of the tolerance that is used. The rest is a margin, because a request that
 # is retried counts twice.
 TOLERANCE_SHARE = 0.7
-# Lowest rate that the fleet-wide limit can represent, per second.
+# Lowest rate, and highest rate and burst, that the fleet-wide limit can represent. A
+# document may omit limits or set any number.
 _LOWEST_RATE_PER_S = 1e-3
+_HIGHEST = 1e9
 
 
 class RelayDirectory:
@@ -116,7 +118,8 @@
     """
     return {
         name: admission_settings.Limit(
-            max(item.rate_per_s, _LOWEST_RATE_PER_S), _get_bucket_size(item, tolerance)
+            min(max(item.rate_per_s, _LOWEST_RATE_PER_S), _HIGHEST),
+            _get_bucket_size(item, tolerance),
         )
         for name, item in document.organisations.items()
     }
@@ -125,4 +128,5 @@
 def _get_bucket_size(item: documents.Organisation, tolerance: Tolerance) -> int:
     allowed = item.rate_per_s * tolerance.window_s + item.burst
     tolerated = allowed * tolerance.overage + tolerance.slack
-    return max(int(item.burst + tolerated * TOLERANCE_SHARE), 1)
+    size = item.burst + tolerated * TOLERANCE_SHARE
+    return int(min(max(size, 1), _HIGHEST))
