--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -275,7 +275,6 @@
             settings.evacuation_bound_s,
             reads_near_primary=settings.has_several_zones_per_region,
             scheduling=settings.scheduling,
-            routing_policy=settings.routing_policy,
         )
         serving = server.Server()
         self._entry = relay_entry.RelayEntry(
--- a/sedgeswitch/platform/settings.py
+++ b/sedgeswitch/platform/settings.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from sedgeswitch.daemon import relay_groups
-from sedgeswitch.routing import policies
 from sedgeswitch.scheduling import orders
 from sedgeswitch.transport import peer
 from sedgeswitch.utils import checks
@@ -170,13 +169,6 @@
         regions = list(self.region_by_zone.values())
         return len(set(regions)) < len(regions)
 
-    @property
-    def routing_policy(self) -> str:
-        """Policy that orders replicas; see `routing.policies`."""
-        if self.has_several_zones_per_region:
-            return policies.LOCAL_FIRST
-        return policies.DEFAULT_POLICY
-
     @property
     def control_id(self) -> str:
         """Control host id of this process."""
