--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -339,6 +339,7 @@
             MIN_CONNECTIONS,
             self._options.region_by_zone,
             SPARE_FACTOR,
+            placement.MIN_CONNECTIONS_PER_HOLDER,
         )
         return backends.Backends(
             self.directory,
--- a/sedgeswitch/relay/tests/test_scarce_connections.py
+++ b/sedgeswitch/relay/tests/test_scarce_connections.py
@@ -145,6 +145,18 @@
 
         run_in_world(body, max_connections=20)
 
+    def test_scarce_connections_all_stay_for_reuse(self):
+        # Guards against room for restarts that doubled the new connections of a fleet
+        # whose instances accept 22.
+        async def body(world):
+            options = world.backends._options._replace(spare_factor=2.0, min_idle=15)
+            world.backends._options = options
+            for _ in range(2):
+                await self.run_callers(world)
+            self.assertEqual(15, world.instances["a"].count_open())
+
+        run_in_world(body, max_connections=20)
+
 
 class FencedGroupTest(unittest.TestCase):
     """The leader needs a connection to an instance of a fenced group.
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -85,6 +85,9 @@
     spare_factor : float
         Connections of an instance that idle ones leave free, as a multiple of its
         slots, up to `MAX_SPARE_SHARE` of its limit.
+    min_idle : int
+        Idle connections that this host may keep at least, so that reuse does not suffer
+        where connections are scarce.
     """
 
     availability_zone: str
@@ -95,6 +98,7 @@
     min_connections: int = 0
     region_by_zone: collections.abc.Mapping[str, str] = records.EMPTY_MAPPING
     spare_factor: float = 0.0
+    min_idle: int = 1
 
 
 class _PoolEntry(typing.NamedTuple):
@@ -429,7 +433,7 @@
             MAX_SPARE_SHARE * entry.max_connections,
         )
         limit = capacity - math.ceil(spare / max(divisor, 1))
-        entry.instance_pool.set_idle_limit(max(limit, 1))
+        entry.instance_pool.set_idle_limit(max(limit, self._options.min_idle))
 
     def _limit_statements(
         self, instance: str, instance_pool: pool.InstancePool
