Remove what the merged parts do twice

The type InstanceLoad was named twice in forwarding.messages, a document that arrives whole was compressed again although it arrives compressed, and Backends.is_near compared an assumed round trip where the distance is at hand.

--- a/sedgeswitch/databases/sections.py
+++ b/sedgeswitch/databases/sections.py
@@ -166,7 +166,7 @@
         if text is None:
             return
         document = self._decode(text)
-        self._source = machines.compress_text(text)
+        self._source = answer.source or machines.compress_text(text)
         self._accepts_difference = True
         self._organisation_by_key = documents.index_keys(document)
         self.document = document
--- a/sedgeswitch/forwarding/messages.py
+++ b/sedgeswitch/forwarding/messages.py
@@ -10,4 +10,3 @@
 InstanceLoad = ttypes.InstanceLoad
 Operation = ttypes.Operation
 Outcome = ttypes.Outcome
-InstanceLoad = ttypes.InstanceLoad
--- a/sedgeswitch/statements/backends.py
+++ b/sedgeswitch/statements/backends.py
@@ -262,7 +262,7 @@
 
     def is_near(self, server: directory.BackendServer) -> bool:
         """Return whether an instance is known to be in this host's region."""
-        return self._get_round_trip_s(server) < OTHER_REGION_ROUND_TRIP_S
+        return self._get_distance(server) < len(_PLACES) - 1
 
     def record_read(self, server: directory.BackendServer, elapsed_s: float) -> None:
         """Record where a read ran, and the time gained or lost if it left the zone.
