--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -272,6 +272,19 @@
             )
         self._record.note("the fleet is ready")
 
+    async def restart_entry_host(self, name: str) -> None:
+        """Stop an entry host by SIGTERM, start it again and wait until it is ready."""
+        process = self.processes[name]
+        process.send_signal(signal.SIGTERM)
+        if not await wait_until(lambda: process.exit_code is not None, 8.0):
+            process.end()
+        process.start()
+        ip, _ = self.entry_addresses[name]
+        await requests.send_until_done(
+            [(ip, READY_PORT)], "GET", "/-/readiness", limit_s=20.0
+        )
+        self._record.note(f"{name} was stopped and started")
+
     async def add_instance(self, service: str, zone: str) -> databases.Instance:
         """Start an instance; the first of a service is its primary."""
         group = self.groups[service]
