--- a/review/standins/databases.py
+++ b/review/standins/databases.py
@@ -113,6 +113,8 @@
         self.is_alive = False
         self.is_deaf = False
         self.state = "ready"
+        # When the announcement that it is draining was acknowledged.
+        self.drained_s: float | None = None
         self.born_ms = 0
         self._sequence = 0
         self._runs = 0
@@ -134,6 +136,33 @@
         )
         self._heartbeats = asyncio.create_task(self._send_heartbeats())
 
+    async def leave(self, drain_s: float, longer_s: float) -> float:
+        """Announce the end, serve on and end; return when it was acknowledged.
+
+        Parameters
+        ----------
+        drain_s : float
+            Time for which it serves at least after the acknowledgement.
+        longer_s : float
+            Time for which it serves beyond that.
+        """
+        self.state = "draining"
+        loop = asyncio.get_running_loop()
+        while not await self._send_heartbeat():
+            await asyncio.sleep(0.1)
+        acknowledged_s = self.drained_s = loop.time()
+        self.group.record.note(f"{self.name} is draining, which was acknowledged")
+        await asyncio.sleep(drain_s + longer_s)
+        for address in self.group.control_addresses:
+            response = await requests.send(
+                address, "DELETE", f"/-/instances/{self.name}"
+            )
+            if response is not None and 200 <= response.status < 300:
+                break
+        self.kill()
+        self.group.record.note(f"{self.name} has ended")
+        return acknowledged_s
+
     def kill(self) -> None:
         """End as by SIGKILL: connections break, the log stays."""
         self.is_alive = False
@@ -161,26 +190,31 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
-            self._sequence += 1
-            body = {
-                "service": self.group.name,
-                "address": f"{self.address[0]}:{self.address[1]}",
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.group.slots,
-                "state": self.state,
-                "coldLeftMs": 0,
-                "dbRole": "primary" if self.is_primary else "replica",
-                "sequence": self._sequence,
-                "born": self.born_ms,
-            }
-            path = f"/-/instances/{self.name}"
-            for address in self.group.control_addresses:
-                response = await requests.send(address, "PUT", path, body)
-                if response is not None and 200 <= response.status < 300:
-                    break
+            await self._send_heartbeat()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def _send_heartbeat(self) -> bool:
+        """Send one heartbeat and return whether it was acknowledged."""
+        self._sequence += 1
+        body = {
+            "service": self.group.name,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.group.slots,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "dbRole": "primary" if self.is_primary else "replica",
+            "sequence": self._sequence,
+            "born": self.born_ms,
+        }
+        path = f"/-/instances/{self.name}"
+        for address in self.group.control_addresses:
+            response = await requests.send(address, "PUT", path, body)
+            if response is not None and 200 <= response.status < 300:
+                return True
+        return False
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -405,7 +439,7 @@
         self.work_s = work_s
         self.runs: dict[str, list[str]] = {}
         self._latency_s = latency_s
-        self._record = record
+        self.record = record
         self._tasks: set[asyncio.Task] = set()
         self._old_since_s: dict[str, float] = {}
 
@@ -442,7 +476,7 @@
     ) -> None:
         """Record a statement that an instance has run for a client."""
         self.runs.setdefault(statement_id, []).append(text)
-        self._record.note(
+        self.record.note(
             f"{instance.name} ran {statement_id} for {session.who}: {text}"
         )
 
@@ -461,7 +495,7 @@
                 raise LostError
             await asyncio.sleep(COMMIT_POLL_S)
         ids = ", ".join(write.statement_id for write in writes)
-        self._record.note(f"{primary.name} committed {position}: {ids}")
+        self.record.note(f"{primary.name} committed {position}: {ids}")
 
     def _is_cut(self, first: Instance, second: Instance) -> bool:
         return frozenset((first.name, second.name)) in self.cuts
@@ -505,7 +539,7 @@
             return
         if term > item.term or len(log) > len(item.log):
             if item.log != log[: len(item.log)]:
-                self._record.note(f"{item.name} follows {source.name}, rolled back")
+                self.record.note(f"{item.name} follows {source.name}, rolled back")
             item.term = term
             item.log = log
         number = item.position.number
@@ -527,7 +561,7 @@
         since_s = self._old_since_s.setdefault(item.name, now_s)
         if now_s - since_s > OLD_PRIMARY_S:
             item.demote(item.term)
-            self._record.note(f"{item.name} found {newest.name} and is a replica")
+            self.record.note(f"{item.name} found {newest.name} and is a replica")
 
     def start_promotion(self, name: str) -> int:
         """Let an instance lead the next term soon; return the HTTP status."""
@@ -545,7 +579,7 @@
         instance.term = max(item.term for item in self.instances.values()) + 1
         instance.is_primary = True
         instance.held_term = 0
-        self._record.note(
+        self.record.note(
             f"{instance.name} leads term {instance.term} of {self.name} with"
             f" {instance.position}"
         )
