--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -238,7 +238,7 @@
                 }
                 for service, group in self.groups.items()
             ],
-            "limits": LIMITS,
+            "limits": dict(LIMITS),
             "tenants": [
                 {
                     "name": TENANT,
