--- a/review/standins/cases.py
+++ b/review/standins/cases.py
@@ -4,6 +4,7 @@
 import collections.abc
 import os
 import pathlib
+import signal
 import traceback
 
 from standins import fleet
@@ -36,7 +37,7 @@
     record = records.Record(folder / "record.txt")
     try:
         return asyncio.run(_run(record, scenario, options))
-    except Exception:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
         record.note(f"the case could not run: {traceback.format_exc()}")
         return EXIT_NOT_RUN
     finally:
@@ -44,6 +45,8 @@
 
 
 async def _run(record: records.Record, scenario: Scenario, options: dict) -> int:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     hosts = fleet.Fleet(record, **options)
     try:
--- a/review/standins/databases.py
+++ b/review/standins/databases.py
@@ -513,7 +513,9 @@
             for item in list(self.instances.values()):
                 self._check_old_primary(item)
                 source = self._find_source(item)
-                if source is not None and source.log != item.log:
+                if source is None:
+                    continue
+                if source.term > item.term or source.log != item.log:
                     self._spawn(
                         self._transfer(source, item, source.term, list(source.log))
                     )
