--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -1,7 +1,6 @@
-"""A platform that is slow to carry out orders, while a primary has crashed.
+"""A restarted entry host, a leaving primary, a deaf replica and a crash.
 
-An entry host was restarted some time before, as hosts are for each new release. One
-service after the other is tried, until a write is lost.
+One service after the other is tried, until a write is lost.
 """
 
 import asyncio
@@ -17,21 +16,28 @@
 from standins import fleet  # noqa: E402
 from standins import records  # noqa: E402
 
-SERVICES = ("huvo11a", "kafi81c", "wuno96b")
-# Time that the platform takes from the receipt of an order to its execution, in
-# seconds, and the length of the primary's crash.
-PLATFORM_DELAY_S = 12.0
-CRASH_S = 7.0
-# Time from the crash to the comparison of the logs, in seconds.
-ROUND_S = 27.0
-# Callers at each entry host.
-WRITERS = 5
-PAUSE_S = 0.01
-RETRY_S = 0.2
+SERVICES = tuple(
+    f"{name}11a" for name in ("dele", "huvo", "kafi", "lepu", "rilo", "wuno")
+)
+# The entry host through which callers write, and which is restarted.
+HOST = "front-1"
+WRITERS = 3
+PAUSE_S = 0.02
+# Times from the moment at which a replica receives no more, in seconds.
+WRITES_END_S = 0.5
+RESTART_S = 0.6
+LEAVES_S = 1.0
+CRASH_S = 6.0
+DEAF_S = 6.5
+ROUND_S = 10.0
+# Round trip between two regions, in seconds.
+ROUND_TRIP_S = 0.024
+DRAIN_S = 7.0
+START_FIRST_S = 2.5
 
 
 class Round:
-    """The callers of one service, and the crash of its primary."""
+    """The callers of one service and what happens to it."""
 
     def __init__(self, hosts: fleet.Fleet, record: records.Record, service: str):
         self._hosts = hosts
@@ -43,50 +49,61 @@
     async def run(self, has_trouble: bool) -> list[str]:
         """Return the breaks of the rule."""
         old = self._group.newest_primary
-        if has_trouble:
-            old.kill()
-            self._record.note(f"{old.name}, primary of {self._service}, has crashed")
+        deaf = min(
+            (item for item in self._group.instances.values() if item is not old),
+            key=lambda item: item.name,
+        )
+        await self._hosts.add_instance(self._service, old.zone)
+        for item in self._group.instances.values():
+            # The leader runs in the region of the deaf replica.
+            item.host_delay_s = 0.0 if item is deaf else ROUND_TRIP_S
+        await asyncio.sleep(START_FIRST_S - 1.0)
         writers = [
-            asyncio.create_task(
-                self._write_forever(f"{self._service}-{host}-{number}", host)
-            )
-            for host in self._hosts.entry_addresses
+            asyncio.create_task(self._write_forever(f"{self._service}-{number}"))
             for number in range(WRITERS)
         ]
-        await asyncio.sleep(CRASH_S)
+        await asyncio.sleep(1.0)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         if has_trouble:
-            await self._hosts.restart_instance(old)
-            self._record.note(f"{old.name} is back with its log")
-        await asyncio.sleep(ROUND_S - CRASH_S)
+            deaf.is_deaf = True
+            self._record.note(f"{deaf.name} receives nothing")
+        await asyncio.sleep(WRITES_END_S)
         for writer in writers:
             writer.cancel()
-        if has_trouble and self._group.newest_primary.term == 1:
-            raise cases.NotRunError("no instance was promoted")
+        await asyncio.sleep(RESTART_S - WRITES_END_S)
+        restart = asyncio.create_task(self._hosts.restart_entry_host(HOST))
+        await asyncio.sleep(LEAVES_S - RESTART_S)
+        leave = asyncio.create_task(old.leave(DRAIN_S, 4.0))
+        await asyncio.sleep(started_s + CRASH_S - loop.time())
+        if has_trouble:
+            leave.cancel()
+            old.kill()
+            self._record.note(f"{old.name} has crashed")
+        await asyncio.sleep(started_s + DEAF_S - loop.time())
+        deaf.is_deaf = False
+        await restart
+        await asyncio.sleep(started_s + ROUND_S - loop.time())
         return self._find_lost()
 
-    async def _write_forever(self, name: str, host: str) -> None:
-        """Write items one after the other; each write is sent once."""
-        address = self._hosts.entry_addresses[host]
-        database = f"primary-{self._service}"
-        session, number = None, 0
+    async def _write_forever(self, name: str) -> None:
+        address = self._hosts.entry_addresses[HOST]
+        session, number = client.Client(name, self._record), 0
+        while not await session.connect(address, f"primary-{self._service}", fleet.KEY):
+            await asyncio.sleep(PAUSE_S)
         while True:
             number += 1
-            if session is None:
-                session = client.Client(f"{name}-{number}", self._record)
-                if not await session.connect(address, database, fleet.KEY):
-                    session = None
-                    await asyncio.sleep(RETRY_S)
-                    continue
             reply = await session.query(f"WRITE {name}-{number} x")
             if reply.is_success:
                 self._acknowledged.append(session.last_id)
-            elif reply is client.LOST:
-                session = None
-            await asyncio.sleep(PAUSE_S if reply.is_success else RETRY_S)
+            await asyncio.sleep(PAUSE_S)
 
     def _find_lost(self) -> list[str]:
         """Return the acknowledged writes that the log of the primary lacks."""
         primary = self._group.newest_primary
+        if primary is None:
+            self._record.note(f"{self._service} has no primary")
+            return []
         present = {
             write.statement_id for entry in primary.log for write in entry.writes
         }
@@ -105,11 +122,7 @@
     hosts: fleet.Fleet, record: records.Record, has_trouble: bool
 ) -> list[str]:
     """Run the scenario; see `cases.Scenario`."""
-    if has_trouble:
-        hosts.platform.delay_s = PLATFORM_DELAY_S
     await asyncio.sleep(1.0)
-    await hosts.restart_entry_host("front-3")
-    await asyncio.sleep(2.0)
     for service in SERVICES:
         breaks = await Round(hosts, record, service).run(has_trouble)
         if breaks:
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -1,11 +1,12 @@
-"""The primary of a service that is only read is replaced twice, as planned.
+"""Prepared statements after a primary loses the lead during transactions.
 
-Each time a new instance starts first, then the old one announces that it leaves. At the
-end, callers also write.
+The application prepares the same statements in each of its sessions. It executes them
+in transactions on the primary and, outside of transactions, on replicas.
 """
 
 import asyncio
 import pathlib
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -18,19 +19,20 @@
 from standins import records  # noqa: E402
 
 SERVICE = "huvo11a"
-ZONES = ("bagmati-a", "gandaki-a")
-# Time between the start of a new instance and the announcement of the old one, bound
-# of the rule, and time for which an instance serves beyond it, in seconds.
-START_FIRST_S = 2.0
-DRAIN_S = 7.0
-LONGER_S = 4.0
-PAUSE_S = 0.1
-# Time for which callers read and write after the last release, in seconds.
-AFTER_S = 20.0
+# Length of the partition between the primary and its replicas, in seconds.
+CUT_S = 7.0
+# The statements that each caller prepares, and the pause between two statements of a
+# transaction, in seconds.
+SHAPES = {f"s{number}": f"query-{number}" for number in range(11)}
+PAUSE_S = 0.5
+# Callers at each entry host.
+TRANSACTIONS = 2
+READERS = 4
+ROUNDS = 8
 
 
 class Scenario:
-    """The callers, and the releases."""
+    """The callers, and the partition of the primary from its replicas."""
 
     def __init__(self, hosts: fleet.Fleet, record: records.Record, has_trouble: bool):
         self._hosts = hosts
@@ -38,73 +40,106 @@
         self._has_trouble = has_trouble
         self._group: databases.Group = hosts.groups[SERVICE]
         self._breaks: list[str] = []
-        self._is_over = self._is_writing = False
-        self._succeeded = self._failed = 0
 
     async def run(self) -> list[str]:
         """Return the breaks of the rule."""
-        async with asyncio.TaskGroup() as tasks:
-            for host in self._hosts.entry_addresses:
-                for kind in ("primary", "bounded"):
-                    tasks.create_task(self._call_forever(f"{host}-{kind}", kind, host))
-            await asyncio.sleep(2.0)
-            for zone in ZONES:
-                await self._release(zone)
-            self._succeeded = self._failed = 0
-            self._is_writing = True
-            await asyncio.sleep(AFTER_S)
-            self._is_over = True
-        ready = [item.name for item in self._group.instances.values() if item.is_alive]
-        self._record.note(
-            f"{self._succeeded} statements succeeded and {self._failed} failed in the"
-            f" last {AFTER_S:.0f} s, while {', '.join(ready)} were ready"
-        )
+        writer = asyncio.create_task(self._write_forever())
+        await asyncio.sleep(1.0)
+        await self._transact()
+        await self._read_on_replicas()
+        writer.cancel()
         return self._breaks
 
-    async def _release(self, zone: str) -> None:
-        """Replace the primary."""
-        if not self._has_trouble:
-            await asyncio.sleep(START_FIRST_S + DRAIN_S + LONGER_S)
-            return
-        old = self._group.newest_primary
-        new = await self._hosts.add_instance(SERVICE, zone)
-        self._record.note(f"{new.name} has started and will replace {old.name}")
-        await asyncio.sleep(START_FIRST_S)
-        await old.leave(DRAIN_S, LONGER_S)
-
-    async def _call_forever(self, name: str, kind: str, host: str) -> None:
-        session, number = None, 0
+    async def _connect(self, name: str, kind: str, host: str) -> client.Client:
+        session = client.Client(name, self._record)
         address = self._hosts.entry_addresses[host]
-        while not self._is_over:
+        while not await session.connect(address, f"{kind}-{SERVICE}", fleet.KEY):
+            await asyncio.sleep(0.1)
+        return session
+
+    async def _write_forever(self) -> None:
+        """Write now and then, as other callers do."""
+        number = 0
+        session = await self._connect("writer", "primary", "front-1")
+        while True:
             number += 1
-            if session is None:
-                session = client.Client(f"{name}-{number}", self._record)
-                if not await session.connect(address, f"{kind}-{SERVICE}", fleet.KEY):
-                    session = None
-                    await asyncio.sleep(PAUSE_S)
-                    continue
-            is_write = self._is_writing and kind == "primary" and number % 2
-            text = f"WRITE {name} {number}" if is_write else "READ 1a4"
-            sent_s = asyncio.get_running_loop().time()
-            reply = await session.query(text)
-            self._check(session.last_id, sent_s, reply)
+            reply = await session.query(f"WRITE counter {number}")
             if reply is client.LOST:
-                session = None
+                session = await self._connect(f"writer{number}", "primary", "front-1")
+            await asyncio.sleep(0.2)
+
+    async def _transact(self) -> None:
+        """Have transactions open while the primary is replaced."""
+        old = self._group.newest_primary
+        if self._has_trouble:
+            self._group.cut_off(old.name)
+            self._record.note(f"{old.name} is partitioned from its replicas")
+        asyncio.get_running_loop().call_later(CUT_S, self._heal)
+        async with asyncio.TaskGroup() as tasks:
+            for host in self._hosts.entry_addresses:
+                for number in range(TRANSACTIONS):
+                    name = f"transaction-{host}-{number}"
+                    tasks.create_task(self._run_transaction(name, host))
+        await asyncio.sleep(CUT_S)
+        if self._has_trouble and old.is_primary:
+            raise cases.NotRunError("the primary was not replaced")
+
+    async def _run_transaction(self, name: str, host: str) -> None:
+        """Execute each prepared statement once in one transaction, with pauses."""
+        session = await self._connect(name, "primary", host)
+        for statement, shape in SHAPES.items():
+            await session.query(f"PREPARE {statement} READ {shape}")
+        await asyncio.sleep(PAUSE_S * random.random())
+        await session.query("BEGIN")
+        for statement in _shuffle(name):
+            if (await session.query(f"EXECUTE {statement} 1a4")).code:
+                break
             await asyncio.sleep(PAUSE_S)
+        await session.query("ROLLBACK")
+        session.close()
+
+    def _heal(self) -> None:
+        self._group.cuts.clear()
+        self._record.note("the partition is over")
 
-    def _check(self, statement_id: str, sent_s: float, reply: client.Reply) -> None:
-        """Record a statement that an instance ran later than it may."""
-        if not reply.is_success:
-            self._failed += 1
-            return
-        self._succeeded += 1
-        instance = self._group.instances[reply.signature.split(".")[-1]]
-        if instance.drained_s is not None and sent_s > instance.drained_s + DRAIN_S:
-            late_s = sent_s - instance.drained_s
-            self._breaks.append(
-                f"{statement_id} reached {instance.name}, sent {late_s:.1f} s after its"
-                " announcement was acknowledged"
-            )
+    async def _read_on_replicas(self) -> None:
+        """Execute prepared statements outside of transactions."""
+        async with asyncio.TaskGroup() as tasks:
+            for host in self._hosts.entry_addresses:
+                for number in range(READERS):
+                    tasks.create_task(self._read(f"{host}-{number}", host))
+
+    async def _read(self, name: str, host: str) -> None:
+        session = await self._connect(name, "bounded", host)
+        for statement, shape in SHAPES.items():
+            reply = await session.query(f"PREPARE {statement} READ {shape}")
+            if not reply.is_success:
+                raise cases.NotRunError(f"{statement} was not prepared: {reply.code}")
+        for _ in range(ROUNDS):
+            for statement in _shuffle(name):
+                reply = await session.query(f"EXECUTE {statement} 1a4")
+                self._check(session.last_id, statement, SHAPES[statement], reply)
+        session.close()
+
+    def _check(
+        self, statement_id: str, name: str, shape: str, reply: client.Reply
+    ) -> None:
+        """Record a name that is unknown, or that ran another shape than prepared."""
+        if reply.code == "NOSTMT":
+            self._breaks.append(f"{statement_id}: {name} is unknown to the caller")
+        for text in self._group.runs.get(statement_id, ()):
+            if not text.endswith(f" shape {shape}"):
+                self._breaks.append(
+                    f"{statement_id}: {name} was prepared as {shape}, an instance ran"
+                    f" {text}; the caller got {reply.code or list(reply.rows)}"
+                )
+
+
+def _shuffle(name: str) -> list[str]:
+    """Return the prepared statements in the order in which a caller uses them."""
+    order = list(SHAPES)
+    random.Random(name).shuffle(order)
+    return order
 
 
 async def run(
--- a/review/standins/databases.py
+++ b/review/standins/databases.py
@@ -88,6 +88,8 @@
     ----------
     is_alive, is_deaf : bool
         Whether its process runs; whether it receives no commits.
+    host_delay_s : float
+        Round trip to hosts of the system, added to answers to their own statements.
     state : str
         ``ready`` or ``draining``, as it announces itself.
     """
@@ -112,6 +114,7 @@
         self.received: dict[int, int] = {}
         self.is_alive = False
         self.is_deaf = False
+        self.host_delay_s = 0.0
         self.state = "ready"
         # When the announcement that it is draining was acknowledged.
         self.drained_s: float | None = None
@@ -256,6 +259,8 @@
         if keyword != "QUERY":
             return False
         statement_id, _, text = rest.partition(" ")
+        if statement_id == "-" and self.host_delay_s:
+            await asyncio.sleep(self.host_delay_s)
         answer = await self._answer(session, statement_id, text)
         lines = [f"ROW {row}" for row in answer.rows]
         if answer.code:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -289,7 +289,7 @@
         """Start an instance; the first of a service is its primary."""
         group = self.groups[service]
         self._instances += 1
-        name = f"i-{service}-{self._instances}"
+        name = f"i-{service}-{self._instances:02d}"
         address = (f"{self._network}.{100 + self._instances}", DATABASE_PORT)
         instance = databases.Instance(group, name, address, zone, not group.instances)
         if group.newest_primary is not None:
