--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -82,6 +82,12 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def clear_bootstrap(self) -> None:
+        """Say in the settings file that it isn't the first start of the system."""
+        path = self._folder / "boot.json"
+        settings = json.loads(path.read_text())
+        path.write_text(json.dumps({**settings, "bootstrap": False}))
+
     @property
     def log_path(self) -> pathlib.Path:
         """File with what the process writes."""
@@ -278,6 +284,7 @@
         process.send_signal(signal.SIGTERM)
         if not await wait_until(lambda: process.exit_code is not None, 8.0):
             process.end()
+        process.clear_bootstrap()
         process.start()
         ip, _ = self.entry_addresses[name]
         await requests.send_until_done(
