Report acknowledged positions by timeline, not by term

Cause: an entry host that restarts must not report a position for commits that its earlier process may have acknowledged. The exception was kept by term, while reports are by timeline. A reinstated primary gets a new term on the same timeline, so that the restarted host reported zero. The leader logged it: "primary chosen ... acknowledged: Position(timeline=1, lsn=0)".

Ruled out: the choice of the lower of two floors, and of the first replica that reaches it. Both are sound if each report covers all commits of its host.

The exception is now kept by timeline. Without a report of one host the floor comes from the replicas, of which as many must answer as overlap with every acknowledged write.

--- a/sedgeswitch/groups/acknowledged_positions.py
+++ b/sedgeswitch/groups/acknowledged_positions.py
@@ -6,7 +6,7 @@
 
 
 class AcknowledgedTracker:
-    """Records the highest acknowledged position of each group in its current term.
+    """Records the highest acknowledged position of each group on its current timeline.
 
     The leader uses these positions to select a new primary that has every
     acknowledged write.
@@ -17,25 +17,26 @@
 
     Notes
     -----
-    An earlier process of this host may have acknowledged commits under the terms
+    An earlier process of this host may have acknowledged commits on the timelines
     in the first answer of the leader, and this process has no record of these
-    commits. No position is therefore reported for a group while it is still in
-    that term.
+    commits. No position is therefore reported for a group while it is still on
+    that timeline. A later term may continue the same timeline: that of a
+    reinstated primary does.
     """
 
     def __init__(self, table: groups_table.GroupTable):
         self._table = table
         self._highest: dict[str, positions.Position] = {}
-        self._terms_at_start: dict[str, int] | None = None
+        self._timelines_at_start: dict[str, int] | None = None
 
     def record_leader_answer(self) -> None:
         """Record that an answer of the leader has been applied to the table.
 
-        Only the first call has an effect: it stores the terms in the table.
+        Only the first call has an effect: it stores the timelines in the table.
         """
-        if self._terms_at_start is None:
-            self._terms_at_start = {
-                state.group: state.term for state in self._table.get_groups()
+        if self._timelines_at_start is None:
+            self._timelines_at_start = {
+                state.group: state.timeline for state in self._table.get_groups()
             }
 
     def record_commit(self, group: str, position: positions.Position) -> None:
@@ -45,15 +46,15 @@
             self._highest[group] = position
 
     def build_report(self) -> list[ttypes.Acknowledged]:
-        """Return the positions of the groups whose term began in this process.
+        """Return the positions of the groups whose timeline began in this process.
 
-        A group without acknowledged commits in its term is reported with LSN 0.
+        A group without acknowledged commits on its timeline is reported with LSN 0.
         """
-        if self._terms_at_start is None:
+        if self._timelines_at_start is None:
             return []
         report = []
         for state in self._table.get_groups():
-            if self._terms_at_start.get(state.group) == state.term:
+            if self._timelines_at_start.get(state.group) == state.timeline:
                 continue
             lsn = 0
             highest = self._highest.get(state.group)
--- a/sedgeswitch/groups/messages.thrift
+++ b/sedgeswitch/groups/messages.thrift
@@ -128,7 +128,7 @@
 }
 
 // Highest position of a commit of a group that an entry host has acknowledged to
-// its callers, in the term of its table.
+// its callers, on the timeline of its table.
 struct Acknowledged {
   1: required string group,
   2: required i64 timeline,
--- a/sedgeswitch/groups/tests/test_fencing.py
+++ b/sedgeswitch/groups/tests/test_fencing.py
@@ -202,6 +202,26 @@
             positions.Position(1, 40), get_position("g", version, ["e1", "e2"])
         )
 
+    def reinstate_primary(self):
+        commands = (
+            ttypes.Fence("g", 1, "test"),
+            ttypes.Promoted("g", 2, "a", 1, 0),
+        )
+        for index, command in enumerate(commands, start=2):
+            self.machine.apply(index, machine.encode_command(command))
+
+    # Guards against a floor below the commits that the host's earlier process had
+    # acknowledged, after its primary was reinstated: writes were lost.
+    def test_process_started_before_a_reinstatement_reports_no_position(self):
+        self.machine.apply(1, self.register)
+        host = self.build_host()
+        self.report("e1", *host)
+        self.reinstate_primary()
+        self.report("e1", *host)
+        self.report("e1", *host)
+        version = self.machine.get_version()
+        self.assertIsNone(self.section.get_acknowledged_position("g", version, ["e1"]))
+
     def test_process_started_during_the_term_reports_no_position(self):
         self.machine.apply(1, self.register)
         host = self.build_host()
