Record a prepared statement once the instance has prepared it

Cause: PREPARE and EXECUTE are sent together, and the name was recorded before the answer to PREPARE. An instance that has lost its lead refuses both in an open transaction; the connection is rolled back and used again with a name that the instance lacks. New names were numbered by the count of known ones, so that after one was dropped two statements shared a name.

The name is recorded after PREPARE has succeeded, and names are not used twice on a connection. The failure of PREPARE is returned instead of that of the EXECUTE behind it.

--- a/sedgeswitch/platform/instance_driver.py
+++ b/sedgeswitch/platform/instance_driver.py
@@ -20,6 +20,10 @@
 _MIN_STATE_FIELDS = 4
 # Time without acknowledgement of sent data after which the kernel closes a connection.
 TCP_USER_TIMEOUT_MS = 5000
+# Failures of an execution whose statement the instance does not know.
+_NOT_EXECUTED = frozenset(
+    [sessions.Failure.UNKNOWN_STATEMENT, sessions.Failure.MALFORMED]
+)
 
 
 class LineConnection:
@@ -44,7 +48,10 @@
         self._is_open = True
         self._transaction_state = wire.IDLE
         self._values: dict[bytes, bytes] = {}
+        # Names that the instance has acknowledged. They are never used again for
+        # another shape, since the instance may keep one that this host has dropped.
         self._prepared: dict[sessions.StatementShape, bytes] = {}
+        self._name_count = 0
         self.position: positions.Position | None = None
 
     @property
@@ -89,21 +96,45 @@
         """Run a statement; see `sessions.SessionConnection.run`.
 
         A shape that the connection has not prepared yet is prepared in the same
-        round trip.
+        round trip, and once more if the instance no longer knows it.
         """
+        if shape is None:
+            line = _build_statement(statement.statement_id, statement.text, floor)
+            return (await self._exchange([line]))[0]
+        reply = await self._run_prepared(statement, shape, floor)
+        is_unknown = reply.failure is sessions.Failure.UNKNOWN_STATEMENT
+        if is_unknown and not reply.is_transaction_failed:
+            reply = await self._run_prepared(statement, shape, floor)
+            is_unknown = reply.failure is sessions.Failure.UNKNOWN_STATEMENT
+        if is_unknown:
+            # The caller has prepared the statement: only the instance lacks it.
+            return reply._replace(failure=sessions.Failure.OVERLOADED)
+        return reply
+
+    async def _run_prepared(
+        self,
+        statement: sessions.Statement,
+        shape: sessions.StatementShape,
+        floor: positions.Position | None,
+    ) -> sessions.Reply:
+        """Execute a prepared statement, which is prepared first if it is not yet."""
         lines = []
-        text = statement.text
-        if shape is not None:
-            name = self._prepared.get(shape)
-            if name is None:
-                name = self._prepared[shape] = b"s%d" % len(self._prepared)
-                kind = b"WRITE" if shape.is_write else b"READ"
-                lines.append(_build_query(b"PREPARE", name, kind, shape.text))
-            text = b" ".join((b"EXECUTE", name, statement.prepared_arguments))
-        if floor is not None:
-            text = _add_floor(text, floor)
-        lines.append(wire.encode_line(b"QUERY", statement.statement_id, text))
-        reply = (await self._exchange(lines))[-1]
+        name = self._prepared.get(shape)
+        is_new = name is None
+        if is_new:
+            name = b"s%d" % self._name_count
+            self._name_count += 1
+            kind = b"WRITE" if shape.is_write else b"READ"
+            lines.append(_build_query(b"PREPARE", name, kind, shape.text))
+        text = b" ".join((b"EXECUTE", name, statement.prepared_arguments))
+        lines.append(_build_statement(statement.statement_id, text, floor))
+        replies = await self._exchange(lines)
+        prepared, reply = replies[0], replies[-1]
+        if is_new and prepared.failure is None:
+            self._prepared[shape] = name
+        elif is_new and reply.failure in _NOT_EXECUTED:
+            # The reason for which the instance did not prepare the statement.
+            reply = _replace_failure(reply, prepared)
         if reply.failure is sessions.Failure.UNKNOWN_STATEMENT:
             self._prepared.pop(shape, None)
         return reply
@@ -271,6 +302,26 @@
     )
 
 
+def _replace_failure(reply: sessions.Reply, cause: sessions.Reply) -> sessions.Reply:
+    """Return the reply to a statement that did not run, with the cause as its failure.
+
+    A cause that may have had an effect is replaced: the statement had none.
+    """
+    failure = cause.failure
+    if not failure.has_no_effect:
+        failure = sessions.Failure.OVERLOADED
+    return reply._replace(failure=failure, detail=cause.detail)
+
+
+def _build_statement(
+    statement_id: bytes, text: bytes, floor: positions.Position | None
+) -> bytes:
+    """Return the line of a caller's statement."""
+    if floor is not None:
+        text = _add_floor(text, floor)
+    return wire.encode_line(b"QUERY", statement_id, text)
+
+
 def _build_query(*fields: bytes) -> bytes:
     """Return the line of a statement that the proxy itself issues, without an id."""
     return wire.encode_line(b"QUERY", wire.NONE, *fields)
--- a/sedgeswitch/platform/tests/test_line_protocol.py
+++ b/sedgeswitch/platform/tests/test_line_protocol.py
@@ -21,6 +21,8 @@
 
 READY = b"READY I 3.7\r\n"
 DONE = b"COMPLETE sig\r\n" + READY
+QUERY_A = sessions.StatementShape(False, b"a")
+QUERY_B = sessions.StatementShape(False, b"b")
 
 
 class StepTest(unittest.TestCase):
@@ -128,6 +130,43 @@
             lines,
         )  # fmt: skip
 
+    def run_shapes(self, answers, *shapes):
+        """Execute statements of these shapes; return the failures and the lines."""
+        failures = []
+
+        async def use(connection):
+            for shape in shapes:
+                statement = sessions.Statement(b"1", b"EXECUTE mine x", b"x")
+                reply = await connection.run(statement, shape)
+                failures.append(reply.failure)
+
+        return failures, self.exchange(answers, use)
+
+    # Guards against an execution under a name that the instance never prepared.
+    def test_statement_whose_preparation_failed_is_prepared_again(self):
+        refused = [b"ERROR READONLY i-1\r\n" + READY, b"ERROR MALFORMED x\r\n" + READY]
+        failures, lines = self.run_shapes([*refused, DONE, DONE], QUERY_A, QUERY_A)
+        self.assertEqual([sessions.Failure.READ_ONLY, None], failures)
+        self.assertEqual(
+            [b"QUERY - PREPARE s1 READ a", b"QUERY 1 EXECUTE s1 x"], lines[2:]
+        )
+
+    # Guards against two shapes under one name, so that callers got other rows.
+    def test_name_of_a_forgotten_statement_is_not_used_again(self):
+        answers = [DONE, DONE, DONE, DONE, b"ERROR NOSTMT s0\r\n" + READY, DONE, DONE]
+        shapes = (QUERY_A, QUERY_B, QUERY_A)
+        failures, lines = self.run_shapes(answers, *shapes)
+        self.assertEqual([None, None, None], failures)
+        self.assertEqual(
+            [b"QUERY - PREPARE s2 READ a", b"QUERY 1 EXECUTE s2 x"], lines[5:]
+        )
+
+    # Guards against telling a caller that a statement it has prepared is unknown.
+    def test_statement_that_the_instance_keeps_forgetting_is_refused(self):
+        unknown = b"ERROR NOSTMT s0\r\n" + READY
+        failures, _ = self.run_shapes([DONE, unknown, DONE, unknown], QUERY_A)
+        self.assertEqual([sessions.Failure.OVERLOADED], failures)
+
     def test_values_of_another_session_are_reset(self):
         async def use(connection):
             await connection.set_session_values({b"a": b"1"})
