Compare the logs of instances by their ends, not by the term of a primary

Cause: the log of a primary carries its term only from its first commit on. The driver gave a primary the term of its role and the number of its log, and everything compared that with the ends of its replicas' logs, which lie in an earlier term until the first commit. So the target of a move never caught up, no replica reached the floor "nothing acknowledged on this timeline", new replicas were not registered and replaced instances not removed.

Positions are now compared by the ends of the logs. The end of the log at which a timeline began is replicated with the group, in optional fields. It is the floor while nothing is acknowledged on the timeline, and a replica that has reached it counts as following the present primary. In groups that an earlier release has stored it is unknown, and the floor comes from enough replicas until the next promotion or commit.

Weighed: a write by the leader after each promotion was ruled out, as the proxy sends no statement that no caller sent; no floor until the first commit would have left a group without a primary after two failures in a row.

--- a/sedgeswitch/groups/control_section.py
+++ b/sedgeswitch/groups/control_section.py
@@ -13,6 +13,7 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import staleness
+from sedgeswitch.groups import timelines
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.transport import catalog
 
@@ -118,11 +119,12 @@
         Returns
         -------
         positions.Position or None
-            None if one of the entry hosts has not reported its position since it
-            applied that version of the table.
+            The start of the timeline if no commit has been acknowledged on it. None
+            if that is unknown, or one of the entry hosts has not reported its
+            position since it applied that version of the table.
         """
         state = self._machine.get_group(group)
-        highest = positions.Position(state.timeline, 0)
+        highest = timelines.get_start(state)
         for host_id in host_ids:
             host = self._hosts.get(host_id)
             if host is None or host.acknowledged_version < version:
@@ -130,7 +132,8 @@
             position = host.acknowledged.get(group)
             if position is None or position.timeline != state.timeline:
                 return None
-            highest = max(highest, position)
+            if position.lsn > 0:
+                highest = position if highest is None else max(highest, position)
         return highest
 
     def get_suspicion(
@@ -227,7 +230,7 @@
         if view is None:
             return ttypes.Observation(index, False)
         has_role = view.in_recovery == (name != group.primary)
-        is_current = view.position.timeline == group.timeline
+        is_current = timelines.has_joined(group, view.position)
         age_ms = None if view.age_s is None else durations.get_ms(view.age_s)
         return ttypes.Observation(
             instance=index,
--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -10,6 +10,7 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import table as groups_table
+from sedgeswitch.groups import timelines
 from sedgeswitch.groups import watcher
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.transport import catalog
@@ -187,8 +188,8 @@
         view = _build_replica(state, state.primary, item, observed, now_s)
         if not view.is_usable or view.age_s is None:
             return None
-        timeline = view.log_timeline or view.position.timeline
-        return positions.Position(timeline, view.position.lsn), view.age_s
+        position = positions.get_log_position(view.position, view.log_timeline)
+        return position, view.age_s
 
     def _receive_observations(
         self, observations: typing.Iterable[ttypes.GroupObservation]
@@ -258,7 +259,9 @@
     position = None
     if item.lsn is not None:
         position = positions.Position(item.timeline, item.lsn)
-    is_current = position is not None and position.timeline >= group.timeline
+    is_current = position is not None and (
+        position.timeline >= group.timeline or timelines.has_joined(group, position)
+    )
     age_s = None
     if item.age_ms is not None:
         waited_s = now_s - observed.sent_s + observed.elapsed_s
--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -360,6 +360,7 @@
                         instance,
                         promoted.position.timeline,
                         promoted.position.lsn,
+                        promoted.log_timeline,
                     )
                 )
             instance = await self._select_primary()
--- a/sedgeswitch/groups/instance_removal.py
+++ b/sedgeswitch/groups/instance_removal.py
@@ -100,7 +100,7 @@
         states = await _read_remaining(context, state)
         primary = states.pop(state.primary, None)
         if floor is None and primary is not None:
-            floor = primary.position
+            floor = primary.log_position
         if floor is not None and _count_reached(states, floor) >= (
             context.settings.ack_instances - 1
         ):
@@ -125,5 +125,5 @@
     states: dict[str, instances.InstanceState], floor: positions.Position
 ) -> int:
     return sum(
-        positions.has_reached(state.position, floor) for state in states.values()
+        positions.has_reached(state.log_position, floor) for state in states.values()
     )
--- a/sedgeswitch/groups/instances.py
+++ b/sedgeswitch/groups/instances.py
@@ -65,6 +65,11 @@
     requested_s: float | None = None
     log_timeline: int | None = None
 
+    @property
+    def log_position(self) -> positions.Position:
+        """The end of the log; see `positions.get_log_position`."""
+        return positions.get_log_position(self.position, self.log_timeline)
+
 
 class PromotionOrder(typing.NamedTuple):
     """A command to promote an instance to the primary of its group.
--- a/sedgeswitch/groups/machine.py
+++ b/sedgeswitch/groups/machine.py
@@ -176,6 +176,8 @@
                 reason="",
                 candidates=[],
                 leaving=[],
+                start_timeline=_get_log_timeline(command),
+                start_lsn=command.lsn,
             )
         )
 
@@ -262,6 +264,9 @@
             return ttypes.Outcome.STALE_TERM
         if not _is_successor(group, command):
             return ttypes.Outcome.NOT_ALLOWED
+        if command.timeline != group.timeline:
+            group.start_timeline = _get_log_timeline(command)
+            group.start_lsn = command.lsn
         group.term = command.term
         group.timeline = command.timeline
         group.primary = command.primary
@@ -280,6 +285,11 @@
     return group.phase == ttypes.GroupPhase.FENCED and group.term == term
 
 
+def _get_log_timeline(command: ttypes.RegisterGroup | ttypes.Promoted) -> int:
+    """Return the timeline in which the log of the primary ends."""
+    return command.timeline if command.log_timeline is None else command.log_timeline
+
+
 def _is_successor(group: ttypes.Group, command: ttypes.Promoted) -> bool:
     """Return whether the promoted instance is allowed as the next primary."""
     if command.primary in group.candidates:
--- a/sedgeswitch/groups/messages.thrift
+++ b/sedgeswitch/groups/messages.thrift
@@ -8,7 +8,9 @@
 // Replicated state of one group. `version` is the table version of the last
 // change that entry hosts must apply. `candidates` are the instances to which a
 // promotion command may have been sent since the group was fenced. `leaving`
-// instances no longer count towards the acknowledgement of writes.
+// instances no longer count towards the acknowledgement of writes. The start is the
+// position at which the log of the primary ended when the timeline began; it is not
+// set in groups that an earlier release has stored.
 struct Group {
   1: required string group,
   2: required i64 term,
@@ -20,15 +22,21 @@
   8: required string reason,
   9: required list<string> candidates,
   10: required list<string> leaving,
+  11: optional i64 start_timeline,
+  12: optional i64 start_lsn,
 }
 
 // Commands of the replicated state machine. `term` is the term that the group is
-// expected to have; for Promoted, it is the term that begins.
+// expected to have; for Promoted, it is the term that begins. `lsn` is the end of the
+// log of the primary, and `log_timeline` the timeline in which it ends, if that may be
+// earlier than `timeline`.
 struct RegisterGroup {
   1: required string group,
   2: required string primary,
   3: required i64 timeline,
   4: required list<string> instances,
+  5: optional i64 lsn,
+  6: optional i64 log_timeline,
 }
 
 struct AddInstance {
@@ -67,6 +75,7 @@
   3: required string primary,
   4: required i64 timeline,
   5: required i64 lsn,
+  6: optional i64 log_timeline,
 }
 
 struct Command {
--- a/sedgeswitch/groups/positions.py
+++ b/sedgeswitch/groups/positions.py
@@ -74,6 +74,22 @@
     return f"{lsn >> _LOW_BITS:X}/{lsn & _LOW_MASK:X}"
 
 
+def get_log_position(position: Position, log_timeline: int | None) -> Position:
+    """Return the end of an instance's log, comparable between its group's instances.
+
+    Parameters
+    ----------
+    position : Position
+        Position that the instance reports, on the timeline of its role.
+    log_timeline : int or None
+        Timeline in which the log ends, if the driver reports it. On a primary without
+        a write since its promotion it is earlier than that of `position`.
+    """
+    if log_timeline is None:
+        return position
+    return position._replace(timeline=log_timeline)
+
+
 def has_reached(position: Position, floor: Position) -> bool:
     """Return whether an instance at `position` has replayed up to `floor`.
 
--- a/sedgeswitch/groups/primary_selection.py
+++ b/sedgeswitch/groups/primary_selection.py
@@ -145,7 +145,7 @@
     eligible = [
         name
         for name, state in classified.replicas.items()
-        if state.position >= floor and may_promote(name)
+        if state.log_position >= floor and may_promote(name)
     ]
     if target is not None:
         eligible = [name for name in eligible if name == target]
@@ -153,7 +153,7 @@
         # Instances with promotion attempts left come first, then those already
         # recorded as candidates, then the most advanced.
         def get_preference(name: str) -> tuple:
-            position = classified.replicas[name].position
+            position = classified.replicas[name].log_position
             return (
                 get_promotion_rank(name)[:2],
                 -position.timeline,
@@ -194,7 +194,7 @@
     needed = len(group.instances) - ack_instances + 1
     old = classified.old_primary
     if old is not None and (is_move or len(others) < needed):
-        return old.position
+        return old.log_position
     if len(others) < needed:
         return None
-    return max(state.position for state in others)
+    return max(state.log_position for state in others)
--- a/sedgeswitch/groups/supervisor.py
+++ b/sedgeswitch/groups/supervisor.py
@@ -14,6 +14,7 @@
 from sedgeswitch.groups import leader_context
 from sedgeswitch.groups import machine as groups_machine
 from sedgeswitch.groups import settings as groups_settings
+from sedgeswitch.groups import timelines
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.utils import clocks
 
@@ -235,7 +236,7 @@
         )
         if state is None:
             return build_register_group(group, states, self._context.settings)
-        return _build_add_instance(state, states)
+        return build_add_instance(state, states)
 
 
 def build_register_group(
@@ -261,14 +262,22 @@
     if len(states) < needed or not primaries:
         return None
     timeline, primary = max(primaries)
-    return ttypes.RegisterGroup(group, primary, timeline, sorted(states))
+    return ttypes.RegisterGroup(
+        group,
+        primary,
+        timeline,
+        sorted(states),
+        states[primary].position.lsn,
+        states[primary].log_timeline,
+    )
 
 
-def _build_add_instance(
+def build_add_instance(
     group: ttypes.Group, states: typing.Mapping[str, instances.InstanceState]
 ) -> ttypes.AddInstance | None:
+    """Return the command that adds a replica that follows the primary, if any."""
     for name, state in states.items():
-        if state.in_recovery and state.position.timeline == group.timeline:
+        if state.in_recovery and timelines.has_joined(group, state.log_position):
             return ttypes.AddInstance(group.group, group.term, name)
     return None
 
--- a/sedgeswitch/groups/tests/test_fencing.py
+++ b/sedgeswitch/groups/tests/test_fencing.py
@@ -35,8 +35,9 @@
 class FakeInstanceControl:
     """Fake instances that can be fenced; records each call."""
 
-    def __init__(self, states):
+    def __init__(self, states, next_timeline=2):
         self.states = states
+        self.next_timeline = next_timeline
         self.fenced = set()
         self.calls = []
 
@@ -63,7 +64,7 @@
         await trio.sleep(0.01)
         self.calls.append(("promote", order.instance, order.leadership_term))
         lsn = self.states[order.target].position.lsn
-        promoted = positions.Position(2, lsn)
+        promoted = positions.Position(self.next_timeline, lsn)
         self.states[order.target] = instances.InstanceState(False, promoted)
 
 
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -218,7 +218,7 @@
         report.timeline = results.state.position.timeline
         report.lsn = results.state.position.lsn
         report.log_timeline = results.state.log_timeline
-        age_s = self._history.get_age_s(results.state.position, now_s)
+        age_s = self._history.get_age_s(results.state.log_position, now_s)
         if age_s is not None:
             report.age_ms = durations.get_ms(age_s)
 
@@ -302,7 +302,7 @@
             requested_s = (
                 sent_s if state.requested_s is None else min(sent_s, state.requested_s)
             )
-            self._history.add_sample(state.position, requested_s)
+            self._history.add_sample(state.log_position, requested_s)
 
 
 def _is_behind_and_stopped(
@@ -316,7 +316,7 @@
         return False
     if results.get_silence_s(now_s) > _SLOW_S or results.last_progress_s > since_s:
         return False
-    position = results.state.position
+    position = results.state.log_position
     # A replica on an older timeline has not yet connected to the new primary.
     return position.timeline == floor.timeline and position.lsn < floor.lsn
 
