Take no floor from reports after a host was removed on a timeline

Cause: the leader takes the highest position that the registered entry hosts report for the floor of a promotion. A host is removed 60 s after its lease has expired, and what it had acknowledged was forgotten with it: the others may have acknowledged nothing, so that a replica that lags could be promoted in place of one with all writes.

The members keep the index of the log entry that last removed a host, and each group the index with which its timeline began. If a removal is later, or the index of the timeline is unknown, the floor comes from the replicas.

test_floor_is_unknown_after_a_host_was_removed fails without the removal's index (Position(timeline=1, lsn=7) is not None).

--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -262,7 +262,9 @@
     ) -> positions.Position | None:
         # Includes hosts whose lease has expired: they may have acknowledged commits.
         host_ids = list(self.members.members)
-        return self.groups_section.get_acknowledged_position(group, version, host_ids)
+        return self.groups_section.get_acknowledged_position(
+            group, version, host_ids, self.members.removal_index
+        )
 
     def _record_failover(self, report: failover.FailoverReport) -> None:
         self._metrics.count("groups.failovers")
--- a/sedgeswitch/daemon/tests/test_primary_moves.py
+++ b/sedgeswitch/daemon/tests/test_primary_moves.py
@@ -6,6 +6,9 @@
 from sedgeswitch.daemon import relay_control
 from sedgeswitch.daemon.tests import relay_builders
 from sedgeswitch.draining import primary_mover
+from sedgeswitch.groups.generated import ttypes
+from sedgeswitch.membership import machine as members_machine
+from sedgeswitch.transport import catalog
 
 
 class MoveTest(unittest.TestCase):
@@ -100,5 +103,38 @@
         self.assertEqual(["b", "c", "a"], ranked)
 
 
+class FloorTest(unittest.TestCase):
+    # Guards against the promotion of a replica that lacks what a removed host's callers
+    # wrote: the other hosts report that they have acknowledged nothing.
+    def test_floor_is_unknown_after_a_host_was_removed(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        control = relay_builders.build_control(
+            folder.name,
+            relay_builders.build_document(1, {}),
+            MoveTest.SERVERS,
+            "a",
+        )
+        control.node.get_leadership = lambda now_s: None
+        members = [
+            members_machine.Member(host_id, "1", "bagmati-a", "10.0.0.1", 7000)
+            for host_id in ("e1", "e2")
+        ]
+        for member in members:
+            command = members_machine.build_command(member, False)
+            control.members.apply(2, catalog.encode_struct(command))
+        version = control.groups.get_version()
+        report = ttypes.Report(version, 0, 1, [])
+        report.acknowledged = [ttypes.Acknowledged(relay_builders.GROUP, 1, 7)]
+        body = catalog.encode_struct(report)
+        for member in members:
+            control.groups_section.answer_report(member.host_id, body, 0.0)
+        arguments = (relay_builders.GROUP, version)
+        self.assertIsNotNone(control._get_acknowledged_position(*arguments))
+        command = members_machine.build_command(members[0], True)
+        control.members.apply(3, catalog.encode_struct(command))
+        self.assertIsNone(control._get_acknowledged_position(*arguments))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sedgeswitch/groups/control_section.py
+++ b/sedgeswitch/groups/control_section.py
@@ -104,7 +104,11 @@
         return 0 if host is None else host.acknowledged_version
 
     def get_acknowledged_position(
-        self, group: str, version: int, host_ids: typing.Iterable[str]
+        self,
+        group: str,
+        version: int,
+        host_ids: typing.Iterable[str],
+        removal_index: int = 0,
     ) -> positions.Position | None:
         """Return the highest position of an acknowledged commit of a group.
 
@@ -114,16 +118,21 @@
         version : int
             Version of the group table that the hosts must have applied.
         host_ids : iterable of str
-            Every entry host that may have acknowledged a commit.
+            Every registered entry host.
+        removal_index : int
+            Index of the log entry that last removed an entry host.
 
         Returns
         -------
         positions.Position or None
             The start of the timeline if no commit has been acknowledged on it. None
-            if that is unknown, or one of the entry hosts has not reported its
-            position since it applied that version of the table.
+            if that is unknown, one of the entry hosts has not reported its position
+            since it applied that version of the table, or one has been removed since
+            the timeline began: it may have acknowledged commits.
         """
         state = self._machine.get_group(group)
+        if state.timeline_index is None or removal_index > state.timeline_index:
+            return None
         highest = timelines.get_start(state)
         for host_id in host_ids:
             host = self._hosts.get(host_id)
--- a/sedgeswitch/groups/machine.py
+++ b/sedgeswitch/groups/machine.py
@@ -76,6 +76,7 @@
 
     def __init__(self):
         self._version = 0
+        self._index = 0
         self._groups: dict[str, ttypes.Group] = {}
         self._fenced: set[str] = set()
 
@@ -101,7 +102,7 @@
             return []
         return [group for group in self._groups.values() if group.version > version]
 
-    def apply(self, index: int, body: bytes) -> bytes:  # noqa: ARG002
+    def apply(self, index: int, body: bytes) -> bytes:
         """Apply one command and return the encoded `CommandResult`.
 
         Parameters
@@ -112,6 +113,7 @@
             A command encoded by `encode_command`.
         """
         command = catalog.decode_struct(ttypes.Command, body)
+        self._index = index
         outcome, name = self._dispatch(command)
         result = ttypes.CommandResult(outcome, self._groups.get(name))
         return catalog.encode_struct(result)
@@ -178,6 +180,7 @@
                 leaving=[],
                 start_timeline=_get_log_timeline(command),
                 start_lsn=command.lsn,
+                timeline_index=self._index,
             )
         )
 
@@ -267,6 +270,7 @@
         if command.timeline != group.timeline:
             group.start_timeline = _get_log_timeline(command)
             group.start_lsn = command.lsn
+            group.timeline_index = self._index
         group.term = command.term
         group.timeline = command.timeline
         group.primary = command.primary
--- a/sedgeswitch/groups/messages.thrift
+++ b/sedgeswitch/groups/messages.thrift
@@ -9,7 +9,8 @@
 // change that entry hosts must apply. `candidates` are the instances to which a
 // promotion command may have been sent since the group was fenced. `leaving`
 // instances no longer count towards the acknowledgement of writes. The start is the
-// position at which the log of the primary ended when the timeline began; it is not
+// position at which the log of the primary ended when the timeline began, and
+// `timeline_index` the index of the replicated command with which it did. Both are not
 // set in groups that an earlier release has stored.
 struct Group {
   1: required string group,
@@ -24,6 +25,7 @@
   10: required list<string> leaving,
   11: optional i64 start_timeline,
   12: optional i64 start_lsn,
+  13: optional i64 timeline_index,
 }
 
 // Commands of the replicated state machine. `term` is the term that the group is
--- a/sedgeswitch/groups/tests/test_fencing.py
+++ b/sedgeswitch/groups/tests/test_fencing.py
@@ -203,6 +203,34 @@
             positions.Position(1, 40), get_position("g", version, ["e1", "e2"])
         )
 
+    # Guards against a floor below the commits of a host that was removed since.
+    def test_floor_is_unknown_until_the_next_timeline_after_a_removal(self):
+        host = self.build_host()
+        self.report("e1", *host)
+        self.machine.apply(1, self.register)
+        for _ in range(2):
+            self.report("e1", *host)
+        host[1].record_commit("g", positions.Position(1, 30))
+        self.report("e1", *host)
+        version = self.machine.get_version()
+        get_position = self.section.get_acknowledged_position
+        self.assertIsNotNone(get_position("g", version, ["e1"]))
+        self.assertIsNone(get_position("g", version, ["e1"], removal_index=2))
+        commands = (
+            ttypes.Fence("g", 1, "test"),
+            ttypes.Choose("g", 1, "b"),
+            ttypes.Promoted("g", 2, "b", 2, 30, 1),
+        )
+        for index, command in enumerate(commands, start=3):
+            self.machine.apply(index, machine.encode_command(command))
+        for _ in range(2):
+            self.report("e1", *host)
+        version = self.machine.get_version()
+        self.assertEqual(
+            positions.Position(1, 30),
+            get_position("g", version, ["e1"], removal_index=2),
+        )
+
     def reinstate_primary(self):
         commands = (
             ttypes.Fence("g", 1, "test"),
--- a/sedgeswitch/membership/machine.py
+++ b/sedgeswitch/membership/machine.py
@@ -41,19 +41,28 @@
         Number of changes so far.
     members : dict of str to Member
         By host id.
+    removal_index : int
+        Index of the log entry that last removed a host, 0 if none has been removed.
     """
 
     def __init__(self):
         self.version = 0
         self.members: dict[str, Member] = {}
+        self.removal_index = 0
         # Host ids of the last changes, one for each version.
         self._changes: collections.deque[str] = collections.deque(
             maxlen=MAX_KEPT_CHANGES
         )
 
-    def apply(self, index: int, body: bytes) -> bytes:  # noqa: ARG002
+    def apply(self, index: int, body: bytes) -> bytes:
         """Register or remove one entry host.
 
+        Parameters
+        ----------
+        index : int
+            Index of the entry in the log.
+        body : bytes
+
         Returns
         -------
         bytes
@@ -67,6 +76,7 @@
             self._record_change(member.host_id)
         elif self.members.get(member.host_id) == member:
             del self.members[member.host_id]
+            self.removal_index = index
             self._record_change(member.host_id)
         return b""
 
@@ -95,12 +105,15 @@
     def save_snapshot(self) -> bytes:
         """Return the whole state."""
         commands = [build_command(member, False) for member in self.members.values()]
-        return catalog.encode_struct(messages.Members(self.version, commands))
+        snapshot = messages.Members(self.version, commands)
+        snapshot.removal_index = self.removal_index
+        return catalog.encode_struct(snapshot)
 
     def load_snapshot(self, body: bytes) -> None:
         """Replace the whole state by the one in a snapshot."""
         snapshot = catalog.decode_struct(messages.Members, body)
         self.version = snapshot.version
+        self.removal_index = snapshot.removal_index or 0
         self._changes.clear()
         self.members = {
             command.host_id: build_member(command) for command in snapshot.members
--- a/sedgeswitch/membership/messages.thrift
+++ b/sedgeswitch/membership/messages.thrift
@@ -94,11 +94,13 @@
 // Snapshot of the registered entry hosts, and heartbeat section: a host reports its
 // version without members, and the answer holds all members if it is older. If
 // `is_partial` is true in a report, the host also takes the changes since its version;
-// if it is true in an answer, `members` are these changes.
+// if it is true in an answer, `members` are these changes. `removal_index` is the index
+// of the command that last removed a host, in snapshots only.
 struct Members {
   1: required i64 version,
   2: required list<MemberCommand> members,
   3: optional bool is_partial,
+  4: optional i64 removal_index,
 }
 
 // Replicated state: records or removes a backend server, so that a new leader
--- a/sedgeswitch/membership/tests/test_member_sections.py
+++ b/sedgeswitch/membership/tests/test_member_sections.py
@@ -107,6 +107,18 @@
                 self.assert_equal_members()
 
 
+class RemovalIndexTest(unittest.TestCase):
+    # Guards against a new leader that does not know that a host was removed.
+    def test_last_removal_is_known_after_a_snapshot(self):
+        members = machine.MembersMachine()
+        for index, is_removal in ((5, False), (8, True), (9, False)):
+            command = machine.build_command(build_member(1), is_removal)
+            members.apply(index, catalog.encode_struct(command))
+        restored = machine.MembersMachine()
+        restored.load_snapshot(members.save_snapshot())
+        self.assertEqual((8, 8), (members.removal_index, restored.removal_index))
+
+
 class UrgencyTest(unittest.TestCase):
     """191 hosts start at once; each registration is a change of members."""
 
