Report no position for a timeline with a commit of unknown position

Cause: a commit was recorded only if its answer had a log position, and a position on another timeline than that of the commit's permit was reported as zero. The host's report then did not cover the commit, although it was acknowledged, and the leader relies on it for the floor of a promotion.

Such a commit now marks its timeline as incomplete, as a restart does.

test_no_position_is_reported_after_a_commit_of_unknown_position fails without this for both kinds (Position(timeline=1, lsn=30) is not None).

--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -104,9 +104,20 @@
         """Record that a caller of this host uses a group."""
         self._last_used_s[group] = now_s
 
-    def record_acknowledged(self, group: str, position: positions.Position) -> None:
-        """Record the position of a commit that is about to be acknowledged."""
-        self._acknowledged_tracker.record_commit(group, position)
+    def record_acknowledged(
+        self, group: str, timeline: int, position: positions.Position | None
+    ) -> None:
+        """Record a commit that is about to be acknowledged.
+
+        Parameters
+        ----------
+        group : str
+        timeline : int
+            Timeline of the permit under which it ran.
+        position : positions.Position or None
+            Log position that the primary reported after it, if any.
+        """
+        self._acknowledged_tracker.record_commit(group, timeline, position)
 
     async def wait_urgent(self) -> None:
         """Wait until the next report should be sent without delay.
--- a/sedgeswitch/groups/tests/test_fencing.py
+++ b/sedgeswitch/groups/tests/test_fencing.py
@@ -192,8 +192,8 @@
         self.machine.apply(1, self.register)
         for host_id, host in (("e1", first), ("e2", second)):
             self.report(host_id, *host)
-        first[1].record_commit("g", positions.Position(1, 30))
-        second[1].record_commit("g", positions.Position(1, 40))
+        first[1].record_commit("g", 1, positions.Position(1, 30))
+        second[1].record_commit("g", 1, positions.Position(1, 40))
         version = self.machine.get_version()
         self.report("e1", *first)
         get_position = self.section.get_acknowledged_position
@@ -210,7 +210,7 @@
         self.machine.apply(1, self.register)
         for _ in range(2):
             self.report("e1", *host)
-        host[1].record_commit("g", positions.Position(1, 30))
+        host[1].record_commit("g", 1, positions.Position(1, 30))
         self.report("e1", *host)
         version = self.machine.get_version()
         get_position = self.section.get_acknowledged_position
@@ -231,6 +231,23 @@
             get_position("g", version, ["e1"], removal_index=2),
         )
 
+    # Guards against a floor below a commit whose answer had no usable position.
+    def test_no_position_is_reported_after_a_commit_of_unknown_position(self):
+        for position in (None, positions.Position(2, 9)):
+            with self.subTest(position=position):
+                self.setUp()
+                host = self.build_host()
+                self.report("e1", *host)
+                self.machine.apply(1, self.register)
+                self.report("e1", *host)
+                host[1].record_commit("g", 1, positions.Position(1, 30))
+                host[1].record_commit("g", 1, position)
+                self.report("e1", *host)
+                version = self.machine.get_version()
+                self.assertIsNone(
+                    self.section.get_acknowledged_position("g", version, ["e1"])
+                )
+
     def reinstate_primary(self):
         commands = (
             ttypes.Fence("g", 1, "test"),
--- a/sedgeswitch/groups/tests/test_shared_positions.py
+++ b/sedgeswitch/groups/tests/test_shared_positions.py
@@ -129,7 +129,7 @@
             section._table, None, None, settings.GroupSettings(), **options
         )
         answer = ttypes.Answer(version=1, changed=[], knows_used_groups=True)
-        section._acknowledged_tracker._timelines_at_start = {}
+        section._acknowledged_tracker._incomplete_timelines = {}
         section.receive_answer(catalog.encode_struct(answer), 10.1)
         return catalog.decode_struct(ttypes.Report, section.build_report(10.2))
 
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -227,7 +227,7 @@
         position, requested_s = self.observed
         return position, now_s - requested_s
 
-    def record_acknowledged(self, group, position):
+    def record_acknowledged(self, group, timeline, position):
         self.acknowledged.append((group, position))
 
 
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -152,8 +152,9 @@
             "the primary was replaced, or this host lost its lease, before the answer"
             " arrived"
         )
-    if reply.position is not None:
-        components.observations.record_acknowledged(permit.group, reply.position)
+    components.observations.record_acknowledged(
+        permit.group, permit.timeline, reply.position
+    )
 
 
 def build_in_doubt(detail: str) -> steps.FailedError:
