Try another instance after one to which a primary could not be moved

Cause: the target of a planned move is the best-ranked instance.

A move now names its alternatives, and the mover tries them in turn. After all have failed it begins again with the first.

test_instance_that_did_not_catch_up_is_followed_by_the_next fails if failed targets are not recorded (the first one is tried four times).

--- a/sedgeswitch/daemon/control.py
+++ b/sedgeswitch/daemon/control.py
@@ -177,38 +177,40 @@
             return []
         moves = []
         for group in list(self.groups.get_groups()):
-            target = self._find_target(group)
-            if target is not None:
-                moves.append(primary_mover.PrimaryMove(group.group, target))
+            targets = self._list_targets(group)
+            if targets:
+                best, *others = targets
+                moves.append(
+                    primary_mover.PrimaryMove(
+                        group.group, best, alternatives=tuple(others)
+                    )
+                )
         return moves
 
-    def _find_target(self, group: typing.Any) -> str | None:
-        """Return the instance to which a drained or evacuated primary should move.
+    def _list_targets(self, group: typing.Any) -> list[str]:
+        """Return the instances to which a drained or evacuated primary may move.
 
-        None if the primary is neither, or if no other instance is available.
+        Best first; empty if the primary is neither, or no other one is available.
         """
         servers = self.directory.servers
         document = self.configuration.document
         primary = servers.get(group.primary)
         if primary is None:
-            return None
+            return []
         may_stay = self._may_promote(primary.instance)
         if may_stay and not adapters.is_drained(document, primary):
-            return None
+            return []
         others = [
             servers[instance]
             for instance in group.instances
             if instance in servers and instance != group.primary
         ]
-        eligible = [
-            item
+        return sorted(
+            item.instance
             for item in others
             if self._may_promote(item.instance)
             and not adapters.is_drained(document, item)
-        ]
-        if not eligible:
-            return None
-        return min(item.instance for item in eligible)
+        )
 
 
 def _build_node_settings(
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -361,13 +361,16 @@
             reason = self._find_reason_to_move(group.group, primary)
             if reason is None:
                 continue
-            target = self._find_target(group, servers)
-            # A move from one instance outside the regions to another gains nothing.
-            if target is not None and (
-                reason != _OUTSIDE_REGIONS
-                or not self._is_outside_regions(group.group, servers[target])
-            ):
-                moves.append(_build_move(group.group, target, reason))
+            targets = self._list_targets(group, servers)
+            if reason == _OUTSIDE_REGIONS:
+                # A move from one instance outside the regions to another gains nothing.
+                targets = [
+                    target
+                    for target in targets
+                    if not self._is_outside_regions(group.group, servers[target])
+                ]
+            if targets:
+                moves.append(_build_move(group.group, targets, reason))
         return moves
 
     def _find_reason_to_move(
@@ -382,10 +385,10 @@
             return _OUTSIDE_REGIONS
         return None
 
-    def _find_target(
+    def _list_targets(
         self, group: ttypes.Group, servers: dict[str, directory.BackendServer]
-    ) -> str | None:
-        """Return the best instance that may become the primary, None without one."""
+    ) -> list[str]:
+        """Return the instances that may become the primary, best first."""
         candidates = [
             name
             for name in group.instances
@@ -394,13 +397,17 @@
             and not servers[name].is_leaving
             and self._may_promote(name)
         ]
-        return min(
+        return sorted(
             candidates,
             key=lambda name: self._get_promotion_rank(group.group, name),
-            default=None,
         )
 
 
-def _build_move(group: str, target: str, reason: str) -> primary_mover.PrimaryMove:
+def _build_move(
+    group: str, targets: list[str], reason: str
+) -> primary_mover.PrimaryMove:
     retry_delay_s = REGION_MOVE_RETRY_S if reason == _OUTSIDE_REGIONS else 0.0
-    return primary_mover.PrimaryMove(group, target, reason, retry_delay_s)
+    best, *alternatives = targets
+    return primary_mover.PrimaryMove(
+        group, best, reason, retry_delay_s, tuple(alternatives)
+    )
--- a/sedgeswitch/daemon/tests/test_primary_moves.py
+++ b/sedgeswitch/daemon/tests/test_primary_moves.py
@@ -45,6 +45,7 @@
             "b",
             "outside allowed regions",
             relay_control.REGION_MOVE_RETRY_S,
+            ("c",),
         )
         self.assertEqual([move], control._find_moves(0.0))
         self.assertEqual(1, control._count_groups_outside_regions())
@@ -78,6 +79,10 @@
         leaving = self.change("a", is_leaving=True)
         self.assertEqual(["b"], self.list_targets(servers=leaving))
 
+    def test_other_instances_are_alternatives_of_a_move(self):
+        (move,) = self.build(servers=self.change("a", is_leaving=True))._find_moves(0.0)
+        self.assertEqual(("c",), move.alternatives)
+
     def test_cold_instances_rank_last_for_promotion(self):
         control = self.build(servers=self.change("b", is_cold=True), primary="a")
         ranked = sorted(
--- a/sedgeswitch/draining/primary_mover.py
+++ b/sedgeswitch/draining/primary_mover.py
@@ -22,6 +22,8 @@
     group : str
     instance : str
         The instance that should become the primary.
+    alternatives : tuple of str
+        Instances to try next, in this order, if one does not catch up.
     reason : str
         Why the present primary cannot stay, for the log.
     retry_delay_s : float
@@ -33,6 +35,7 @@
     instance: str
     reason: str = "drained"
     retry_delay_s: float = 0.0
+    alternatives: tuple[str, ...] = ()
 
 
 class DrainedPrimaryMover:
@@ -60,39 +63,57 @@
         self._move_primary = move_primary
         self._retry_at_s: dict[str, float] = {}
         self._moving: set[str] = set()
+        # By group, the instances that did not catch up in time.
+        self._failed_targets: dict[str, set[str]] = {}
 
     async def run(self) -> None:
         """Start the moves that are needed, at most one per group, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 now_s = trio.current_time()
-                for move in self._find_moves(now_s):
+                moves = self._find_moves(now_s)
+                self._forget_other_groups({move.group for move in moves})
+                for move in moves:
                     if self._is_due(move.group, now_s):
                         self._moving.add(move.group)
                         nursery.start_soon(self._move, move)
                 await trio.sleep(POLL_INTERVAL_S)
 
+    def _forget_other_groups(self, groups: set[str]) -> None:
+        for group in self._failed_targets.keys() - groups:
+            del self._failed_targets[group]
+
+    def _take_target(self, move: PrimaryMove) -> str:
+        """Return the first instance that has not failed; any after all have failed."""
+        failed = self._failed_targets.setdefault(move.group, set())
+        targets = (move.instance, *move.alternatives)
+        if failed.issuperset(targets):
+            failed.clear()
+        return next(target for target in targets if target not in failed)
+
     def _is_due(self, group: str, now_s: float) -> bool:
         if group in self._moving:
             return False
         return now_s >= self._retry_at_s.get(group, 0.0)
 
     async def _move(self, move: PrimaryMove) -> None:
+        target = self._take_target(move)
         loguru.logger.info(
             "primary move started",
             group=move.group,
-            instance=move.instance,
+            instance=target,
             reason=move.reason,
         )
         try:
-            report = await self._move_primary(move.group, move.instance)
-            if move.retry_delay_s and report.new_primary != move.instance:
+            report = await self._move_primary(move.group, target)
+            if report.new_primary != target:
                 loguru.logger.warning(
                     "primary was not moved",
                     group=move.group,
-                    instance=move.instance,
+                    instance=target,
                     primary=report.new_primary,
                 )
+                self._failed_targets.setdefault(move.group, set()).add(target)
                 retry_at_s = trio.current_time() + move.retry_delay_s
                 self._retry_at_s[move.group] = retry_at_s
         except verdicts.RefusedError as error:
--- a/sedgeswitch/draining/tests/test_draining.py
+++ b/sedgeswitch/draining/tests/test_draining.py
@@ -94,9 +94,11 @@
     def _run(self, move_primary, groups=("lots", "visits"), **options):
         """Return the group and time of each attempted move, in order."""
         attempts = []
+        self.targets = []
 
-        async def move(group, instance):  # noqa: ARG001
+        async def move(group, instance):
             attempts.append((group, trio.current_time()))
+            self.targets.append(instance)
             return await move_primary(group)
 
         async def run():
@@ -133,6 +135,16 @@
         attempts = self._run(reinstate, ["lots"], retry_delay_s=3.0)
         self.assertEqual([("lots", 0.0), ("lots", 3.0)], attempts)
 
+    def test_instance_that_did_not_catch_up_is_followed_by_the_next(self):
+        """Guards against a leaving primary that stays: the same replica was tried."""
+
+        async def reinstate(group):
+            return types.SimpleNamespace(new_primary=f"{group}-0")
+
+        options = {"retry_delay_s": 1.5, "alternatives": ("lots-2", "lots-3")}
+        self._run(reinstate, ["lots"], **options)
+        self.assertEqual(["lots-1", "lots-2", "lots-3", "lots-1"], self.targets)
+
 
 if __name__ == "__main__":
     unittest.main()
