Log what the selection of a primary waits for

Which log was behind could only be found by reading code.

"no primary selected yet", every catch_up_s, and "primary reinstated" now have the ends of the logs of the instances that answered, the number of registered ones and the position that a new primary must have reached.

--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -93,6 +93,9 @@
         self._target = target
         self._fences_replicas = target is None
         self._attempts: dict[str, int] = {}
+        # States that the last decision was based on, by instance.
+        self._states: dict[str, instances.InstanceState] = {}
+        self._next_log_s = float("-inf")
 
     async def run(self) -> FailoverReport:
         """Change the primary and return the report, with `learn_s` still 0.
@@ -204,8 +207,31 @@
                     and not state.candidates
                 ):
                     return state.primary
+                self._log_pending()
             await trio.sleep(self._settings.check_interval_s)
 
+    def _log_pending(self) -> None:
+        """Log what the selection waits for, at most once in `catch_up_s`."""
+        now_s = clocks.get_now_s()
+        if now_s >= self._next_log_s:
+            self._next_log_s = now_s + self._settings.catch_up_s
+            self._log_states("no primary selected yet")
+
+    def _log_states(self, message: str) -> None:
+        state = self._get_group_state()
+        ends = {name: item.log_position for name, item in self._states.items()}
+        loguru.logger.warning(
+            message,
+            group=self._group,
+            term=state.term,
+            primary=state.primary,
+            acknowledged=str(
+                self._context.get_acknowledged_position(self._group, state.version)
+            ),
+            registered=len(state.instances),
+            logs=" ".join(f"{name}={end[0]}/{end[1]}" for name, end in ends.items()),
+        )
+
     async def _decide(self) -> primary_selection.Decision:
         """Read the instances until the decision is final or all reads have ended.
 
@@ -226,6 +252,7 @@
                 if self._is_final(group, decision, states):
                     break
             nursery.cancel_scope.cancel()
+        self._states = states
         self._get_group_state()
         return decision
 
@@ -366,6 +393,7 @@
             instance = await self._select_primary()
 
     async def _reinstate(self, state: ttypes.Group) -> ttypes.Group:
+        self._log_states("primary reinstated")
         await self._unfence()
         return await self._propose(
             ttypes.Promoted(
--- a/sedgeswitch/groups/tests/test_unwritten_timelines.py
+++ b/sedgeswitch/groups/tests/test_unwritten_timelines.py
@@ -7,6 +7,7 @@
 
 import unittest
 
+import loguru
 import trio
 
 from sedgeswitch.groups import control_section
@@ -119,6 +120,20 @@
         behind = instances.InstanceState(True, positions.Position(1, 59))
         self.assertEqual("b", World(c=behind).run_failover())
 
+    def test_log_says_what_a_group_without_a_primary_waits_for(self):
+        records = []
+        sink = loguru.logger.add(lambda message: records.append(message.record))
+        self.addCleanup(loguru.logger.remove, sink)
+        behind = instances.InstanceState(True, positions.Position(1, 59))
+        World(c=behind).run_failover()
+        pending = [
+            record["extra"]
+            for record in records
+            if record["message"] == "no primary selected yet"
+        ]
+        self.assertEqual("c=1/59", pending[0]["logs"])
+        self.assertEqual(str(END), pending[0]["acknowledged"])
+
     def test_new_replica_is_registered(self):
         world = World()
         command = supervisor.build_add_instance(
