Report a primary as stalled if no replica gets its first write

Cause: a primary is replaced if its replicas stop while it advances, but a replica whose log ends in an earlier timeline was taken for one that is still connecting to the new primary. If replicas are cut off from a primary between its promotion and its first commit, none counted as stopped, and the group could not write for as long as that lasted.

A replica that has reached the start of the timeline has connected, so that it counts as behind if it lacks later writes.

test_first_write_that_reaches_no_replica_is_reported_as_stalled fails before (True != False, replicas at the start of the timeline).

--- a/sedgeswitch/groups/tests/test_unwritten_timelines.py
+++ b/sedgeswitch/groups/tests/test_unwritten_timelines.py
@@ -164,18 +164,34 @@
         world.apply(ttypes.RegisterGroup("old", "a", 1, ["a", "b"]))
         self.assertIsNone(timelines.get_start(world.machine.get_group("old")))
 
-    def test_replica_with_the_same_log_has_a_known_age_and_is_usable(self):
-        world = World()
+    def build_watcher(self, world, **states):
+        """Return a watcher that the instances have answered at 1.0 s and 5.0 s."""
         observer = watcher.Watcher(
             "g", world.machine, world, None, settings.GroupSettings(), lambda: None
         )
-        observer._results = {name: watcher._ProbeResults() for name in ("b", "c")}
-        for name, state in (("b", PRIMARY), ("c", REPLICA)):
-            observer._results[name].record_answer(state, 1.0, 1.1)
-            observer._add_sample(name, state, 1.0)
+        for name, state in states.items():
+            results = observer._results[name] = watcher._ProbeResults()
+            for sent_s in (1.0, 5.0):
+                results.record_answer(state, sent_s, sent_s + 0.1)
+                observer._add_sample(name, state, sent_s)
+        return observer
+
+    # Guards against a primary that is kept although no replica gets its first write.
+    def test_first_write_that_reaches_no_replica_is_reported_as_stalled(self):
+        primary = instances.InstanceState(False, positions.Position(2, 61))
+        behind = instances.InstanceState(True, positions.Position(1, 59))
+        for replica, is_stalled in ((REPLICA, True), (behind, False)):
+            with self.subTest(replica=replica):
+                states = {"a": replica, "b": primary, "c": replica}
+                observer = self.build_watcher(World(), **states)
+                self.assertEqual(is_stalled, observer.build_health(5.2).is_stalled)
+
+    def test_replica_with_the_same_log_has_a_known_age_and_is_usable(self):
+        world = World()
+        observer = self.build_watcher(world, b=PRIMARY, c=REPLICA)
         world.section.answer_report(
             "e1",
-            catalog.encode_struct(ttypes.Report(0, 0, 1, [observer.build_health(2.0)])),
+            catalog.encode_struct(ttypes.Report(0, 0, 1, [observer.build_health(5.2)])),
             2.0,
         )
         group = world.machine.get_group("g")
--- a/sedgeswitch/groups/watcher.py
+++ b/sedgeswitch/groups/watcher.py
@@ -11,6 +11,7 @@
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups import staleness
+from sedgeswitch.groups import timelines
 from sedgeswitch.groups.generated import ttypes
 
 _SLOW_S = 0.25
@@ -237,7 +238,7 @@
             name
             for name, results in self._results.items()
             if name in group.instances
-            and _is_behind_and_stopped(results, floor, since_s, now_s)
+            and _is_behind_and_stopped(results, group, floor, since_s, now_s)
         ]
         needed = len(group.instances) - self._settings.ack_instances + 1
         return len(stalled) >= needed
@@ -307,6 +308,7 @@
 
 def _is_behind_and_stopped(
     results: _ProbeResults,
+    group: ttypes.Group,
     floor: positions.Position,
     since_s: float,
     now_s: float,
@@ -317,8 +319,8 @@
     if results.get_silence_s(now_s) > _SLOW_S or results.last_progress_s > since_s:
         return False
     position = results.state.log_position
-    # A replica on an older timeline has not yet connected to the new primary.
-    return position.timeline == floor.timeline and position.lsn < floor.lsn
+    # A replica that has not joined the timeline has not yet connected to its primary.
+    return timelines.has_joined(group, position) and position < floor
 
 
 def _record_error(
