--- /dev/null
+++ b/review/world/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of clients, instances, operator and platform for the cases of review 2."""
