--- a/review/world/instances.py
+++ b/review/world/instances.py
@@ -101,6 +101,7 @@
         self._beats: asyncio.Task | None = None
         # The control address that has acknowledged the last heartbeat.
         self._answered = ""
+        self._is_dark = False
 
     @property
     def address(self) -> str:
@@ -130,8 +131,18 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def darken(self) -> None:
+        """Go dark: connections stay open or are accepted, and nothing is answered."""
+        self.is_running = False
+        self._is_dark = True
+        if self._beats is not None:
+            self._beats.cancel()
+
     async def restart(self) -> None:
         """Come back after a crash with the log, as a replica if another one leads."""
+        if self._is_dark:
+            self._is_dark = False
+            await self.stop()
         primary = self.group.get_primary()
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
@@ -234,10 +245,12 @@
             session = await self._connect(reader, writer)
             while session is not None:
                 line = (await reader.readuntil(b"\r\n"))[:-2].decode()
+                await self._wait_while_dark()
                 if line == "QUIT":
                     return
                 _, statement_id, text = line.split(" ", 2)
                 answer = await self._answer(session, statement_id, text)
+                await self._wait_while_dark()
                 if not self.is_running:
                     return
                 ready = f"READY {session.state} {self.get_position()}\r\n"
@@ -249,10 +262,15 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _wait_while_dark(self) -> None:
+        while self._is_dark:
+            await asyncio.sleep(0.1)
+
     async def _connect(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> Session | None:
         line = (await reader.readuntil(b"\r\n"))[:-2].decode()
+        await self._wait_while_dark()
         fields = line.split(" ")
         refusal = None
         if fields[0] != "CONNECT" or len(fields) < 3:
@@ -449,8 +467,8 @@
         self.instances: list[Instance] = []
         self._sync = sync
         self._controls: list[str] = []
-        # Runs of statements of clients: id, text, tenant and instance.
-        self.runs: list[tuple[str, str, str, str]] = []
+        # Runs of statements of clients: time, id, text and instance.
+        self.runs: list[tuple[float, str, str, str]] = []
         # Each promotion: the instance, its term, its log at that moment, and when.
         self.promoted: list[tuple[str, int, list[Entry], float]] = []
 
@@ -505,7 +523,7 @@
         """Record that an instance has run a statement."""
         if statement_id == "-":
             return
-        self.runs.append((statement_id, text, session.tenant, instance.name))
+        self.runs.append((time.monotonic(), statement_id, text, instance.name))
         self.record.note(
             f"ran {statement_id} {text} for {session.tenant} {instance.name}"
         )
