--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,7 @@
 """A commit that a new replica has helped to acknowledge is lost with the primary.
 
-The replicas receive nothing for a while, a release starts a new one, and the primary
-crashes before the leader has registered it.
+The primary is partitioned from its replicas, a release starts a new one, and the
+primary crashes before the leader has registered it.
 """
 
 import asyncio
@@ -21,10 +21,10 @@
 from world import instances  # noqa: E402
 
 KEY = "u6wsjnbanfqasnmgkcuy"
-# How long the replicas receive nothing, and the primary is down, in seconds.
-DEAF_S = 4.0
+# How long the partition lasts at least, and the primary is down, in seconds.
+CUT_S = 4.0
 DOWN_S = 7.0
-# Time for which the replicas receive nothing before the release.
+# Time from the start of the partition to the release.
 RELEASE_AFTER_S = 1.0
 WRITERS = 6
 # Time after the logged start of the leadership, modulo one second, at which the
@@ -128,7 +128,7 @@
 
 
 async def play(fleet: fleets.Fleet, trouble: bool) -> str | None:
-    """Let replicas receive nothing, start a successor and crash the primary."""
+    """Cut the primary off from its replicas, start a successor and crash it."""
     leader = await set_up(fleet)
     group = fleet.group
     writers = Writers(fleet)
@@ -138,8 +138,8 @@
     replicas = [item for item in group.instances if item is not primary]
     if trouble:
         for replica in replicas:
-            replica.is_deaf = True
-        fleet.record.note("the replicas receive nothing")
+            replica.cut_from.add(primary.name)
+        fleet.record.note(f"{primary.name} is partitioned from its replicas")
     await asyncio.sleep(RELEASE_AFTER_S)
     await wait_for_tick(leader)
     await release(fleet, replicas[0])
@@ -147,11 +147,12 @@
     if trouble:
         fleet.record.note(f"the primary {primary.name} crashes")
         await primary.stop()
-    await asyncio.sleep(DEAF_S - RELEASE_AFTER_S)
+    await asyncio.sleep(CUT_S - RELEASE_AFTER_S)
     for replica in replicas:
-        replica.is_deaf = False
+        replica.cut_from.clear()
+    fleet.record.note("the partition ends")
     group.replicate()
-    await asyncio.sleep(DOWN_S - DEAF_S + RELEASE_AFTER_S)
+    await asyncio.sleep(DOWN_S - CUT_S + RELEASE_AFTER_S)
     if trouble:
         await primary.restart()
         fleet.record.note(f"{primary.name} is back with its log")
