Count unregistered replicas in the floor of a promotion

A replica that had received nothing since the start of the partition was promoted.

Cause: the floor of a promotion is the lower of the position that entry hosts have acknowledged and the highest position of enough registered replicas. The second covers all acknowledged writes only if no unregistered instance can confirm one. The platform's primaries count any replica that follows them.

Evidence: the leader's log had the announcement of the new replica 0.5 s before the fence, and `primary chosen` had the right acknowledged position, above the log of the chosen replica. So neither the directory nor the reports were wrong.

Change: with the group setting `any_replica_confirms`, which the platform's adapter sets, all announced instances count. One that is not registered can be promoted; `Choose` then registers it. `primary chosen` logs the end of the log of the chosen instance. The product's own daemon, whose entry hosts count confirmations of registered instances only, is unchanged.

--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -219,7 +219,7 @@
 
     def _log_states(self, message: str) -> None:
         state = self._get_group_state()
-        ends = {name: item.log_position for name, item in self._states.items()}
+        ends = {name: _format_log_end(item) for name, item in self._states.items()}
         loguru.logger.warning(
             message,
             group=self._group,
@@ -229,7 +229,8 @@
                 self._context.get_acknowledged_position(self._group, state.version)
             ),
             registered=len(state.instances),
-            logs=" ".join(f"{name}={end[0]}/{end[1]}" for name, end in ends.items()),
+            unregistered=" ".join(self._list_unregistered(state)),
+            logs=" ".join(f"{name}={end}" for name, end in ends.items()),
         )
 
     async def _decide(self) -> primary_selection.Decision:
@@ -343,8 +344,22 @@
             self._target,
             self._context.get_acknowledged_position(self._group, group.version),
             self._context.may_promote,
+            self._list_unregistered(group),
         )
 
+    def _list_unregistered(self, group: ttypes.Group) -> list[str]:
+        """Return the unregistered instances that may have confirmed writes.
+
+        A new replica confirms writes from its start on, and is registered later.
+        """
+        if not self._settings.any_replica_confirms:
+            return []
+        return [
+            announced.instance
+            for announced in self._context.directory.get_instances(self._group)
+            if announced.instance not in group.instances
+        ]
+
     def _rank_candidate(self, instance: str) -> tuple:
         """Return the rank of an instance for promotion; the lowest is preferred.
 
@@ -364,13 +379,18 @@
             "primary chosen",
             group=self._group,
             instance=instance,
+            log=_format_log_end(self._states[instance]),
             leases_waited_s=round(clocks.get_now_s() - self._phase_started_s, 3),
             acknowledged=str(
                 self._context.get_acknowledged_position(self._group, state.version)
             ),
         )
         if instance not in state.candidates:
-            await self._propose(ttypes.Choose(self._group, state.term, instance))
+            # None unless true, so that other commands are as in earlier releases.
+            is_unregistered = instance not in state.instances or None
+            await self._propose(
+                ttypes.Choose(self._group, state.term, instance, is_unregistered)
+            )
 
     async def _promote(self, instance: str) -> ttypes.Group:
         """Promote an instance, or another one if its promotion times out."""
@@ -440,5 +460,11 @@
         return None
 
 
+def _format_log_end(state: instances.InstanceState) -> str:
+    """Return the end of an instance's log as timeline and LSN, for the log."""
+    timeline, lsn = state.log_position
+    return f"{timeline}/{lsn}"
+
+
 def _is_promoted(state: instances.InstanceState, old_timeline: int) -> bool:
     return not state.in_recovery and state.position.timeline > old_timeline
--- a/sedgeswitch/groups/machine.py
+++ b/sedgeswitch/groups/machine.py
@@ -249,10 +249,14 @@
             return ttypes.Outcome.STALE_TERM
         if command.instance in group.candidates:
             return ttypes.Outcome.UNCHANGED
-        if command.instance not in group.instances:
+        is_registered = command.instance in group.instances
+        if not is_registered and not command.is_unregistered:
             return ttypes.Outcome.NOT_ALLOWED
-        # Entry hosts do not use the candidates, so the version stays the same.
         group.candidates.append(command.instance)
+        if not is_registered:
+            group.instances.append(command.instance)
+            return self._store_changed(group)
+        # Entry hosts do not use the candidates, so the version stays the same.
         self._groups[group.group] = group
         return ttypes.Outcome.ACCEPTED
 
--- a/sedgeswitch/groups/messages.thrift
+++ b/sedgeswitch/groups/messages.thrift
@@ -69,6 +69,8 @@
   1: required string group,
   2: required i64 term,
   3: required string instance,
+  // Whether the instance is registered by this command, if it was not before.
+  4: optional bool is_unregistered,
 }
 
 struct Promoted {
--- a/sedgeswitch/groups/primary_selection.py
+++ b/sedgeswitch/groups/primary_selection.py
@@ -58,9 +58,19 @@
 
 
 def classify_states(
-    group: ttypes.Group, states: typing.Mapping[str, instances.InstanceState]
+    group: ttypes.Group,
+    states: typing.Mapping[str, instances.InstanceState],
+    unregistered: typing.Collection[str] = (),
 ) -> ClassifiedStates:
-    """Group the states of a group's registered instances by role.
+    """Group the states of a group's instances by role.
+
+    Parameters
+    ----------
+    group : Group
+    states : mapping of str to InstanceState
+        States of other instances than those of the group are ignored.
+    unregistered : collection of str, optional
+        See `decide_next_step`.
 
     Notes
     -----
@@ -70,7 +80,7 @@
     writes. Such an instance is ignored.
     """
     classified = ClassifiedStates({}, {}, {}, states.get(group.primary))
-    for name in group.instances:
+    for name in (*group.instances, *unregistered):
         state = states.get(name)
         if state is None:
             continue
@@ -97,6 +107,7 @@
     target: str | None = None,
     acknowledged: positions.Position | None = None,
     may_promote: typing.Callable[[str], bool] = lambda name: True,  # noqa: ARG005
+    unregistered: typing.Collection[str] = (),
 ) -> Decision:
     """Return the next step for a fenced group to which no host may write.
 
@@ -123,20 +134,25 @@
     may_promote : callable, optional
         ``may_promote(name)`` returns whether an instance may be promoted. The
         positions of the others still count towards the acknowledged writes.
+    unregistered : collection of str, optional
+        Further instances that may have confirmed writes. They count as instances of
+        the group, and one of them may be the instance to promote.
 
     Notes
     -----
-    Any ``n - ack_instances + 1`` of n instances overlap with each set of
-    instances that confirmed a write, so the most advanced of them has every
-    acknowledged write. The old primary has every acknowledged write as well.
+    Any ``n - ack_instances + 1`` of the n instances that may have confirmed a write
+    overlap with each set of instances that confirmed one, so the most advanced of
+    them has every acknowledged write. The old primary has every acknowledged write
+    as well.
     """
-    classified = classify_states(group, states)
+    classified = classify_states(group, states, unregistered)
     for name in group.candidates:
         if name in classified.promoted:
             return Decision(FailoverStep.ADOPT, name)
     if _has_promotion_in_progress(group, states):
         return Decision(FailoverStep.WAIT)
-    floor = _get_promotion_floor(group, classified, ack_instances, target is not None)
+    needed = len(group.instances) + len(unregistered) - ack_instances + 1
+    floor = _get_promotion_floor(classified, needed, target is not None)
     if acknowledged is not None and target is None:
         # Either position covers every acknowledged write: the lower one suffices.
         floor = acknowledged if floor is None else min(floor, acknowledged)
@@ -183,15 +199,22 @@
 
 
 def _get_promotion_floor(
-    group: ttypes.Group, classified: ClassifiedStates, ack_instances: int, is_move: bool
+    classified: ClassifiedStates, needed: int, is_move: bool
 ) -> positions.Position | None:
     """Return a position that covers every acknowledged write, None if unknown.
 
     A replica that has reached this position can be promoted without data loss.
     A planned move requires the position of the old primary, if that is live.
+
+    Parameters
+    ----------
+    classified : ClassifiedStates
+    needed : int
+        Number of instances, without the old primary, whose most advanced log has
+        every acknowledged write.
+    is_move : bool
     """
     others = [*classified.replicas.values(), *classified.former_primaries.values()]
-    needed = len(group.instances) - ack_instances + 1
     old = classified.old_primary
     if old is not None and (is_move or len(others) < needed):
         return old.log_position
--- a/sedgeswitch/groups/settings.py
+++ b/sedgeswitch/groups/settings.py
@@ -15,6 +15,9 @@
     ack_instances : int
         Number of instances, including the primary, that must have a write before
         it is acknowledged.
+    any_replica_confirms : bool
+        Whether any replica that follows the primary may confirm a write, registered
+        or not. This is so where the primaries themselves acknowledge writes.
     watcher_count : int
         Number of entry hosts that watch each group.
     probe_interval_s : float
@@ -66,6 +69,7 @@
 
     group_size: int = 3
     ack_instances: int = 2
+    any_replica_confirms: bool = False
     watcher_count: int = 3
     probe_interval_s: float = 0.5
     probe_timeout_s: float = 5.0
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -52,6 +52,8 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_CONNECTIONS = 2000
 GROUP_SETTINGS = groups_settings.GroupSettings(
+    # A primary acknowledges a write once any replica has it.
+    any_replica_confirms=True,
     promote_timeout_s=5.0,
     removal_delay_s=5.0,
     replica_interval_s=1.5,
