Promote no replica that lacks a commit known to be acknowledged

Callers can lose acknowledged writes if the replica that confirmed them is not known to the leader: the positions of all known replicas were taken for a floor, although entry hosts had reported a higher position.

Cause: the reported position is only an upper bound, since an answer carries the position of the primary's whole log, so that the lower floor of the two had to be accepted. Nothing bounded it from below.

Change: a host also reports the position that it had seen before it sent an acknowledged commit. The commit is after it, so that a replica whose log ends there lacks the commit and is not promoted. Valid without the reports of other hosts, and reported after a restart too, with the upper bound marked as unknown. Not used in groups where no replica has to confirm a write.

Ruled out: the reported position as the only floor (a lost primary with an unconfirmed commit could never be replaced), and a wait for announcements before each promotion (it costs callers time and does not find a silent replica).

--- a/sedgeswitch/daemon/control_core.py
+++ b/sedgeswitch/daemon/control_core.py
@@ -198,6 +198,7 @@
             instance_control_override=options.instance_control,
             get_acknowledged_position=self._get_acknowledged_position,
             may_promote=self._may_promote,
+            get_acknowledged_after=self._get_acknowledged_after,
         )
         self.supervisor = supervisor.Supervisor(context, self.groups_section)
 
@@ -266,6 +267,9 @@
             group, version, host_ids, self.members.removal_index
         )
 
+    def _get_acknowledged_after(self, group: str) -> positions.Position | None:
+        return self.groups_section.get_acknowledged_after(group)
+
     def _record_failover(self, report: failover.FailoverReport) -> None:
         self._metrics.count("groups.failovers")
         for name, value in report._asdict().items():
--- a/sedgeswitch/daemon/relay_control.py
+++ b/sedgeswitch/daemon/relay_control.py
@@ -25,6 +25,7 @@
 from sedgeswitch.draining import primary_mover
 from sedgeswitch.drivers import base
 from sedgeswitch.groups import instances
+from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.membership import directory
@@ -323,6 +324,13 @@
         is_cold = item is not None and item.is_cold
         return ((is_leaving, is_outside), (is_cold, instance))
 
+    def _get_acknowledged_after(self, group: str) -> positions.Position | None:
+        configured = self.view.document.groups.get(group)
+        if configured is None or configured.sync_replicas == 0:
+            # The primary alone may have the acknowledged commits.
+            return None
+        return super()._get_acknowledged_after(group)
+
     def _is_outside_regions(self, group: str, item: directory.BackendServer) -> bool:
         """Return whether a database of the group may not use an instance."""
         document = self.view.document
--- a/sedgeswitch/daemon/tests/test_primary_moves.py
+++ b/sedgeswitch/daemon/tests/test_primary_moves.py
@@ -6,6 +6,7 @@
 from sedgeswitch.daemon import relay_control
 from sedgeswitch.daemon.tests import relay_builders
 from sedgeswitch.draining import primary_mover
+from sedgeswitch.groups import positions
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.membership import machine as members_machine
 from sedgeswitch.transport import catalog
@@ -109,6 +110,27 @@
 
 
 class FloorTest(unittest.TestCase):
+    # Guards against a group that never gets a primary: where no replica has to confirm
+    # a write, the primary alone may have had the acknowledged ones.
+    def test_writes_that_no_replica_confirms_do_not_bound_a_promotion(self):
+        after = positions.Position(1, 40)
+        for sync_replicas, expected in ((0, None), (1, after)):
+            with self.subTest(sync_replicas=sync_replicas):
+                folder = tempfile.TemporaryDirectory()
+                self.addCleanup(folder.cleanup)
+                document = relay_builders.build_document()
+                group = document.groups["lots"]._replace(sync_replicas=sync_replicas)
+                document = document._replace(groups={"lots": group})
+                control = relay_builders.build_control(
+                    folder.name, document, MoveTest.SERVERS, "a"
+                )
+                control.node.get_leadership = lambda now_s: None
+                report = ttypes.Report(0, 0, 1, [])
+                report.acknowledged = [ttypes.Acknowledged("lots", 1, 41, 40)]
+                body = catalog.encode_struct(report)
+                control.groups_section.answer_report("e1", body, 0.0)
+                self.assertEqual(expected, control._get_acknowledged_after("lots"))
+
     # Guards against the promotion of a replica that lacks what a removed host's callers
     # wrote: the other hosts report that they have acknowledged nothing.
     def test_floor_is_unknown_after_a_host_was_removed(self):
--- a/sedgeswitch/groups/control_section.py
+++ b/sedgeswitch/groups/control_section.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from sedgeswitch.groups import acknowledged_positions
 from sedgeswitch.groups import assignment
 from sedgeswitch.groups import durations
 from sedgeswitch.groups import health
@@ -83,6 +84,9 @@
         self._get_live_hosts = get_live_hosts
         self._settings = settings
         self._hosts: dict[str, _HostState] = {}
+        # By group, the highest position that an acknowledged commit is known to be
+        # after, on any timeline. Kept when the host that reported it restarts.
+        self._acknowledged_after: dict[str, positions.Position] = {}
         self._assignments = assignment.WatcherAssignments(settings.watcher_count)
         self._observations: dict[str, _CachedObservation] = {}
         self._next_assign_s = float("-inf")
@@ -91,6 +95,7 @@
         """Remove everything recorded in an earlier leadership."""
         self.health_reports.clear()
         self._hosts.clear()
+        self._acknowledged_after.clear()
         self._observations.clear()
         self._next_assign_s = float("-inf")
 
@@ -145,6 +150,16 @@
                 highest = position if highest is None else max(highest, position)
         return highest
 
+    def get_acknowledged_after(self, group: str) -> positions.Position | None:
+        """Return a position on a group's timeline that an acknowledged commit is after.
+
+        None if no entry host has reported an acknowledged commit on that timeline.
+        Unlike `get_acknowledged_position` it needs no report of any particular host.
+        """
+        position = self._acknowledged_after.get(group)
+        timeline = self._machine.get_group(group).timeline
+        return position if position and position.timeline == timeline else None
+
     def get_suspicion(
         self, group: ttypes.Group, now_s: float
     ) -> health.Suspicion | None:
@@ -159,10 +174,7 @@
         host.acknowledged_version = report.acknowledged_version
         if report.used_groups is not None:
             host.used_groups = report.used_groups
-        host.acknowledged = {
-            item.group: positions.Position(item.timeline, item.lsn)
-            for item in report.acknowledged or ()
-        }
+        self._receive_acknowledged(host, report.acknowledged or ())
         self._receive_health(host_id, host, report, now_s)
         self._update_assignments(now_s)
         answer = ttypes.Answer(
@@ -174,6 +186,19 @@
         )
         return catalog.encode_struct(answer)
 
+    def _receive_acknowledged(
+        self, host: _HostState, acknowledged: typing.Iterable[ttypes.Acknowledged]
+    ) -> None:
+        host.acknowledged = {}
+        for item in acknowledged:
+            if item.lsn != acknowledged_positions.UNKNOWN_LSN:
+                position = positions.Position(item.timeline, item.lsn)
+                host.acknowledged[item.group] = position
+            if item.after_lsn is not None:
+                after = positions.Position(item.timeline, item.after_lsn)
+                known = self._acknowledged_after.get(item.group, after)
+                self._acknowledged_after[item.group] = max(known, after)
+
     def _receive_health(
         self, host_id: str, host: _HostState, report: ttypes.Report, now_s: float
     ) -> None:
--- a/sedgeswitch/groups/entry_section.py
+++ b/sedgeswitch/groups/entry_section.py
@@ -105,7 +105,11 @@
         self._last_used_s[group] = now_s
 
     def record_acknowledged(
-        self, group: str, timeline: int, position: positions.Position | None
+        self,
+        group: str,
+        timeline: int,
+        position: positions.Position | None,
+        before_lsn: int = 0,
     ) -> None:
         """Record a commit that is about to be acknowledged.
 
@@ -116,8 +120,11 @@
             Timeline of the permit under which it ran.
         position : positions.Position or None
             Log position that the primary reported after it, if any.
+        before_lsn : int
+            Log position that the primary had reported on that timeline before the
+            commit was sent, 0 if none.
         """
-        self._acknowledged_tracker.record_commit(group, timeline, position)
+        self._acknowledged_tracker.record_commit(group, timeline, position, before_lsn)
 
     async def wait_urgent(self) -> None:
         """Wait until the next report should be sent without delay.
--- a/sedgeswitch/groups/failover.py
+++ b/sedgeswitch/groups/failover.py
@@ -228,6 +228,7 @@
             acknowledged=str(
                 self._context.get_acknowledged_position(self._group, state.version)
             ),
+            acknowledged_after=str(self._context.get_acknowledged_after(self._group)),
             registered=len(state.instances),
             unregistered=" ".join(self._list_unregistered(state)),
             logs=" ".join(f"{name}={end}" for name, end in ends.items()),
@@ -345,6 +346,7 @@
             self._context.get_acknowledged_position(self._group, group.version),
             self._context.may_promote,
             self._list_unregistered(group),
+            self._context.get_acknowledged_after(self._group),
         )
 
     def _list_unregistered(self, group: ttypes.Group) -> list[str]:
--- a/sedgeswitch/groups/leader_context.py
+++ b/sedgeswitch/groups/leader_context.py
@@ -8,6 +8,7 @@
 from sedgeswitch.groups import instances
 from sedgeswitch.groups import leases as groups_leases
 from sedgeswitch.groups import machine as groups_machine
+from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings as groups_settings
 from sedgeswitch.groups.generated import ttypes
 from sedgeswitch.utils import clocks
@@ -24,6 +25,10 @@
     """Return None, for entry hosts that report no acknowledged positions."""
 
 
+def _get_no_bound(group: str) -> None:  # noqa: ARG001
+    """Return None, for entry hosts that report no acknowledged positions."""
+
+
 def _may_promote_any(instance: str) -> bool:  # noqa: ARG001
     """Return True, for control hosts that exclude no instance from promotion."""
     return True
@@ -62,6 +67,10 @@
         applied that version of the group table.
     may_promote : callable
         ``may_promote(instance)`` returns whether an instance may become a primary.
+    get_acknowledged_after : callable
+        ``get_acknowledged_after(group)`` returns a position that an acknowledged
+        commit is after, on the timeline of the group. None if no such commit is
+        known, or if the instances may acknowledge commits that no replica has.
     """
 
     machine: groups_machine.GroupsMachine
@@ -76,6 +85,9 @@
     instance_control_override: instances.InstanceControl | None = None
     get_acknowledged_position: typing.Callable = _get_no_position
     may_promote: typing.Callable[[str], bool] = _may_promote_any
+    get_acknowledged_after: typing.Callable[[str], positions.Position | None] = (
+        _get_no_bound
+    )
 
     @property
     def instance_control(self) -> instances.InstanceControl:
--- a/sedgeswitch/groups/messages.thrift
+++ b/sedgeswitch/groups/messages.thrift
@@ -140,12 +140,14 @@
   3: required bool is_stalled,
 }
 
-// Highest position of a commit of a group that an entry host has acknowledged to
-// its callers, on the timeline of its table.
+// Upper bound of the positions of the commits of a group that an entry host has
+// acknowledged to its callers, on the timeline of its table; the largest integer if it
+// is unknown. At least one of these commits is after `after_lsn`, if that is set.
 struct Acknowledged {
   1: required string group,
   2: required i64 timeline,
   3: required i64 lsn,
+  4: optional i64 after_lsn,
 }
 
 // Heartbeat section, from an entry host to the leader. `used_groups` is set only
--- a/sedgeswitch/groups/primary_selection.py
+++ b/sedgeswitch/groups/primary_selection.py
@@ -108,6 +108,7 @@
     acknowledged: positions.Position | None = None,
     may_promote: typing.Callable[[str], bool] = lambda name: True,  # noqa: ARG005
     unregistered: typing.Collection[str] = (),
+    acknowledged_after: positions.Position | None = None,
 ) -> Decision:
     """Return the next step for a fenced group to which no host may write.
 
@@ -137,6 +138,9 @@
     unregistered : collection of str, optional
         Further instances that may have confirmed writes. They count as instances of
         the group, and one of them may be the instance to promote.
+    acknowledged_after : positions.Position, optional
+        A position that an acknowledged write is after. The write may have been
+        confirmed by an instance that is not known, or has lost it.
 
     Notes
     -----
@@ -161,7 +165,9 @@
     eligible = [
         name
         for name, state in classified.replicas.items()
-        if state.log_position >= floor and may_promote(name)
+        if state.log_position >= floor
+        and (acknowledged_after is None or state.log_position > acknowledged_after)
+        and may_promote(name)
     ]
     if target is not None:
         eligible = [name for name in eligible if name == target]
--- a/sedgeswitch/groups/tests/test_fencing.py
+++ b/sedgeswitch/groups/tests/test_fencing.py
@@ -216,13 +216,7 @@
         get_position = self.section.get_acknowledged_position
         self.assertIsNotNone(get_position("g", version, ["e1"]))
         self.assertIsNone(get_position("g", version, ["e1"], removal_index=2))
-        commands = (
-            ttypes.Fence("g", 1, "test"),
-            ttypes.Choose("g", 1, "b"),
-            ttypes.Promoted("g", 2, "b", 2, 30, 1),
-        )
-        for index, command in enumerate(commands, start=3):
-            self.machine.apply(index, machine.encode_command(command))
+        self.promote("b")
         for _ in range(2):
             self.report("e1", *host)
         version = self.machine.get_version()
@@ -248,6 +242,57 @@
                     self.section.get_acknowledged_position("g", version, ["e1"])
                 )
 
+    # Guards against the promotion of a replica that lacks a commit of a host whose
+    # report of an upper bound is missing.
+    def test_restarted_host_reports_that_a_commit_is_after_a_position(self):
+        self.machine.apply(1, self.register)
+        host = self.build_host()
+        self.report("e1", *host)
+        self.assertIsNone(self.section.get_acknowledged_after("g"))
+        for before_lsn in (28, 27):
+            host[1].record_commit("g", 1, positions.Position(1, 30), before_lsn)
+        self.report("e1", *host)
+        version = self.machine.get_version()
+        self.assertIsNone(self.section.get_acknowledged_position("g", version, ["e1"]))
+        after = positions.Position(1, 28)
+        self.assertEqual(after, self.section.get_acknowledged_after("g"))
+        self.report("e1", *self.build_host())
+        self.assertEqual(after, self.section.get_acknowledged_after("g"))
+
+    def test_position_before_a_commit_is_forgotten_with_its_timeline(self):
+        host = self.build_host()
+        self.report("e1", *host)
+        self.machine.apply(1, self.register)
+        self.report("e1", *host)
+        host[1].record_commit("g", 1, positions.Position(1, 30), 28)
+        self.report("e1", *host)
+        self.promote("b")
+        self.report("e1", *host)
+        self.report("e1", *host)
+        self.assertIsNone(self.section.get_acknowledged_after("g"))
+        version = self.machine.get_version()
+        self.assertEqual(
+            positions.Position(1, 30),
+            self.section.get_acknowledged_position("g", version, ["e1"]),
+        )
+
+    def test_leader_of_an_earlier_release_takes_no_floor_from_an_unknown_bound(self):
+        self.machine.apply(1, self.register)
+        host = self.build_host()
+        self.report("e1", *host)
+        host[1].record_commit("g", 1, None, 28)
+        (reported,) = host[1].build_report()
+        self.assertEqual(acknowledged_positions.UNKNOWN_LSN, reported.lsn)
+
+    def promote(self, name):
+        commands = (
+            ttypes.Fence("g", 1, "test"),
+            ttypes.Choose("g", 1, name),
+            ttypes.Promoted("g", 2, name, 2, 30, 1),
+        )
+        for index, command in enumerate(commands, start=3):
+            self.machine.apply(index, machine.encode_command(command))
+
     def reinstate_primary(self):
         commands = (
             ttypes.Fence("g", 1, "test"),
--- a/sedgeswitch/groups/tests/test_unregistered_replicas.py
+++ b/sedgeswitch/groups/tests/test_unregistered_replicas.py
@@ -64,6 +64,45 @@
         self.assertEqual("a", world.run_failover())
 
 
+class UnknownReplicaTest(unittest.TestCase):
+    """The replica that confirmed a write is not known to the leader, or has lost it.
+
+    It may have been announced to an earlier leader only, have been removed from the
+    group while it was cut off, or have started again without its log. Guards against
+    the promotion of a replica that lacks a write which an entry host has acknowledged.
+    """
+
+    AFTER = positions.Position(2, 70)
+
+    def run_failover(self, after=AFTER, target=None, **states):
+        world = World(None, **states)
+        world.context = world.context._replace(
+            get_acknowledged_after=lambda group: after  # noqa: ARG005
+        )
+        return world.run_failover(target)
+
+    def test_replicas_that_lack_an_acknowledged_write_are_not_promoted(self):
+        for target in (None, "c"):
+            with self.subTest(target=target):
+                states = {"a": BEHIND, "c": BEHIND, "d": BEHIND}
+                self.assertEqual("b", self.run_failover(target=target, **states))
+
+    def test_replica_that_has_a_later_write_is_promoted(self):
+        later = instances.InstanceState(True, positions.Position(2, 71))
+        self.assertEqual("c", self.run_failover(a=BEHIND, c=later, d=BEHIND))
+
+    def test_replica_without_a_write_on_the_timeline_is_not_promoted(self):
+        first = positions.Position(2, 0)
+        replica = test_unwritten_timelines.REPLICA
+        states = {"a": replica, "c": replica, "d": replica}
+        self.assertEqual("b", self.run_failover(first, **states))
+
+    def test_primary_that_returns_is_reinstated(self):
+        returned = instances.InstanceState(False, positions.Position(2, 76))
+        states = {"a": BEHIND, "b": returned, "c": BEHIND, "d": BEHIND}
+        self.assertEqual("b", self.run_failover(**states))
+
+
 class ChooseTest(unittest.TestCase):
     def apply(self, *commands):
         world = test_unwritten_timelines.World()
--- a/sedgeswitch/relay/context.py
+++ b/sedgeswitch/relay/context.py
@@ -153,6 +153,16 @@
             return None
         return state._replace(requested_s=trio.current_time() - age_s)
 
+    def get_primary_lsn(self, permit: table.WritePermit) -> int:
+        """Return the LSN in the last recorded reply of a primary.
+
+        It is 0 without such a reply, or if the log then ended in an earlier timeline.
+        """
+        state, _ = self._primary_states.get(permit.primary, (None, 0.0))
+        if state is None or state.log_timeline != permit.timeline:
+            return 0
+        return state.position.lsn
+
     def record_reply(self, instance: str, reply: sessions.Reply) -> None:
         """Record the outcome and the position of a reply of any instance."""
         outcome = "done" if reply.failure is None else reply.failure.value[0]
--- a/sedgeswitch/relay/tests/builders.py
+++ b/sedgeswitch/relay/tests/builders.py
@@ -227,8 +227,8 @@
         position, requested_s = self.observed
         return position, now_s - requested_s
 
-    def record_acknowledged(self, group, timeline, position):
-        self.acknowledged.append((group, position))
+    def record_acknowledged(self, group, timeline, position, before_lsn):
+        self.acknowledged.append((group, position, before_lsn))
 
 
 class World:
--- a/sedgeswitch/relay/tests/test_sessions.py
+++ b/sedgeswitch/relay/tests/test_sessions.py
@@ -202,6 +202,20 @@
 
         run_in_world(body)
 
+    def test_commit_is_recorded_with_the_position_before_it(self):
+        async def body(world):
+            session = world.build_session()
+            texts = (b"WRITE x 1", b"BEGIN", b"WRITE x 2", b"COMMIT")
+            for text in texts:
+                await session.run(builders.build_step(text))
+            recorded = [
+                (position.lsn, before_lsn)
+                for _, position, before_lsn in world.observations.acknowledged
+            ]
+            self.assertEqual([(1, 0), (2, 1)], recorded)
+
+        run_in_world(body)
+
     def test_failed_write_is_not_retried(self):
         async def body(world):
             world.instances["a"].failures = [FAILURE.FAILED]
--- a/sedgeswitch/relay/transactions.py
+++ b/sedgeswitch/relay/transactions.py
@@ -122,6 +122,9 @@
                 " commit",
             )
         sent_s = clocks.get_now_s()
+        before_lsn = 0
+        if permit is not None:
+            before_lsn = self._components.local_observations.get_primary_lsn(permit)
         reply = await self._run_bound(run, deadline_s)
         if reply is None:
             await self.discard()
@@ -132,7 +135,7 @@
                 permit, sent_s, reply
             )
             if self._has_written:
-                writes.confirm_commit(self._components, permit, reply)
+                writes.confirm_commit(self._components, permit, reply, before_lsn)
         return reply
 
     async def roll_back(self) -> None:
--- a/sedgeswitch/relay/writes.py
+++ b/sedgeswitch/relay/writes.py
@@ -67,6 +67,7 @@
             permit = await reads.wait_for_permit(
                 self._components, access.database.group, deadline_s
             )
+            before_lsn = self._components.local_observations.get_primary_lsn(permit)
             try:
                 reply = await self._run_under_permit(permit, access, deadline_s, run)
             except cold_instances.ColdInstanceError as error:
@@ -79,7 +80,7 @@
                     raise
                 reply = build_not_run(error.detail)
             if reply.failure is None:
-                confirm_commit(self._components, permit, reply)
+                confirm_commit(self._components, permit, reply, before_lsn)
                 return reply
             pause_s = backoff.next_delay_s()
             is_late = trio.current_time() + pause_s >= deadline_s
@@ -135,12 +136,23 @@
 
 
 def confirm_commit(
-    components: context.Components, permit: table.WritePermit, reply: sessions.Reply
+    components: context.Components,
+    permit: table.WritePermit,
+    reply: sessions.Reply,
+    before_lsn: int,
 ) -> None:
     """Record a commit as acknowledged, if the permit is still valid.
 
     Call it before the commit is answered as successful.
 
+    Parameters
+    ----------
+    components : context.Components
+    permit : table.WritePermit
+    reply : sessions.Reply
+    before_lsn : int
+        `context.LocalObservations.get_primary_lsn` before the commit was sent.
+
     Raises
     ------
     steps.FailedError
@@ -153,7 +165,7 @@
             " arrived"
         )
     components.observations.record_acknowledged(
-        permit.group, permit.timeline, reply.position
+        permit.group, permit.timeline, reply.position, before_lsn
     )
 
 
