Accept organisations of any name in the rate limiters

The configuration had been acknowledged.

Cause: the decoder of the platform's configuration accepts any name, while the leader's and the entry hosts' limiter checked it by the rule for names of the product's own configuration, and rejected the limits of all organisations together. Names are checked where they are configured, so that the limiters need no rule of their own. Rates and bursts are checked as before.

--- a/sedgeswitch/admission/grantor.py
+++ b/sedgeswitch/admission/grantor.py
@@ -91,10 +91,9 @@
         Raises
         ------
         CheckError
-            If a name, rate or burst is not allowed.
+            If a rate or burst is not allowed.
         """
-        for organisation, limit in limits.items():
-            checks.check_name("organisation", organisation)
+        for limit in limits.values():
             admission_settings.check_limit(limit)
         self._limits = dict(limits)
         for organisation in list(self._buckets):
--- a/sedgeswitch/admission/host_limiter.py
+++ b/sedgeswitch/admission/host_limiter.py
@@ -294,10 +294,9 @@
         Raises
         ------
         CheckError
-            If a name, rate or burst is not allowed.
+            If a rate or burst is not allowed.
         """
-        for organisation, limit in limits.items():
-            checks.check_name("organisation", organisation)
+        for limit in limits.values():
             admission_settings.check_limit(limit)
         for organisation in set(self._accounts) - set(limits):
             account = self._accounts.pop(organisation)
