Clip the numbers of a configuration to what messages and timers hold

An accepted configuration could end the service of some or all callers with its numbers, although the platform limits none of them:

- txIdleMs or timeoutMs above 2^31: statements in transactions, or all statements of the database, end with INDOUBT "internal error", as the field of the message between hosts has 32 bits; a negative txIdleMs is refused by the timer of the connection (ValueError), outside the handling of a statement's errors;
- maxConns below -2^31: announcements of all instances can't be encoded, neither for the replicated log nor for entry hosts;
- priorities above 2^31, where statements are scheduled: as for timeoutMs;
- ratePerS or coldPerS near 0: the delay in a refusal is out of range.

The review had seen txIdleMs of 3e9 and 1e18; the others were found by reading each use of a field and by random configurations.

An idle limit of 0 or less is taken as omitted, since transactions could not pause at all.

--- a/sedgeswitch/admission/host_limiter.py
+++ b/sedgeswitch/admission/host_limiter.py
@@ -22,6 +22,8 @@
 # Time after a grant marked `is_short` for which the queue is bounded by the host's
 # share of the rate.
 _SHORTAGE_DURATION_S = 0.5
+# Longest delay that a refused caller is told: a day, which fits into 32 bits.
+_MAX_RETRY_AFTER_MS = 86_400_000
 
 
 class Admitted(typing.NamedTuple):
@@ -622,7 +624,7 @@
         share_per_s = max(account.share_per_s, 1e-6)
         position = len(account.waiters) + 1
         retry_after_ms = max(1, math.ceil(1000 * position / share_per_s))
-        return Denied(account.organisation, retry_after_ms)
+        return Denied(account.organisation, min(retry_after_ms, _MAX_RETRY_AFTER_MS))
 
     def _deny_newest(self, account: _Account, count: int) -> None:
         for _ in range(count):
--- a/sedgeswitch/databases/documents.py
+++ b/sedgeswitch/databases/documents.py
@@ -4,11 +4,15 @@
 import enum
 import typing
 
+from sedgeswitch.transport import catalog
 from sedgeswitch.utils import checks
 from sedgeswitch.utils import records
 
 # Rate and burst of an organisation that has no limit.
 UNLIMITED_PER_S = 1e9
+# Longest time of a document, in seconds. In milliseconds it fits into the 32 bits of
+# the messages between hosts.
+LONGEST_S = 86_400.0
 
 
 class Freshness(enum.Enum):
@@ -25,6 +29,21 @@
     SESSION = "session"
 
 
+def clip_time_s(time_s: float) -> float:
+    """Return a time in the range that timers and messages represent."""
+    return min(max(time_s, 0.0), LONGEST_S)
+
+
+def clip_rate_per_s(rate_per_s: float) -> float:
+    """Return a rate, or a burst, that is not negative and at most unlimited."""
+    return min(max(rate_per_s, 0.0), UNLIMITED_PER_S)
+
+
+def clip_count(count: int) -> int:
+    """Return a number in the range that messages represent."""
+    return min(max(count, 0), catalog.MAX_INT32)
+
+
 class Database(typing.NamedTuple):
     """A database as callers name it.
 
--- a/sedgeswitch/forwarding/tests/builders.py
+++ b/sedgeswitch/forwarding/tests/builders.py
@@ -137,7 +137,10 @@
         self.hosts = host_calls.HostCalls(FakePeers(fleet, member.host_id))
         self.forwarder = forwarder.Forwarder(
             forwarder.Options(
-                member.host_id, RESERVED_CONNECTIONS, lambda: 3.0, is_scheduling
+                member.host_id,
+                RESERVED_CONNECTIONS,
+                lambda: world.databases.document.transaction_idle_s,
+                is_scheduling,
             ),
             self.placement,
             self.hosts,
--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -252,15 +252,16 @@
     for route in configuration["routes"]:
         if route["host"] not in databases:
             databases[route["host"]] = _build_database(route)
-    idle_ms = configuration.get("limits", {}).get(
-        "txIdleMs", _DEFAULT_TRANSACTION_IDLE_MS
-    )
+    idle_ms = configuration.get("limits", {}).get("txIdleMs", 0.0)
+    if idle_ms <= 0.0:
+        # As if it was omitted: transactions could not pause at all.
+        idle_ms = _DEFAULT_TRANSACTION_IDLE_MS
     return documents.Document(
         configuration["version"],
         databases,
         _index_by_name(map(_build_group, configuration["services"])),
         _index_by_name(map(_build_organisation, configuration.get("tenants", ()))),
-        idle_ms / MS_PER_S,
+        documents.clip_time_s(idle_ms / MS_PER_S),
     )
 
 
@@ -342,10 +343,11 @@
         route["host"],
         route["service"],
         freshness,
-        route["timeoutMs"] / MS_PER_S,
-        target_latency_ms / MS_PER_S,
-        route.get("priority", 0),
-        route.get("maxStalenessMs", 0.0) / MS_PER_S,
+        # A timeout of 0 or less is a fault, which names the value.
+        min(route["timeoutMs"] / MS_PER_S, documents.LONGEST_S),
+        documents.clip_time_s(target_latency_ms / MS_PER_S),
+        documents.clip_count(route.get("priority", 0)),
+        documents.clip_time_s(route.get("maxStalenessMs", 0.0) / MS_PER_S),
         route.get("public", False),
         tuple(route.get("allowedRegions", ())),
     )
@@ -354,10 +356,10 @@
 def _build_group(service: _Service) -> documents.Group:
     return documents.Group(
         service["name"],
-        min(service.get("maxConns", _DEFAULT_MAX_CONNECTIONS), catalog.MAX_INT32),
-        service.get("syncReplicas", 0),
-        service.get("coldStartS", 0.0),
-        service.get("coldPerS", 0.0),
+        documents.clip_count(service.get("maxConns", _DEFAULT_MAX_CONNECTIONS)),
+        documents.clip_count(service.get("syncReplicas", 0)),
+        documents.clip_time_s(service.get("coldStartS", 0.0)),
+        documents.clip_rate_per_s(service.get("coldPerS", 0.0)),
     )
 
 
@@ -365,8 +367,8 @@
     return documents.Organisation(
         tenant["name"],
         tuple(tenant["apiKeys"]),
-        tenant.get("ratePerS", documents.UNLIMITED_PER_S),
-        tenant.get("burst", documents.UNLIMITED_PER_S),
-        tenant.get("priority", 0),
+        documents.clip_rate_per_s(tenant.get("ratePerS", documents.UNLIMITED_PER_S)),
+        documents.clip_rate_per_s(tenant.get("burst", documents.UNLIMITED_PER_S)),
+        documents.clip_count(tenant.get("priority", 0)),
         tuple(tenant.get("allowedRegions", ())),
     )
--- a/sedgeswitch/platform/tests/document_builders.py
+++ b/sedgeswitch/platform/tests/document_builders.py
@@ -176,3 +176,63 @@
 
 # Texts of configurations with and without errors.
 TEXTS = strategies.one_of(_RANDOM_TEXTS, _edited_texts())
+
+
+# Names and numbers at the limits of what a configuration may hold.
+ODD_NAMES = (
+    "ward-7@sindhuli",
+    "\u0935\u0921\u093e-\u096d",
+    "a/b?c=%20#'\"\\",
+    "-",
+    "public",
+    "x" * 65,
+    "x" * 5000,
+    "\U0001f9f9" * 100,
+)
+ODD_NUMBERS = (0, -1, 0.5, 1e-300, 2**31, 3e9, 2**63, 10**30, 1e300, -1e300)
+ORDINARY_KEY = "k-ordinary"
+ODD_KEY = "k odd \u0935"
+
+
+def build_odd(draw):
+    """Return a configuration with an ordinary item of each kind, and an odd one.
+
+    Parameters
+    ----------
+    draw : callable
+        ``draw(name, choices)`` returns one of the choices for a field.
+    """
+
+    def draw_numbers(*fields):
+        return {field: draw(field, ODD_NUMBERS) for field in fields}
+
+    def draw_counts(*fields):
+        return {field: int(draw(field, ODD_NUMBERS)) for field in fields}
+
+    group = draw("service", ODD_NAMES)
+    odd_route = (
+        builders.ROUTE
+        | {"name": draw("route", ODD_NAMES), "host": draw("host", ODD_NAMES)}
+        | {"service": draw("route service", ("lots", group))}
+        | draw_numbers("timeoutMs", "targetLatencyMs", "maxStalenessMs")
+        | draw_counts("route priority")
+    )
+    odd_route["priority"] = odd_route.pop("route priority")
+    odd_service = (
+        builders.SERVICE
+        | {"name": group}
+        | draw_numbers("coldStartS", "coldPerS")
+        | draw_counts("maxConns", "syncReplicas")
+    )
+    odd_tenant = {"name": draw("tenant", ODD_NAMES), "apiKeys": [ODD_KEY, ""]}
+    odd_tenant |= draw_numbers("ratePerS", "burst") | draw_counts("priority")
+    return {
+        "version": draw("version", (2, 7, 2**63 - 1)),
+        "routes": [dict(builders.ROUTE), odd_route],
+        "services": [dict(builders.SERVICE), odd_service],
+        "limits": draw_numbers("txIdleMs"),
+        "tenants": [
+            builders.TENANT | {"apiKeys": [ORDINARY_KEY]},
+            odd_tenant,
+        ],
+    }
--- a/sedgeswitch/relay/cold_instances.py
+++ b/sedgeswitch/relay/cold_instances.py
@@ -261,6 +261,7 @@
             wait_s = cold_start.get_wait_s(
                 state.bucket, share_per_s, trio.current_time()
             )
+            wait_s = documents.clip_time_s(wait_s)
             detail = (
                 f"{instance} is cold after its start and had no token in time;"
                 f" retry after {max(math.ceil(wait_s * _MS_PER_S), 1)} ms"
