Refuse names that no instance can be told, and read stored ones without them

A tenant's name is sent to instances as a field of a line, between blanks. A configuration with an empty name, or one with blanks or line ends, was acknowledged, although that tenant's connections could only be refused (WRONGNODE) or be opened under another name, and the rest of a name after a line end would be a line of its own. The same holds for names of services, of which no instance could be reached.

Such names are now refused, with the place in the file, as are those that leave no room in a line of 1 MiB. A configuration that is already in force is read by read_document, which never refuses an item that was accepted: it leaves out and logs the items that this release would refuse, so that a restart with a stored configuration serves all others.

Tests: RefusedNameTest; its two tests of refused names fail before (no refusal; the items are in force, or the whole document is refused).

--- a/sedgeswitch/databases/documents.py
+++ b/sedgeswitch/databases/documents.py
@@ -217,6 +217,22 @@
     yield from _find_shared_keys(document)
 
 
+def remove_faulty(
+    document: Document, faults: collections.abc.Iterable[Fault]
+) -> Document:
+    """Return a document without the items that faults are about."""
+    faulty = {(fault.location.collection, fault.location.name) for fault in faults}
+    kept = {
+        collection: {
+            name: item
+            for name, item in getattr(document, collection).items()
+            if (collection, name) not in faulty
+        }
+        for collection in ("databases", "groups", "organisations")
+    }
+    return document._replace(**kept)
+
+
 def build_group_regions(document: Document) -> dict[str, frozenset[str]]:
     """Return the regions that all databases of a group allow, by group.
 
--- a/sedgeswitch/platform/documents.py
+++ b/sedgeswitch/platform/documents.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+import loguru
 import msgspec
 
 from sedgeswitch.databases import documents
@@ -88,6 +89,11 @@
     tenants: typing.NotRequired[list[_Tenant]]
 
 
+# Longest name of a group or an organisation. Instances receive both in one line, which
+# has at most 1 MiB.
+MAX_NAME_BYTES = 256 * 1024
+_DELETE = "\x7f"
+
 # Defaults for fields that the configuration omits.
 _DEFAULT_MAX_CONNECTIONS = 20
 _DEFAULT_TARGET_LATENCY_MS = 1000.0
@@ -132,12 +138,14 @@
         "allowed_regions": "allowedRegions",
     },
     "groups": {
+        "name": "name",
         "max_connections": "maxConns",
         "sync_replicas": "syncReplicas",
         "cold_start_s": "coldStartS",
         "cold_rate_per_s": "coldPerS",
     },
     "organisations": {
+        "name": "name",
         "keys": "apiKeys",
         "rate_per_s": "ratePerS",
         "burst": "burst",
@@ -225,6 +233,33 @@
     return document
 
 
+def read_document(text: bytes) -> documents.Document:
+    """Return the document for the text of a configuration that is in force.
+
+    Items that an earlier release has accepted and this one refuses are left out, so
+    that the others are served.
+
+    Parameters
+    ----------
+    text : bytes
+        A text that `decode_document` of this or an earlier release has accepted.
+
+    Raises
+    ------
+    CheckError
+        If the text is not valid JSON, or a field is missing or has the wrong type.
+    """
+    document = build_document(decode_configuration(text))
+    # Without a group, its databases are faulty too.
+    while faults := list(_find_document_faults(document)):
+        for fault in faults:
+            loguru.logger.warning(
+                "item of the configuration left out", reason=str(fault.error)
+            )
+        document = documents.remove_faulty(document, faults)
+    return document
+
+
 def decode_configuration(text: bytes) -> Configuration:
     """Return the configuration with fields of the right types.
 
@@ -286,10 +321,36 @@
     yield from _find_repeated_names("services", configuration["services"])
     yield from _find_repeated_names("tenants", configuration.get("tenants", []))
     places = Places(configuration)
-    for fault in documents.find_faults(document):
+    for fault in _find_document_faults(document):
         yield Fault(places.name_place(fault.location), fault.error)
 
 
+def _find_document_faults(
+    document: documents.Document,
+) -> collections.abc.Iterator[documents.Fault]:
+    """Yield the faults of a document that concern one item each."""
+    yield from _find_name_faults(document)
+    yield from documents.find_faults(document)
+
+
+def _find_name_faults(
+    document: documents.Document,
+) -> collections.abc.Iterator[documents.Fault]:
+    """Yield names that are no field of a line, in which instances receive them."""
+    allowed = f"1 to {MAX_NAME_BYTES} bytes without blanks and control characters"
+    for collection in ("groups", "organisations"):
+        for name in getattr(document, collection):
+            size_bytes = len(name.encode())
+            is_size_allowed = 1 <= size_bytes <= MAX_NAME_BYTES
+            if is_size_allowed and all(char > " " and char != _DELETE for char in name):
+                continue
+            given = name if is_size_allowed else f"{size_bytes} bytes"
+            yield documents.Fault(
+                documents.Location(collection, name, "name"),
+                checks.CheckError(f"{collection}.name", allowed, given),
+            )
+
+
 def _find_route_faults(
     routes: list[_Route],
 ) -> collections.abc.Iterator[Fault]:
--- a/sedgeswitch/platform/program.py
+++ b/sedgeswitch/platform/program.py
@@ -253,7 +253,7 @@
         )
         self._control = relay_control.RelayControl(
             options,
-            documents.decode_document,
+            documents.read_document,
             instance_driver.PlatformInstanceControl(driver, client.promote),
             serving,
             driver,
@@ -289,7 +289,7 @@
         serving = server.Server()
         self._entry = relay_entry.RelayEntry(
             options,
-            documents.decode_document,
+            documents.read_document,
             instance_driver.LineDriver(),
             serving,
             self._rng,
--- a/sedgeswitch/platform/tests/test_accepted_documents.py
+++ b/sedgeswitch/platform/tests/test_accepted_documents.py
@@ -32,6 +32,8 @@
 
 SEEDS = 60
 TENANT_NAMES = ("ward-7@sindhuli", "x" * 70, "\u0935\u0921\u093e")
+# Names that cannot be sent to an instance as one field of a line.
+REFUSED_NAMES = ("", "ward 7", "ward\r\nQUERY - STATUS", "ward\t7", "x" * 300_000)
 TEXTS = (b"READ x", b"WRITE x 1", b"BEGIN", b"WRITE x 2", b"COMMIT")
 
 
@@ -69,7 +71,7 @@
     def __init__(self, test, text):
         folder = tempfile.TemporaryDirectory()
         test.addCleanup(folder.cleanup)
-        document = documents.decode_document(text)
+        document = documents.read_document(text)
         self.control = relay_builders.build_control(
             folder.name, document, [relay_builders.build_server("a", "bagmati-a")], "a"
         )
@@ -77,13 +79,13 @@
         member = members_machine.Member("host-1", "1", "bagmati-a", "10.0.0.1", 7000)
         command = members_machine.build_command(member, False)
         self.control.members.apply(2, catalog.encode_struct(command))
-        self.entry = relay_builders.build_entry(text, decode=documents.decode_document)
+        self.entry = relay_builders.build_entry(text, decode=documents.read_document)
         self.now_s = 100.0
         self.control._start_grants(self.now_s, 1)
 
     def replace(self, text):
         """Put another configuration in force on both."""
-        document = documents.decode_document(text)
+        document = documents.read_document(text)
         self.control.view.document = document
         self.control.databases.version = document.version
         self.control._update_limits(self.now_s)
@@ -115,7 +117,7 @@
         async def main():
             hosts = _Hosts(self, earlier or text)
             hosts.replace(text)
-            organisations = documents.decode_document(text).organisations
+            organisations = documents.read_document(text).organisations
             self.assertEqual(
                 sorted(organisations),
                 sorted(hosts.entry.host_limiter.list_organisations()),
@@ -150,7 +152,7 @@
     """Statements that are forwarded, with each message encoded as on the wire."""
 
     def run_statements(self, text, is_scheduling=False):
-        document = documents.decode_document(text)
+        document = documents.read_document(text)
         databases = [
             name
             for name, database in document.databases.items()
@@ -202,11 +204,11 @@
 class AnnouncementTest(unittest.TestCase):
     def test_instances_of_any_accepted_group_can_be_announced(self):
         async def announce(text):
-            document = documents.decode_document(text)
+            document = documents.read_document(text)
             limits = {
                 name: group.max_connections for name, group in document.groups.items()
             }
-            entry = relay_builders.build_entry(text, decode=documents.decode_document)
+            entry = relay_builders.build_entry(text, decode=documents.read_document)
             servers = [
                 announcements.decode_heartbeat(
                     f"i-{place}", builders.build_heartbeat(service=name), limits
@@ -241,7 +243,7 @@
         async def main():
             service = builders.SERVICE | {"coldStartS": 5, "coldPerS": 1e-320}
             text = builders.build_configuration(services=[service])
-            entry = relay_builders.build_entry(text, decode=documents.decode_document)
+            entry = relay_builders.build_entry(text, decode=documents.read_document)
             member = members_machine.Member("host-1", "1", "bagmati-a", "10.0.0.1", 1)
             entry._set_members(1, [member], 0.0)
             cold = relay_builders.build_server("a", "bagmati-a", is_cold=True)
@@ -253,5 +255,43 @@
         virtual_time.run(main)
 
 
+class RefusedNameTest(unittest.TestCase):
+    """Names that no instance can be told, also if an earlier release accepted them."""
+
+    def test_name_that_no_instance_can_be_told_is_refused(self):
+        for name in REFUSED_NAMES:
+            for field, item, place in (
+                ("tenants", builders.TENANT, "organisations.name"),
+                ("services", builders.SERVICE, "groups.name"),
+            ):
+                added = item | {"name": name, "apiKeys": ["k2"]}
+                text = builders.build_configuration(**{field: [item, added]})
+                with self.subTest(name=name[:20], field=field):
+                    with self.assertRaises(checks.CheckError) as caught:
+                        documents.decode_document(text)
+                    self.assertEqual(place, caught.exception.field)
+                    self.assertLess(len(str(caught.exception)), 1000)
+
+    def test_items_refused_since_are_left_out_and_the_others_are_in_force(self):
+        for name in REFUSED_NAMES:
+            tenant = builders.TENANT | {"name": name, "apiKeys": ["k2"]}
+            service = builders.SERVICE | {"name": name}
+            route = builders.ROUTE | {"host": "other", "service": name}
+            text = builders.build_configuration(
+                tenants=[tenant, builders.TENANT],
+                services=[service, builders.SERVICE],
+                routes=[route, builders.ROUTE],
+            )
+            with self.subTest(name=name[:20]):
+                document = documents.read_document(text)
+                self.assertEqual(["draw"], list(document.databases))
+                self.assertEqual(["lots"], list(document.groups))
+                self.assertEqual(["ward"], list(document.organisations))
+
+    def test_text_without_faults_is_read_as_it_was_accepted(self):
+        text = builders.build_configuration()
+        self.assertEqual(documents.decode_document(text), documents.read_document(text))
+
+
 if __name__ == "__main__":
     unittest.main()
