Let all listeners of a configuration apply it if one fails

A listener that raised ended the loop over the listeners after the document had been put in force, so that the others never applied it, and the heartbeat that had brought it did not renew the lease. The error is now logged ("configuration not applied by a listener"), and the others run.

Test: test_failing_listener_does_not_stop_the_others, which fails before.

--- a/sedgeswitch/databases/sections.py
+++ b/sedgeswitch/databases/sections.py
@@ -178,7 +178,11 @@
             organisations=len(document.organisations),
         )
         for listener in self._listeners:
-            listener()
+            try:
+                listener()
+            except Exception:
+                # The document is in force, so that the other listeners must apply it.
+                loguru.logger.exception("configuration not applied by a listener")
 
     def _get_text(self, answer: messages.Answer) -> bytes | None:
         """Return the text of an answer, None if it contains none for this host."""
--- a/sedgeswitch/platform/tests/test_accepted_documents.py
+++ b/sedgeswitch/platform/tests/test_accepted_documents.py
@@ -293,5 +293,22 @@
         self.assertEqual(documents.decode_document(text), documents.read_document(text))
 
 
+class ListenerTest(unittest.TestCase):
+    def test_failing_listener_does_not_stop_the_others(self):
+        calls = []
+
+        def fail():
+            raise ValueError("a test")
+
+        async def main():
+            entry = relay_builders.build_entry(relay_builders.build_document(1))
+            entry.databases._listeners[:0] = [fail]
+            entry.databases.register_listener(lambda: calls.append("later"))
+            relay_builders.receive_text(entry, 2, b"x")
+
+        virtual_time.run(main)
+        self.assertEqual(["later"], calls)
+
+
 if __name__ == "__main__":
     unittest.main()
