Send a large document to entry hosts in parts

A configuration of 20,000 routes (354 KB compressed) was acknowledged, and then most statements failed: entry hosts behind links of 2 Mbit/s never received it, and after a restart of all processes nobody was served (RECOVER).

Cause: an answer to a heartbeat held the whole compressed document. On such a link it takes longer than a connection may be without an answer (0.5 s), so that each try ended with a new connection, and with the answers the leases were lost.

Change: more than 64 KiB is sent in parts, one with each heartbeat, which follow each other at once. A host reports how much of which version it has, so that a new leader continues. A host that is receiving a newer document does not count its own as confirmed. Hosts of earlier releases get the whole document, smaller documents are sent as before.

Tests: LargeDocumentTest (an answer above the limit, before).

--- a/sedgeswitch/daemon/relay_entry.py
+++ b/sedgeswitch/daemon/relay_entry.py
@@ -386,6 +386,7 @@
         self.heartbeat_client.register_section(database_machine.NAME, self.databases)
         self.databases.register_listener(self._update_limits)
         self.databases.register_listener(lambda: self._record_stage("configuration_ms"))
+        self.databases.set_part_listener(self.heartbeat_client.wake)
         self.heartbeat_client.register_answer_listener(self.databases.confirm)
         self.heartbeat_client.register_lapse_listener(
             lambda: self._record_stage("lease_ms")
--- a/sedgeswitch/databases/tests/test_databases.py
+++ b/sedgeswitch/databases/tests/test_databases.py
@@ -1,6 +1,8 @@
 """Tests of the document: replicated state, heartbeat section and checks."""
 
+import random
 import unittest
+import zlib
 
 from sedgeswitch.databases import documents
 from sedgeswitch.databases import machine
@@ -130,6 +132,114 @@
         self.assertEqual("ward-5", self.entry.get_organisation("k3").name)
 
 
+class LargeDocumentTest(unittest.TestCase):
+    """Documents that a slow link can't carry before a heartbeat counts as lost.
+
+    Guards against hosts that never get a large document that was accepted, and lose
+    their leases, since each answer contained the whole of it.
+    """
+
+    def setUp(self):
+        self.machine = machine.DocumentMachine()
+        self.control = sections.ControlSection(self.machine)
+        self.entry = sections.EntrySection(
+            lambda text: build_document(int(text.split()[0]))
+        )
+        self.wakes = []
+        self.entry.set_part_listener(lambda: self.wakes.append(None))
+        self.rng = random.Random(1)
+
+    def replace(self, version):
+        text = b"%d %s" % (version, self.rng.randbytes(200_000).hex().encode())
+        replace(self.machine, version, text)
+
+    def answer(self):
+        return self.control.answer_report("e1", self.entry.build_report(0.0), 0.0)
+
+    def exchange(self, count=1):
+        for _ in range(count):
+            answer = self.answer()
+            self.assertLess(len(answer), sections.MAX_PART_BYTES + 100)
+            self.entry.receive_answer(answer, 0.0)
+
+    def count_parts(self):
+        return -(-len(self.machine.source) // sections.MAX_PART_BYTES)
+
+    def test_document_is_sent_in_parts_and_then_in_force(self):
+        self.replace(4)
+        count = self.count_parts()
+        self.assertGreater(count, 2)
+        self.exchange(count - 1)
+        self.assertEqual(0, self.entry.document.version)
+        self.exchange()
+        self.assertEqual(4, self.entry.document.version)
+        self.assertEqual(count - 1, len(self.wakes))
+        self.assertLess(len(self.answer()), 100)
+
+    # Guards against a key that is denied although a newer document has it.
+    def test_document_is_not_confirmed_while_a_newer_one_arrives(self):
+        replace(self.machine, 3, b"3")
+        self.exchange()
+        self.entry.confirm(1.0)
+        self.replace(4)
+        self.exchange()
+        self.entry.confirm(2.0)
+        self.assertEqual(1.0, self.entry.confirmed_s)
+        self.exchange(self.count_parts() - 1)
+        self.entry.confirm(3.0)
+        self.assertEqual(3.0, self.entry.confirmed_s)
+
+    def test_new_leader_continues_with_the_next_part(self):
+        self.replace(4)
+        self.exchange()
+        self.control = sections.ControlSection(self.machine)
+        self.exchange(self.count_parts() - 1)
+        self.assertEqual(4, self.entry.document.version)
+
+    def test_newer_version_replaces_a_document_received_in_part(self):
+        self.replace(4)
+        self.exchange(2)
+        self.replace(9)
+        self.exchange(self.count_parts())
+        self.assertEqual(9, self.entry.document.version)
+
+    def test_repeated_and_late_parts_are_ignored(self):
+        self.replace(4)
+        first = self.answer()
+        self.exchange()
+        for _ in range(2):
+            second = self.answer()
+            self.entry.receive_answer(second, 0.0)
+            self.entry.receive_answer(second, 0.0)
+        self.exchange(self.count_parts() - 3)
+        self.assertEqual(4, self.entry.document.version)
+        self.entry.receive_answer(first, 0.0)
+        self.assertEqual(4, self.entry.document.version)
+
+    def test_difference_too_large_for_an_answer_is_sent_in_parts(self):
+        for version in (4, 9):
+            self.replace(version)
+            self.exchange(self.count_parts())
+            self.assertEqual(version, self.entry.document.version)
+
+    def test_parts_that_cannot_be_decoded_are_requested_again(self):
+        self.replace(4)
+        self.exchange(self.count_parts() - 1)
+        answer = catalog.decode_struct(messages.Answer, self.answer())
+        answer.part = bytes(len(answer.part))
+        with self.assertRaises(zlib.error):
+            self.entry.receive_answer(catalog.encode_struct(answer), 0.0)
+        self.exchange(self.count_parts())
+        self.assertEqual(4, self.entry.document.version)
+
+    def test_host_of_an_earlier_release_gets_the_whole_document(self):
+        self.replace(4)
+        report = catalog.encode_struct(messages.Report(0))
+        answer = self.control.answer_report("e1", report, 0.0)
+        decoded = catalog.decode_struct(messages.Answer, answer)
+        self.assertEqual(self.machine.source, decoded.source)
+
+
 class CheckTest(unittest.TestCase):
     def test_shared_key_is_rejected_without_showing_it(self):
         shared = {
