Tell a restarted entry host again which groups it watches

Cause: the leader sends the list of watched groups only when it has changed since it was last sent to the host, and kept this by the id of the host, beyond the end of its process. The new process watched nothing, and a majority of the assigned watchers must suspect a primary. The least delay of the host's reports was kept as well, although its clock may have begun anew.

Change: a report with a lower version of the table than the last one is from a new process, and the record of the host begins anew.

Tests: RestartedHostTest, both fail before.

--- a/sedgeswitch/groups/control_section.py
+++ b/sedgeswitch/groups/control_section.py
@@ -170,7 +170,7 @@
     def answer_report(self, host_id: str, body: bytes, now_s: float) -> bytes:
         """Record an entry host's section and return the answer to it."""
         report = catalog.decode_struct(ttypes.Report, body)
-        host = self._hosts.setdefault(host_id, _HostState())
+        host = self._get_host(host_id, report.acknowledged_version)
         host.acknowledged_version = report.acknowledged_version
         if report.used_groups is not None:
             host.used_groups = report.used_groups
@@ -186,6 +186,17 @@
         )
         return catalog.encode_struct(answer)
 
+    def _get_host(self, host_id: str, acknowledged_version: int) -> _HostState:
+        """Return the state of the process that has sent a report.
+
+        The version of a process's table never decreases. After a lower one the state is
+        that of an earlier process: the present one has received nothing yet.
+        """
+        host = self._hosts.get(host_id)
+        if host is None or acknowledged_version < host.acknowledged_version:
+            host = self._hosts[host_id] = _HostState()
+        return host
+
     def _receive_acknowledged(
         self, host: _HostState, acknowledged: typing.Iterable[ttypes.Acknowledged]
     ) -> None:
--- a/sedgeswitch/groups/tests/test_shared_positions.py
+++ b/sedgeswitch/groups/tests/test_shared_positions.py
@@ -5,8 +5,10 @@
 
 import trio
 
+from sedgeswitch.groups import assignment
 from sedgeswitch.groups import control_section
 from sedgeswitch.groups import entry_section
+from sedgeswitch.groups import machine
 from sedgeswitch.groups import positions
 from sedgeswitch.groups import settings
 from sedgeswitch.groups import table
@@ -88,6 +90,55 @@
         self.assertEqual([1], self.list_observed(observes_replicas=False))
 
 
+class RestartedHostTest(unittest.TestCase):
+    """A process that starts again under the same leader as its earlier one.
+
+    Guards against groups that nobody watches: a process was not told which groups it
+    watches if its earlier one had been, so that failed primaries were not replaced.
+    """
+
+    def setUp(self):
+        groups = machine.GroupsMachine()
+        command = ttypes.RegisterGroup("g", "a", 1, ["a", "b", "c"])
+        groups.apply(1, machine.encode_command(command))
+        live = [assignment.EntryHost(name, "z") for name in ("e1", "e2")]
+        self.control = control_section.ControlSection(
+            groups, lambda now_s: live, settings.GroupSettings()
+        )
+
+    def list_watched(self, section, now_s):
+        body = self.control.answer_report("e1", section.build_report(now_s), now_s)
+        section.receive_answer(body, now_s)
+        return section._assigned_groups
+
+    def test_restarted_host_is_told_again_which_groups_it_watches(self):
+        for start_s in (1.0, 3.0):
+            with self.subTest(start_s=start_s):
+                section = entry_section.EntrySection(
+                    table.GroupTable(), None, None, settings.GroupSettings()
+                )
+                for now_s in (start_s, start_s + 0.5):
+                    watched = self.list_watched(section, now_s)
+                self.assertEqual({"g"}, watched)
+
+    def test_delay_of_a_host_whose_clock_began_anew_is_small(self):
+        body = catalog.encode_struct(ttypes.Report(1, 900_000, 10, []))
+        self.control.answer_report("e1", body, 1.0)
+        health = ttypes.GroupHealth(
+            "g",
+            [
+                ttypes.InstanceHealth(
+                    "a", ttypes.Condition.LIVE, 0, 0, 5, False, 1, 9, age_ms=20
+                )
+            ],
+            False,
+        )
+        body = catalog.encode_struct(ttypes.Report(0, 2_000, 10, [health]))
+        self.control.answer_report("e1", body, 5.0)
+        view = self.control.health_reports.get_instance_view("g", "a", 5.0)
+        self.assertLess(view.age_s, 0.1)
+
+
 class FailingWatcherTest(unittest.TestCase):
     """Guards against one group whose error ends the process, and so all sessions."""
 
